--- /dev/null
+++ b/crates/stackgw-adapter/src/conf.rs
@@ -0,0 +1,146 @@
+//! The settings document, translated into the router's [`Settings`].
+
+use serde_json::Value;
+use stackgw_router::api::*;
+
+/// Reads the document; an error names the key at fault.
+pub fn settings(text: &str) -> Result<Settings, String> {
+    let conf: Value = serde_json::from_str(text).map_err(|e| format!("no JSON object: {e}"))?;
+    let domain = part(&conf, "Domain")?;
+    let limits = part(&conf, "Limits")?;
+    let rules = part(&conf, "Obligations")?;
+    let prices = part(&conf, "Prices")?;
+    let stats = part(&conf, "Stats")?;
+    let list = |at: &Value, key: &str| -> Result<Vec<Value>, String> {
+        at.get(key).and_then(Value::as_array).cloned().ok_or(format!("{key} is no list"))
+    };
+    let needs = list(domain, "NeedsByClass")?;
+    let bounds = list(domain, "StalenessBoundNs")?;
+    let class = |(i, c): (usize, &Value)| -> Result<Class, String> {
+        let bound = bounds.get(i).and_then(Value::as_i64);
+        let need = match needs.get(i).and_then(Value::as_str) {
+            Some("update") => Need::Write,
+            Some("latest") => Need::Fresh,
+            Some("own_writes") => Need::Session,
+            Some("recent") => Need::Bounded(bound.ok_or("StalenessBoundNs is too short")?),
+            Some("loose") => Need::Loose,
+            other => return Err(format!("NeedsByClass holds {other:?} for class {i}")),
+        };
+        let scope = || match word(c, "Group")? {
+            "cell" => Ok(KeyScope::Group),
+            "zone" => Ok(KeyScope::Zone),
+            "all" => Ok(KeyScope::Everywhere),
+            other => Err(format!("Group holds '{other}'")),
+        };
+        let effect = match word(c, "Effect")? {
+            "retryable" => Effect::Safe,
+            "dedup" => Effect::Keyed { scope: scope()?, window: int(c, "DedupWindowNs")? },
+            "fragile" => Effect::Unsafe,
+            other => return Err(format!("Effect holds '{other}'")),
+        };
+        Ok(Class {
+            need,
+            effect,
+            aim: int(c, "AimNs")?,
+            deadline: int(c, "DeadlineNs")?,
+            worth: number(c, "Worth")?,
+            late_worth: number(c, "LateWorth")?,
+        })
+    };
+    let reported = list(stats, "Fields")?;
+    Ok(Settings {
+        classes: list(&conf, "Classes")?.iter().enumerate().map(class).collect::<Result<_, _>>()?,
+        fleet_size: index(&conf, "FleetSize")?,
+        me: index(&conf, "Me")?,
+        zone: index(&conf, "Zone")?,
+        tick: int(&conf, "QuantumNs")?,
+        list_on_request: word(&conf, "MembershipMode")? == "subscribe",
+        must_ask_within: int_or(rules, "MustAskInNs", 0)?,
+        lagging: match word(domain, "Behind")? {
+            "silent" => Lagging::Answers,
+            "reject" => Lagging::Refuses,
+            "hold" => Lagging::Waits(int(domain, "CatchUpWaitNs")?),
+            other => return Err(format!("Behind holds '{other}'")),
+        },
+        positions_in_answers: flag(domain, "Stamps")?,
+        role_listing: match word(domain, "RoleListed")? {
+            "delayed" => RoleListing::Late,
+            "initial" => RoleListing::AtStart,
+            "silent" => RoleListing::Never,
+            other => return Err(format!("RoleListed holds '{other}'")),
+        },
+        session_marks: match word(domain, "SessionMarks")? {
+            "client" => SessionMarks::Client,
+            "router" => SessionMarks::Router,
+            other => return Err(format!("SessionMarks holds '{other}'")),
+        },
+        commit_waits: flag(domain, "CommitWaits")?,
+        reports: match word(stats, "How")? {
+            "piggyback" => Reports::OnAnswers,
+            "pull" => Reports::OnProbes,
+            "silent" => Reports::Never,
+            other => return Err(format!("How holds '{other}'")),
+        },
+        report_position: reported.iter().any(|f| f == "x0"),
+        retries_marked: conf.get("Clients").is_some_and(|c| flag(c, "MarksRetry") == Ok(true)),
+        limits: Limits {
+            attempts: index(limits, "MaxAttempts")?,
+            second_copies: flag(limits, "SecondCopies")?,
+            cancel: flag(limits, "Cancel")?,
+            probes: flag(limits, "Probes")?,
+            retry_after: flag(limits, "RetryAfter")?,
+            retry_after_max: int_or(limits, "MaxRetryAfterNs", 0)?,
+            peers: flag(limits, "MayTell")?,
+            connect_timeout: int(limits, "DialTimeoutNs")?,
+        },
+        obligations: Obligations {
+            answer_slack: int(rules, "AnswerSlackNs")?,
+            drain_grace: int(rules, "StopSendingWithinNs")?,
+            only_drains_bind: rules.get("OnlyDrainingBinds").and_then(Value::as_bool).unwrap_or(false),
+            cold_share: number(rules, "StartCapacity")?,
+            warm_within: int(rules, "WarmWithinNs")?,
+            fall_multiple: number(rules, "FallMultiple")?,
+            fall_window: int(rules, "FallNs")?,
+        },
+        prices: Prices {
+            probe: number(prices, "Probe")?,
+            cross_zone: number(prices, "CrossZone")?,
+            waste: number(prices, "Waste")?,
+            late_fail: number(prices, "LateFail")?,
+        },
+    })
+}
+
+/// The moment that positions are counted from.
+pub fn position_zero(text: &str) -> Result<Time, String> {
+    let conf: Value = serde_json::from_str(text).map_err(|e| format!("no JSON object: {e}"))?;
+    int(part(&conf, "Domain")?, "CountedFromNs")
+}
+
+fn part<'a>(at: &'a Value, key: &str) -> Result<&'a Value, String> {
+    at.get(key).filter(|v| v.is_object()).ok_or(format!("{key} is no object"))
+}
+
+fn int(at: &Value, key: &str) -> Result<i64, String> {
+    at.get(key).and_then(Value::as_i64).ok_or(format!("{key} is no whole number"))
+}
+
+fn int_or(at: &Value, key: &str, absent: i64) -> Result<i64, String> {
+    at.get(key).map_or(Ok(absent), |_| int(at, key))
+}
+
+fn index(at: &Value, key: &str) -> Result<u32, String> {
+    u32::try_from(int(at, key)?).map_err(|_| format!("{key} is out of range"))
+}
+
+fn number(at: &Value, key: &str) -> Result<f64, String> {
+    at.get(key).and_then(Value::as_f64).ok_or(format!("{key} is no number"))
+}
+
+fn flag(at: &Value, key: &str) -> Result<bool, String> {
+    at.get(key).and_then(Value::as_bool).ok_or(format!("{key} is neither true nor false"))
+}
+
+fn word<'a>(at: &'a Value, key: &str) -> Result<&'a str, String> {
+    at.get(key).and_then(Value::as_str).ok_or(format!("{key} is no text"))
+}
--- /dev/null
+++ b/crates/stackgw-router/src/router.rs
@@ -0,0 +1,835 @@
+//! Every decision of stackgw. The interface (settings, events, actions) is in api.rs; read it first.
+//!
+//! A request walks one path: `accept` -> `route` (which member fits?) -> `send`, or it is held in its group
+//! and routed again by `pump`, until `settle` gives the one final answer. What members say about themselves
+//! arrives in `learn`; what their behaviour says about them arrives in `judge`; time passes in `tick`.
+
+use crate::api::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Session reads this soon after a write go to the primary. The design starts at 1 s; the position check
+/// already keeps later reads correct, so the window only has to cover the normal replication delay.
+const READ_AFTER_WRITE: Span = 150 * MS;
+/// Kept off each staleness bound, for the time between the decision and the send.
+const STALENESS_MARGIN: Span = 100 * MS;
+/// Probes of a replica come no closer together than this share of the tightest bound.
+const PROBE_SHARE_OF_BOUND: i64 = 4;
+/// Pace of probes while a group has no primary, and the slowest pace of any probe.
+const SEEK_PACE: Span = 120 * MS;
+const SLOWEST_PACE: Span = SECOND;
+/// A replica with this many times its peers' mean in flight, and one more, is skipped for now.
+const CLEARLY_MORE: f64 = 1.3;
+/// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
+const LIMIT_START: f64 = 8.0;
+const LIMIT_LEAST: f64 = 2.0;
+/// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
+const STRAIN_HIGH: f64 = 0.5;
+const STRAIN_FINE: f64 = 0.4;
+const LIMIT_CUT: f64 = 0.85;
+/// Shares of the primary's limit open to session reads and to reads that no replica could take: the rest
+/// is kept for writes, which can go nowhere else.
+const SESSION_SHARE: f64 = 0.85;
+const FALLBACK_SHARE: f64 = 0.6;
+/// A member is silent when nothing came back for (A + B / requests in flight) usual answer times: with n at
+/// work the gap between answers shrinks as 1/n, and e^-7 is rare enough.
+const SILENCE_A: f64 = 2.0;
+const SILENCE_B: f64 = 7.0;
+/// Consecutive errors that put a member out; one refused connection or two lost answers do as well.
+const ERRORS_OUT: u32 = 5;
+const LOST_OUT: u32 = 2;
+/// Trials of a member that is out: first and longest wait between them.
+const TRIAL_FIRST: Span = 250 * MS;
+const TRIAL_LONGEST: Span = 2 * SECOND;
+/// Rest given to a member that sheds, doubled up to 16 times while it goes on.
+const SHED_REST: Span = 40 * MS;
+/// Part of a cold member's budget that this fleet uses; the rest covers chance and what it cannot see.
+const COLD_USE: f64 = 0.4;
+/// Part of the drain grace in which a draining primary still gets writes when no other is known.
+const GRACE_USE: f64 = 0.8;
+/// A request is held for capacity until its aim less this many expected answer times.
+const HOLD_RESERVE: f64 = 1.5;
+
+/// What the router knows of one member.
+#[derive(Debug, Clone)]
+struct Node {
+    group: GroupId,
+    weight: f64,
+    started: Option<Time>,
+    standing: Standing,
+    /// When this router was told that the member drains or is gone.
+    told: Time,
+    listed_primary: bool,
+    /// Latest position heard; it never goes back, so it holds from then on.
+    position: Time,
+    /// Position (or moment) of its latest word that it is a replica.
+    replica_at: Time,
+    in_flight: u32,
+    limit: f64,
+    /// No cut since the start: the limit grows with every answer.
+    slow_start: bool,
+    next_cut: Time,
+    strain: f64,
+    latency: f64,
+    /// Since when the requests in flight have seen no answer.
+    quiet_since: Time,
+    /// Out of rotation until a trial succeeds.
+    out: bool,
+    trial_at: Time,
+    trial_wait: Span,
+    errors: u32,
+    lost: u32,
+    rest_until: Time,
+    rest: Span,
+    probed_at: Time,
+    probe_out: bool,
+    credit: f64,
+    /// Sends to it while cold, within the last fall window.
+    cold_sends: VecDeque<Time>,
+    sends: f64,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    /// Last member to claim the primary's role, the claim's position, and whether an answer made it.
+    primary: Option<MemberId>,
+    claim: Time,
+    answered: bool,
+    held: Vec<RequestId>,
+    last_request: Time,
+}
+
+/// The ledger entry of a request: what was sent, what may have run.
+#[derive(Debug, Clone)]
+struct Entry {
+    class: usize,
+    group: GroupId,
+    session: Option<SessionId>,
+    last_write: Option<Time>,
+    arrived: Time,
+    deadline: Time,
+    sent: u32,
+    out: Vec<(u32, MemberId)>,
+    /// When the first attempt that may have run was sent.
+    may_have_run: Option<Time>,
+    /// Members that turned it away since the last probe round.
+    tried: Vec<MemberId>,
+    streaming: bool,
+}
+
+/// Where a request can go now.
+enum Way {
+    To(MemberId),
+    Wait,
+}
+
+/// The decision module. The same settings, seed and events give the same actions.
+#[derive(Debug)]
+pub struct Router {
+    set: Settings,
+    nodes: BTreeMap<MemberId, Node>,
+    groups: BTreeMap<GroupId, Group>,
+    entries: BTreeMap<RequestId, Entry>,
+    last_writes: BTreeMap<SessionId, Time>,
+    random: u64,
+    /// Sends per second to a warm member, smoothed: the yardstick for cold ones.
+    warm_rate: f64,
+    counted_at: Time,
+    ticking: bool,
+    asked_at: Time,
+}
+
+impl Router {
+    /// A router that knows nothing yet but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Router {
+            set: settings,
+            nodes: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            last_writes: BTreeMap::new(),
+            random: seed | 1,
+            warm_rate: 0.0,
+            counted_at: 0,
+            ticking: false,
+            asked_at: 0,
+        }
+    }
+
+    /// Takes one event and appends what is to be done about it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::List { scope, members } => self.list(now, scope, members, out),
+            Event::Request(request) => self.accept(now, request, out),
+            Event::Started { request, .. } => {
+                if let Some(entry) = self.entries.get_mut(&request) {
+                    entry.streaming = true;
+                }
+            }
+            Event::Answer(answer) => self.answer(now, answer, out),
+            Event::Abandoned(request) => {
+                self.end(request, out);
+            }
+            Event::Probed { member, answered, report, .. } => {
+                if let Some(node) = self.nodes.get_mut(&member) {
+                    node.probe_out = false;
+                    if answered {
+                        self.learn(now, member, report.primary, report.position, false);
+                    }
+                    let group = self.nodes[&member].group;
+                    self.forget_tries(group);
+                    self.pump(now, group, out);
+                }
+            }
+            Event::Timer(_) => {
+                self.ticking = false;
+                self.tick(now, out);
+            }
+            Event::Peer { .. } => {}
+        }
+        let idle = self.ticking || self.nodes.is_empty();
+        if !idle {
+            self.ticking = true;
+            out.push(Action::Timer { after: self.set.tick.max(10 * MS), token: 0 });
+        }
+    }
+
+    // ---- The list of members ----
+
+    fn list(&mut self, now: Time, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
+        if self.set.list_on_request && scope == ListScope::Cached {
+            self.asked_at = now;
+            out.push(Action::Subscribe(true));
+        }
+        if scope == ListScope::Failed {
+            return;
+        }
+        if scope != ListScope::Changes {
+            for (id, node) in &mut self.nodes {
+                if node.standing != Standing::Gone && !members.iter().any(|m| m.id == *id) {
+                    if node.standing == Standing::Serving {
+                        node.told = now;
+                    }
+                    node.standing = Standing::Gone;
+                }
+            }
+        }
+        for member in members {
+            let credit = self.chance();
+            let fresh = Node::new(now, &member, credit);
+            let node = self.nodes.entry(member.id).or_insert(fresh);
+            if member.started.is_some() && node.started != member.started {
+                // A restarted process is cold, and no longer what its past says of health or role.
+                let (position, in_flight) = (node.position, node.in_flight);
+                *node = Node { position, in_flight, ..Node::new(now, &member, credit) };
+                if let Some(group) = self.groups.get_mut(&member.group) {
+                    if group.primary == Some(member.id) {
+                        group.primary = None;
+                    }
+                }
+            } else if node.standing == Standing::Serving && member.standing != Standing::Serving {
+                node.told = now;
+            }
+            node.standing = member.standing;
+            node.weight = member.weight;
+            node.listed_primary = member.primary;
+            self.groups.entry(member.group).or_default();
+        }
+        self.tick(now, out);
+    }
+
+    /// Whether anything new may go to a member. A draining one gets nothing, but for a primary within the
+    /// grace while no other is known: its group could take no writes at all.
+    fn open(&self, now: Time, id: MemberId, as_primary: bool) -> bool {
+        let Some(node) = self.nodes.get(&id) else { return false };
+        let grace = (self.set.obligations.drain_grace as f64 * GRACE_USE) as Span;
+        match node.standing {
+            Standing::Serving => true,
+            Standing::Draining => as_primary && now - node.told < grace,
+            Standing::Gone => false,
+        }
+    }
+
+    // ---- What members say ----
+
+    /// Takes a member's word on its role and position. Claims are ordered by position where known, so an
+    /// old report cannot undo a newer answer.
+    fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>, answer: bool) {
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        node.position = node.position.max(at.unwrap_or(0));
+        let order = at.unwrap_or(now);
+        let group = self.groups.entry(node.group).or_default();
+        match primary {
+            Some(true) if order >= group.claim && order >= node.replica_at => {
+                if group.primary != Some(id) {
+                    group.answered = false;
+                }
+                (group.primary, group.claim) = (Some(id), order);
+                group.answered |= answer;
+            }
+            Some(false) if order >= node.replica_at => {
+                node.replica_at = order;
+                if group.primary == Some(id) && order >= group.claim {
+                    group.primary = None;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The primary of a group as far as known: the last to answer so, else the list's.
+    fn primary(&self, now: Time, group: GroupId) -> Option<MemberId> {
+        let claimed = self.groups.get(&group).and_then(|g| g.primary).filter(|id| self.open(now, *id, true));
+        let listed = || {
+            let mut listed = self.nodes.iter().filter(|(_, n)| n.group == group && n.listed_primary);
+            listed.find(|(id, n)| n.replica_at == 0 && self.open(now, **id, true)).map(|(id, _)| *id)
+        };
+        claimed.or_else(listed)
+    }
+
+    // ---- What members' behaviour says ----
+
+    /// Books an attempt's end against the member's health and limit.
+    fn judge(&mut self, now: Time, answer: &Answer, aim: Span) {
+        let Some(node) = self.nodes.get_mut(&answer.member) else { return };
+        node.in_flight = node.in_flight.saturating_sub(1);
+        if answer.outcome == Outcome::Unsent || answer.outcome == Outcome::Cancelled {
+            return;
+        }
+        if matches!(answer.outcome, Outcome::Served | Outcome::Error | Outcome::Shed | Outcome::NotHere) {
+            node.quiet_since = now;
+            node.lost = 0;
+        }
+        match answer.outcome {
+            Outcome::Served => {
+                if node.out {
+                    // Back from a trial: start carefully, it may be cold or still choking.
+                    node.out = false;
+                    node.limit = (node.limit / 2.0).max(LIMIT_LEAST);
+                    node.trial_wait = TRIAL_FIRST;
+                }
+                (node.errors, node.rest) = (0, SHED_REST);
+                node.latency += (answer.took as f64 - node.latency) * 0.1;
+                let ratio = answer.took as f64 / aim as f64;
+                node.strain += (ratio.min(2.0) - node.strain) * 0.1;
+            }
+            Outcome::Error => node.errors += 1,
+            Outcome::Shed => {
+                // Full or about to go: give it a rest, longer each time.
+                node.rest_until = now + node.rest;
+                node.rest = (node.rest * 2).min(16 * SHED_REST);
+                node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
+            }
+            Outcome::TimedOut | Outcome::Broken => {
+                node.lost += 1;
+                node.strain += (1.5 - node.strain) * 0.1;
+            }
+            Outcome::NoConnection => node.lost += LOST_OUT,
+            _ => {}
+        }
+        if node.strain > STRAIN_HIGH && now >= node.next_cut {
+            node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
+            node.slow_start = false;
+            node.next_cut = now + node.latency as Span;
+        } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
+            node.limit += if node.slow_start { 0.5 } else { 1.0 / node.limit };
+        }
+        if node.errors >= ERRORS_OUT || node.lost >= LOST_OUT {
+            node.put_out(now);
+        }
+    }
+
+    /// A member that holds requests and answers none for far longer than usual is silent. Probes do not
+    /// count: they are answered beside the queue. Its reads are called off and sent elsewhere.
+    fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let floor = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64 * 0.5;
+        let mut silent = Vec::new();
+        for (id, node) in &mut self.nodes {
+            let gap = node.latency * (SILENCE_A + SILENCE_B / f64::from(node.in_flight.max(1)));
+            if node.in_flight > 0 && !node.out && (now - node.quiet_since) as f64 > gap.max(floor) {
+                node.put_out(now);
+                silent.push(*id);
+            }
+        }
+        if !self.set.limits.cancel {
+            return;
+        }
+        for (request, entry) in &self.entries {
+            let repeatable = self.set.classes[entry.class].effect != Effect::Unsafe;
+            for (attempt, member) in &entry.out {
+                if repeatable && !entry.streaming && silent.contains(member) {
+                    out.push(Action::Cancel { request: *request, attempt: *attempt });
+                }
+            }
+        }
+    }
+
+    /// Whether a member can take one more, of a kind that may use `share` of its limit. A member that is
+    /// out gets one trial at a time, and never an unsafe request.
+    fn room(&self, now: Time, id: MemberId, share: f64, safe: bool) -> bool {
+        let Some(node) = self.nodes.get(&id) else { return false };
+        if node.out {
+            return safe && now >= node.trial_at && self.cold_room(now, node);
+        }
+        let limit = (node.limit * share * self.warmth(now, node)).max(1.0);
+        now >= node.rest_until && f64::from(node.in_flight) < limit && self.cold_room(now, node)
+    }
+
+    /// Share of its capacity that a member has at least by now.
+    fn warmth(&self, now: Time, node: &Node) -> f64 {
+        let rules = &self.set.obligations;
+        let age = node.started.map_or(rules.warm_within, |s| (now - s).max(0)) as f64;
+        let risen = (age / rules.warm_within.max(1) as f64).min(1.0);
+        rules.cold_share + (1.0 - rules.cold_share) * risen
+    }
+
+    /// A cold member falls over when sent too much, by all routers together, whatever it is. Each router
+    /// scales by what it sends to warm members, so the fleet's sum scales by what they bear.
+    fn cold_room(&self, now: Time, node: &Node) -> bool {
+        let rules = &self.set.obligations;
+        let warmth = self.warmth(now, node);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let window = rules.fall_window as f64 / SECOND as f64;
+        let budget = self.warm_rate * warmth * rules.fall_multiple * window * COLD_USE;
+        let least = 4.0 / f64::from(self.set.fleet_size.max(1));
+        let spent = node.cold_sends.iter().filter(|t| now - **t < rules.fall_window).count();
+        (spent as f64) < budget.max(least)
+    }
+
+    // ---- Requests ----
+
+    fn accept(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+        let class = &self.set.classes[request.class];
+        let last_write = match (class.need, self.set.session_marks) {
+            // A commit time is rounded up on the wire; stay on its far side.
+            (Need::Session, SessionMarks::Client) => request.last_write.map(|t| t + MS),
+            (Need::Session, SessionMarks::Router) => {
+                request.session.as_ref().and_then(|s| self.last_writes.get(s).copied())
+            }
+            _ => None,
+        };
+        let entry = Entry {
+            class: request.class,
+            group: request.group,
+            session: request.session,
+            last_write,
+            arrived: now,
+            deadline: request.deadline,
+            sent: 0,
+            out: Vec::new(),
+            may_have_run: None,
+            tried: Vec::new(),
+            streaming: false,
+        };
+        self.entries.insert(request.id, entry);
+        let group = self.groups.entry(request.group).or_default();
+        group.last_request = now;
+        self.proceed(now, request.id, out);
+    }
+
+    /// Routes a request that has no attempt out: sends it, holds it or gives it up.
+    fn proceed(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        if !entry.out.is_empty() || entry.streaming {
+            return;
+        }
+        if !self.may_send(now, entry) || now >= self.hold_until(entry) {
+            return self.give_up(now, id, out);
+        }
+        match self.route(now, entry) {
+            Way::To(member) => self.send(now, id, member, out),
+            Way::Wait => {
+                let group = self.groups.entry(entry.group).or_default();
+                if !group.held.contains(&id) {
+                    group.held.push(id);
+                }
+            }
+        }
+    }
+
+    /// Until when a request may wait for a place. One that is worth nothing late waits while it can still
+    /// be answered in time; another for half its time, so that its client can still come back.
+    fn hold_until(&self, entry: &Entry) -> Time {
+        let class = &self.set.classes[entry.class];
+        if class.late_worth > 0.0 {
+            return entry.arrived + (entry.deadline - entry.arrived) / 2;
+        }
+        let strain = self.typical_strain(entry.group);
+        let end = entry.deadline.min(entry.arrived + class.aim);
+        end - (class.aim as f64 * (strain * HOLD_RESERVE).min(0.7)) as Span
+    }
+
+    fn typical_strain(&self, group: GroupId) -> f64 {
+        let strains = self.nodes.values().filter(|n| n.group == group && !n.out).map(|n| n.strain);
+        let (sum, count) = strains.fold((0.0, 0.0), |(s, c), x| (s + x, c + 1.0));
+        if count > 0.0 {
+            sum / count
+        } else {
+            0.25
+        }
+    }
+
+    /// The ledger's answer to: may another attempt be sent?
+    fn may_send(&self, now: Time, entry: &Entry) -> bool {
+        let left = entry.deadline - now;
+        if entry.sent >= self.set.limits.attempts || left <= self.set.tick {
+            return false;
+        }
+        match (self.set.classes[entry.class].effect, entry.may_have_run) {
+            (Effect::Safe, _) | (_, None) => true,
+            (Effect::Keyed { window, .. }, Some(first)) => now - first < window - self.set.tick * 2,
+            (Effect::Unsafe, Some(_)) => false,
+        }
+    }
+
+    /// The ledger's answer to: may the client be told that trying again is harmless?
+    fn may_refuse(&self, entry: &Entry) -> bool {
+        let clean = entry.may_have_run.is_none() && entry.out.is_empty();
+        match self.set.classes[entry.class].effect {
+            Effect::Safe => true,
+            Effect::Keyed { scope, .. } => clean || scope == KeyScope::Everywhere,
+            Effect::Unsafe => clean,
+        }
+    }
+
+    /// The design's ordinary path, and its fallbacks.
+    fn route(&self, now: Time, entry: &Entry) -> Way {
+        let class = &self.set.classes[entry.class];
+        let safe = class.effect != Effect::Unsafe;
+        let primary = self.primary(now, entry.group);
+        let at_primary = |share: f64| match primary {
+            Some(id) if !entry.tried.contains(&id) && self.room(now, id, share, safe) => Way::To(id),
+            _ => Way::Wait,
+        };
+        let floor = match class.need {
+            Need::Write => return self.route_write(now, entry, primary, safe),
+            Need::Fresh => {
+                let confirmed = self.groups.get(&entry.group).is_some_and(|g| g.primary.is_some());
+                return if confirmed { at_primary(SESSION_SHARE) } else { Way::Wait };
+            }
+            Need::Session => match entry.last_write {
+                Some(write) if now - write < READ_AFTER_WRITE => {
+                    if let Way::To(id) = at_primary(SESSION_SHARE) {
+                        return Way::To(id);
+                    }
+                    // Departure: a primary without room sheds session reads to replicas that cover them.
+                    write
+                }
+                Some(write) => write,
+                None => 0,
+            },
+            Need::Bounded(bound) => now - (bound - STALENESS_MARGIN).max(bound / 2),
+            Need::Loose => 0,
+        };
+        if let Some(id) = self.pick(now, entry, primary, floor) {
+            return Way::To(id);
+        }
+        if self.set.lagging != Lagging::Answers && floor > 0 {
+            // Replicas check reads themselves here, so the most advanced one may be asked.
+            let ready = |id: &MemberId, node: &Node| {
+                node.group == entry.group
+                    && Some(*id) != primary
+                    && !entry.tried.contains(id)
+                    && self.open(now, *id, false)
+                    && !node.out
+                    && self.room(now, *id, 1.0, true)
+            };
+            let advanced = self.nodes.iter().filter(|(id, n)| ready(id, n)).max_by_key(|(_, n)| n.position);
+            if let Some((id, _)) = advanced.filter(|_| entry.tried.is_empty()) {
+                return Way::To(*id);
+            }
+        }
+        at_primary(FALLBACK_SHARE)
+    }
+
+    /// Writes go to the primary. Met by a member that is none, they try the next, then wait for a probe.
+    fn route_write(&self, now: Time, entry: &Entry, primary: Option<MemberId>, safe: bool) -> Way {
+        if let Some(id) = primary {
+            let fit = !entry.tried.contains(&id) && self.room(now, id, 1.0, safe);
+            return if fit { Way::To(id) } else { Way::Wait };
+        }
+        if entry.tried.is_empty() || entry.sent >= self.set.limits.attempts / 2 {
+            return Way::Wait;
+        }
+        let next = self.nodes.iter().find(|(id, node)| {
+            let untried = node.group == entry.group && !entry.tried.contains(id) && !node.out;
+            untried && self.open(now, **id, false) && self.room(now, **id, 1.0, safe)
+        });
+        next.map_or(Way::Wait, |(id, _)| Way::To(*id))
+    }
+
+    /// Weighted rotation over the replicas that are fresh enough, have room and no clearly longer line.
+    fn pick(&self, now: Time, entry: &Entry, primary: Option<MemberId>, floor: Time) -> Option<MemberId> {
+        let fits = |id: &MemberId, node: &Node| {
+            node.group == entry.group
+                && Some(*id) != primary
+                && node.position >= floor
+                && !entry.tried.contains(id)
+                && self.open(now, *id, false)
+                && self.room(now, *id, 1.0, true)
+        };
+        let fit: Vec<_> = self.nodes.iter().filter(|(id, node)| fits(id, node)).collect();
+        if let Some((id, _)) = fit.iter().find(|(_, node)| node.out) {
+            return Some(**id); // A trial is due; this read may be repeated elsewhere.
+        }
+        let mean = fit.iter().map(|(_, n)| f64::from(n.in_flight)).sum::<f64>() / fit.len().max(1) as f64;
+        let short = fit.iter().filter(|(_, n)| f64::from(n.in_flight) <= mean * CLEARLY_MORE + 1.0);
+        short.max_by(|a, b| a.1.credit.total_cmp(&b.1.credit)).map(|(id, _)| **id)
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
+        let group = self.nodes[&member].group;
+        let weights = |n: &Node, w: f64| if n.standing == Standing::Serving { n.weight * w } else { 0.0 };
+        let warm: Vec<f64> = self.nodes.values().map(|n| weights(n, self.warmth(now, n))).collect();
+        let mut total = 0.0;
+        for (node, weight) in self.nodes.values_mut().zip(warm) {
+            if node.group == group {
+                node.credit = (node.credit + weight).min(4.0 * weight);
+                total += weight;
+            }
+        }
+        let timeout = self.entries.get(&id).and_then(|entry| self.timeout(now, entry, member));
+        let cold = self.warmth(now, &self.nodes[&member]) < 1.0;
+        if let Some(node) = self.nodes.get_mut(&member) {
+            node.credit -= total;
+            node.sends += 1.0;
+            if node.in_flight == 0 {
+                node.quiet_since = now;
+            }
+            node.in_flight += 1;
+            if node.out {
+                node.trial_wait = (node.trial_wait * 2).min(TRIAL_LONGEST);
+                node.trial_at = now + node.trial_wait;
+            }
+            if cold {
+                let window = self.set.obligations.fall_window;
+                node.cold_sends.retain(|t| now - *t < window);
+                node.cold_sends.push_back(now);
+            }
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.out.push((entry.sent, member));
+            entry.sent += 1;
+            out.push(Action::Send { request: id, member, timeout });
+        }
+    }
+
+    /// An attempt that may be repeated is given up while there is still time for another.
+    fn timeout(&self, now: Time, entry: &Entry, member: MemberId) -> Option<Span> {
+        let class = &self.set.classes[entry.class];
+        if class.effect == Effect::Unsafe {
+            return None;
+        }
+        let usual = self.nodes.get(&member)?.latency;
+        let patience = (usual * 4.0).max(class.aim as f64 * 0.5) as Span;
+        let end = if class.late_worth > 0.0 { entry.deadline } else { entry.arrived + class.aim };
+        (now + patience + usual as Span <= end.min(entry.deadline)).then_some(patience)
+    }
+
+    fn answer(&mut self, now: Time, answer: Answer, out: &mut Vec<Action>) {
+        let group = self.nodes.get(&answer.member).map(|n| n.group);
+        let class = self.entries.get(&answer.request).map(|e| self.set.classes[e.class].clone());
+        let aim = class.as_ref().map_or(answer.took.max(1) * 3, |c| c.aim);
+        self.judge(now, &answer, aim);
+        self.learn(now, answer.member, answer.report.primary, answer.report.position, false);
+        self.learn(now, answer.member, answer.primary, answer.position, true);
+        let write = class.as_ref().is_some_and(|c| c.need == Need::Write);
+        if let Some(entry) = self.entries.get_mut(&answer.request) {
+            entry.out.retain(|(attempt, _)| *attempt != answer.attempt);
+            if !answer.outcome.never_ran() {
+                let sent = now - answer.took;
+                entry.may_have_run = Some(entry.may_have_run.map_or(sent, |t| t.min(sent)));
+            }
+            if matches!(answer.outcome, Outcome::NotHere | Outcome::Shed | Outcome::NoConnection) {
+                entry.tried.push(answer.member);
+            }
+            if write && answer.outcome == Outcome::Served && self.set.session_marks == SessionMarks::Router {
+                if let Some(session) = entry.session.clone() {
+                    let commit = answer.position.unwrap_or(now);
+                    let last = self.last_writes.entry(session).or_insert(commit);
+                    *last = commit.max(*last);
+                }
+            }
+            if answer.finished {
+                self.end(answer.request, out);
+            } else {
+                self.proceed(now, answer.request, out);
+            }
+        }
+        if let Some(group) = group {
+            self.pump(now, group, out);
+        }
+    }
+
+    /// The one final answer where no member gives it: at once, as a refusal wherever that is allowed.
+    fn give_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let class = &self.set.classes[entry.class];
+        let left = (entry.arrived + class.deadline - now).max(0);
+        let wait = (left / 3).min(self.set.limits.retry_after_max);
+        let retry_after = Some(wait).filter(|w| self.set.limits.retry_after && *w > 0);
+        let action = if self.may_refuse(entry) {
+            Action::Refuse { request: id, retry_after }
+        } else {
+            Action::Fail(id)
+        };
+        out.push(action);
+        self.end(id, out);
+    }
+
+    /// Closes the ledger entry; attempts still out are called off.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(entry) = self.entries.remove(&id) else { return };
+        if let Some(group) = self.groups.get_mut(&entry.group) {
+            group.held.retain(|held| *held != id);
+        }
+        if self.set.limits.cancel && !entry.streaming {
+            out.extend(
+                entry.out.iter().map(|(attempt, _)| Action::Cancel { request: id, attempt: *attempt }),
+            );
+        }
+    }
+
+    /// Routes held requests again: the worthiest first, then the oldest.
+    fn pump(&mut self, now: Time, group: GroupId, out: &mut Vec<Action>) {
+        let Some(held) = self.groups.get_mut(&group).map(|g| std::mem::take(&mut g.held)) else { return };
+        let worth = |id: &RequestId| self.entries.get(id).map_or(0.0, |e| self.set.classes[e.class].worth);
+        let mut order: Vec<(f64, RequestId)> = held.iter().map(|id| (worth(id), *id)).collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, id) in order {
+            self.proceed(now, id, out);
+        }
+    }
+
+    fn forget_tries(&mut self, group: GroupId) {
+        let held = self.groups.get(&group).map(|g| g.held.clone()).unwrap_or_default();
+        for id in held {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.tried.clear();
+            }
+        }
+    }
+
+    // ---- Time ----
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.find_silent(now, out);
+        let slack = self.set.obligations.answer_slack / 2;
+        let overdue = |e: &Entry| !e.streaming && now >= e.deadline + slack;
+        let late: Vec<_> = self.entries.iter().filter(|(_, e)| overdue(e)).map(|(id, _)| *id).collect();
+        for id in late {
+            out.push(Action::Fail(id)); // Backstop: the outcome that should have come did not.
+            self.end(id, out);
+        }
+        if now - self.counted_at >= SECOND {
+            self.count(now);
+        }
+        if self.set.list_on_request && now - self.asked_at > self.set.must_ask_within / 2 {
+            self.asked_at = now;
+            out.push(Action::FetchList);
+        }
+        for group in self.groups.keys().copied().collect::<Vec<_>>() {
+            self.probe(now, group, out);
+            self.pump(now, group, out);
+        }
+    }
+
+    /// Once a second: what a warm member bears, and which session marks every member has caught up with.
+    fn count(&mut self, now: Time) {
+        let elapsed = (now - self.counted_at) as f64 / SECOND as f64;
+        let warm = |n: &&Node| n.standing == Standing::Serving && self.warmth(now, n) >= 1.0 && !n.out;
+        let (sends, members) =
+            self.nodes.values().filter(warm).fold((0.0, 0.0), |(s, m), n| (s + n.sends, m + 1.0));
+        if self.counted_at > 0 && members > 0.0 && elapsed < 10.0 {
+            let rate = sends / members / elapsed;
+            self.warm_rate += (rate - self.warm_rate) * 0.3;
+        }
+        self.counted_at = now;
+        self.nodes.values_mut().for_each(|n| n.sends = 0.0);
+        let least = self.nodes.values().filter(|n| n.standing != Standing::Gone).map(|n| n.position).min();
+        self.last_writes.retain(|_, write| *write > least.unwrap_or(0));
+    }
+
+    /// Probes at a pace: every member while no primary is at work; replicas whose position ages out.
+    fn probe(&mut self, now: Time, group: GroupId, out: &mut Vec<Action>) {
+        if !self.set.limits.probes || self.set.reports == Reports::Never {
+            return;
+        }
+        let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
+        let bounds = self.set.classes.iter().filter_map(|c| match c.need {
+            Need::Bounded(bound) => Some(bound),
+            Need::Session => Some(SECOND),
+            _ => None,
+        });
+        let bound = bounds.min();
+        let members: Vec<_> =
+            self.nodes.iter().filter(|(_, n)| n.group == group).map(|(id, _)| *id).collect();
+        for id in members {
+            let jitter = 1.0 + 0.2 * self.chance();
+            let usable = self.open(now, id, false);
+            let Some(node) = self.nodes.get_mut(&id) else { continue };
+            let aged = bound.is_some_and(|b| now - node.position > b / 2);
+            let pace = if primary.is_none() {
+                SEEK_PACE
+            } else if Some(id) != primary && aged {
+                (bound.unwrap_or(SECOND) / PROBE_SHARE_OF_BOUND).clamp(SEEK_PACE, SLOWEST_PACE)
+            } else {
+                continue;
+            };
+            if usable && !node.probe_out && now - node.probed_at >= (pace as f64 * jitter) as Span {
+                (node.probed_at, node.probe_out) = (now, true);
+                out.push(Action::Probe(id));
+            }
+        }
+    }
+
+    /// A number from 0 to 1 from the seed alone (xorshift).
+    fn chance(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+impl Node {
+    fn new(now: Time, member: &Member, credit: f64) -> Self {
+        Node {
+            group: member.group,
+            weight: member.weight,
+            started: member.started,
+            standing: member.standing,
+            told: now,
+            listed_primary: member.primary,
+            position: 0,
+            replica_at: 0,
+            in_flight: 0,
+            limit: LIMIT_START,
+            slow_start: true,
+            next_cut: now,
+            strain: 0.25,
+            latency: 50.0 * MS as f64,
+            quiet_since: now,
+            out: false,
+            trial_at: now,
+            trial_wait: TRIAL_FIRST,
+            errors: 0,
+            lost: 0,
+            rest_until: now,
+            rest: SHED_REST,
+            probed_at: 0,
+            probe_out: false,
+            credit,
+            cold_sends: VecDeque::new(),
+            sends: 0.0,
+        }
+    }
+
+    fn put_out(&mut self, now: Time) {
+        if !self.out {
+            self.out = true;
+            self.trial_at = now + self.trial_wait;
+        }
+    }
+}
