Attempt time-outs no shorter than the aim

Cause: short time-outs made members work twice where a call-off does not stop work. It may hurt where a member is slow for one request only; a silent member is still found by its silence, not by the time-out.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -622,7 +622,7 @@
             return None;
         }
         let usual = self.nodes.get(&member)?.latency;
-        let patience = (usual * 4.0).max(class.aim as f64 * 0.5) as Span;
+        let patience = (usual * 8.0).max(class.aim as f64) as Span;
         let end = if class.late_worth > 0.0 { entry.deadline } else { entry.arrived + class.aim };
         (now + patience + usual as Span <= end.min(entry.deadline)).then_some(patience)
     }
