--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -21,10 +21,10 @@
 const CLEARLY_MORE: f64 = 1.3;
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
 const LIMIT_START: f64 = 8.0;
-const LIMIT_LEAST: f64 = 2.0;
+const LIMIT_LEAST: f64 = 1.0;
 /// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
-const STRAIN_HIGH: f64 = 0.5;
-const STRAIN_FINE: f64 = 0.4;
+const STRAIN_HIGH: f64 = 0.42;
+const STRAIN_FINE: f64 = 0.35;
 const LIMIT_CUT: f64 = 0.85;
 /// Shares of the primary's limit open to session reads and to reads that no replica could take: the rest
 /// is kept for writes, which can go nowhere else.
