--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -26,6 +26,11 @@
 const STRAIN_HIGH: f64 = 0.42;
 const STRAIN_FINE: f64 = 0.35;
 const LIMIT_CUT: f64 = 0.85;
+/// Strain is smoothed over 1 / STRAIN_STEP answers, each counted as STRAIN_WORST at most, and a limit is cut
+/// once in CUT_EVERY answers: work varies so much that fewer would let chance alone close a member.
+const STRAIN_STEP: f64 = 0.05;
+const STRAIN_WORST: f64 = 1.2;
+const CUT_EVERY: u32 = 12;
 /// Shares of the primary's limit open to session reads and to reads that no replica could take: the rest
 /// is kept for writes, which can go nowhere else.
 const SESSION_SHARE: f64 = 0.85;
@@ -67,7 +72,7 @@
     limit: f64,
     /// No cut since the start: the limit grows with every answer.
     slow_start: bool,
-    next_cut: Time,
+    since_cut: u32,
     strain: f64,
     latency: f64,
     /// Since when the requests in flight have seen no answer.
@@ -309,8 +314,8 @@
                 }
                 (node.errors, node.rest) = (0, SHED_REST);
                 node.latency += (answer.took as f64 - node.latency) * 0.1;
-                let ratio = answer.took as f64 / aim as f64;
-                node.strain += (ratio.min(2.0) - node.strain) * 0.1;
+                let ratio = (answer.took as f64 / aim as f64).min(STRAIN_WORST);
+                node.strain += (ratio - node.strain) * STRAIN_STEP;
             }
             Outcome::Error => node.errors += 1,
             Outcome::Shed => {
@@ -321,15 +326,16 @@
             }
             Outcome::TimedOut | Outcome::Broken => {
                 node.lost += 1;
-                node.strain += (1.5 - node.strain) * 0.1;
+                node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
             Outcome::NoConnection => node.lost += LOST_OUT,
             _ => {}
         }
-        if node.strain > STRAIN_HIGH && now >= node.next_cut {
+        node.since_cut += 1;
+        if node.strain > STRAIN_HIGH && node.since_cut >= CUT_EVERY {
             node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
             node.slow_start = false;
-            node.next_cut = now + node.latency as Span;
+            node.since_cut = 0;
         } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
             node.limit += if node.slow_start { 0.5 } else { 1.0 / node.limit };
         }
@@ -691,12 +697,16 @@
         }
     }
 
-    /// Routes held requests again: the worthiest first, then the oldest.
+    /// Routes held requests again: the worthiest first, then those with the least time, so that no class with
+    /// a short aim starves behind one that can wait.
     fn pump(&mut self, now: Time, group: GroupId, out: &mut Vec<Action>) {
         let Some(held) = self.groups.get_mut(&group).map(|g| std::mem::take(&mut g.held)) else { return };
-        let worth = |id: &RequestId| self.entries.get(id).map_or(0.0, |e| self.set.classes[e.class].worth);
-        let mut order: Vec<(f64, RequestId)> = held.iter().map(|id| (worth(id), *id)).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let rank = |id: &RequestId| {
+            let entry = self.entries.get(id);
+            entry.map_or((0.0, 0), |e| (-self.set.classes[e.class].worth, self.hold_until(e)))
+        };
+        let mut order: Vec<_> = held.iter().map(|id| (rank(id), *id)).collect();
+        order.sort_by(|(a, _), (b, _)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in order {
             self.proceed(now, id, out);
         }
@@ -807,7 +817,7 @@
             in_flight: 0,
             limit: LIMIT_START,
             slow_start: true,
-            next_cut: now,
+            since_cut: 0,
             strain: 0.25,
             latency: 50.0 * MS as f64,
             quiet_since: now,
