Fewer probes; aged but not lagging replicas asked where replicas check reads

Cause: with many routers each one hears of a member seldom, positions age out and the most advanced replica got every read (one member at 6 times the mean), while probes cost up to 3 a request. It should also catch any deployment with seldom-heard members; it may hurt where lag jumps.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -12,8 +12,11 @@
 const READ_AFTER_WRITE: Span = 150 * MS;
 /// Kept off each staleness bound, for the time between the decision and the send.
 const STALENESS_MARGIN: Span = 100 * MS;
-/// Probes of a replica come no closer together than this share of the tightest bound.
-const PROBE_SHARE_OF_BOUND: i64 = 4;
+/// Probes of a replica come no closer together than this share of the tightest bound or of its last lag:
+/// one that is far behind takes as long to catch up.
+const PROBE_SHARE: i64 = 4;
+/// Probes for positions stay within this many for each request taken: they cost members work and us points.
+const PROBES_PER_REQUEST: f64 = 0.1;
 /// Pace of probes while a group has no primary, and the slowest pace of any probe.
 const SEEK_PACE: Span = 120 * MS;
 const SLOWEST_PACE: Span = SECOND;
@@ -66,6 +69,8 @@
     listed_primary: bool,
     /// Latest position heard; it never goes back, so it holds from then on.
     position: Time,
+    /// How far behind it was when last heard.
+    lag: Span,
     /// Position (or moment) of its latest word that it is a replica.
     replica_at: Time,
     in_flight: u32,
@@ -141,6 +146,8 @@
     counted_at: Time,
     ticking: bool,
     asked_at: Time,
+    /// Probes for positions that may still be sent.
+    probe_budget: f64,
 }
 
 impl Router {
@@ -157,6 +164,7 @@
             counted_at: 0,
             ticking: false,
             asked_at: 0,
+            probe_budget: 0.0,
         }
     }
 
@@ -209,6 +217,7 @@
             return;
         }
         if scope != ListScope::Changes {
+            self.probe_budget = members.len() as f64;
             for (id, node) in &mut self.nodes {
                 if node.standing != Standing::Gone && !members.iter().any(|m| m.id == *id) {
                     if node.standing == Standing::Serving {
@@ -260,7 +269,9 @@
     /// old report cannot undo a newer answer.
     fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>, answer: bool) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        node.position = node.position.max(at.unwrap_or(0));
+        if let Some(at) = at.filter(|at| *at > node.position) {
+            (node.position, node.lag) = (at, now - at);
+        }
         let order = at.unwrap_or(now);
         let group = self.groups.entry(node.group).or_default();
         match primary {
@@ -329,6 +340,7 @@
                 node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
             Outcome::NoConnection => node.lost += LOST_OUT,
+            Outcome::NotHere => node.lag = node.lag.max(4 * SLOWEST_PACE),
             _ => {}
         }
         node.since_cut += 1;
@@ -429,6 +441,8 @@
             streaming: false,
         };
         self.entries.insert(request.id, entry);
+        let most = self.nodes.len() as f64;
+        self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(most);
         let group = self.groups.entry(request.group).or_default();
         group.last_request = now;
         self.proceed(now, request.id, out);
@@ -528,22 +542,21 @@
             Need::Bounded(bound) => now - (bound - STALENESS_MARGIN).max(bound / 2),
             Need::Loose => 0,
         };
-        if let Some(id) = self.pick(now, entry, primary, floor) {
+        if let Some(id) = self.pick(now, entry, primary, |node| node.position >= floor) {
             return Way::To(id);
         }
-        if self.set.lagging != Lagging::Answers && floor > 0 {
-            // Replicas check reads themselves here, so the most advanced one may be asked.
-            let ready = |id: &MemberId, node: &Node| {
-                node.group == entry.group
-                    && Some(*id) != primary
-                    && !entry.tried.contains(id)
-                    && self.open(now, *id, false)
-                    && !node.out
-                    && self.room(now, *id, 1.0, true)
-            };
-            let advanced = self.nodes.iter().filter(|(id, n)| ready(id, n)).max_by_key(|(_, n)| n.position);
-            if let Some((id, _)) = advanced.filter(|_| entry.tried.is_empty()) {
-                return Way::To(*id);
+        if self.set.lagging != Lagging::Answers && floor > 0 && entry.tried.is_empty() {
+            // Replicas check reads themselves here, so one whose position has merely aged may be asked: of
+            // those last heard inside the bound the next in turn (not the same one each time, which
+            // would crowd it), and where none was, the most advanced.
+            let lag = now - floor;
+            if let Some(id) = self.pick(now, entry, primary, |node| node.lag <= lag) {
+                return Way::To(id);
+            }
+            let most = self.nodes.iter().filter(|(id, n)| n.group == entry.group && Some(**id) != primary);
+            let most = most.map(|(_, n)| n.position).max().unwrap_or(0);
+            if let Some(id) = self.pick(now, entry, primary, |node| node.position >= most) {
+                return Way::To(id);
             }
         }
         at_primary(FALLBACK_SHARE)
@@ -566,11 +579,17 @@
     }
 
     /// Weighted rotation over the replicas that are fresh enough, have room and no clearly longer line.
-    fn pick(&self, now: Time, entry: &Entry, primary: Option<MemberId>, floor: Time) -> Option<MemberId> {
+    fn pick(
+        &self,
+        now: Time,
+        entry: &Entry,
+        primary: Option<MemberId>,
+        fresh: impl Fn(&Node) -> bool,
+    ) -> Option<MemberId> {
         let fits = |id: &MemberId, node: &Node| {
             node.group == entry.group
                 && Some(*id) != primary
-                && node.position >= floor
+                && fresh(node)
                 && !entry.tried.contains(id)
                 && self.open(now, *id, false)
                 && self.room(now, *id, 1.0, true)
@@ -780,15 +799,20 @@
             let usable = self.open(now, id, false);
             let Some(node) = self.nodes.get_mut(&id) else { continue };
             let aged = bound.is_some_and(|b| now - node.position > b / 2);
-            let pace = if primary.is_none() {
+            let seek = primary.is_none();
+            let pace = if seek {
                 SEEK_PACE
-            } else if Some(id) != primary && aged {
-                (bound.unwrap_or(SECOND) / PROBE_SHARE_OF_BOUND).clamp(SEEK_PACE, SLOWEST_PACE)
+            } else if Some(id) != primary && aged && self.probe_budget >= 1.0 {
+                let behind = node.lag.max(bound.unwrap_or(SECOND)).min(4 * SLOWEST_PACE);
+                (behind / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE)
             } else {
                 continue;
             };
             if usable && !node.probe_out && now - node.probed_at >= (pace as f64 * jitter) as Span {
                 (node.probed_at, node.probe_out) = (now, true);
+                if !seek {
+                    self.probe_budget -= 1.0;
+                }
                 out.push(Action::Probe(id));
             }
         }
@@ -813,6 +837,7 @@
             told: now,
             listed_primary: member.primary,
             position: 0,
+            lag: Span::MAX / 2,
             replica_at: 0,
             in_flight: 0,
             limit: LIMIT_START,
