--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -19,7 +19,7 @@
 const PROBES_PER_REQUEST: f64 = 0.1;
 /// Pace of probes while a group has no primary, and the slowest pace of any probe.
 const SEEK_PACE: Span = 120 * MS;
-const SLOWEST_PACE: Span = SECOND;
+const SLOWEST_PACE: Span = SECOND / 2;
 /// A replica with this many times its peers' mean in flight, and one more, is skipped for now.
 const CLEARLY_MORE: f64 = 1.3;
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
@@ -340,7 +340,7 @@
                 node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
             Outcome::NoConnection => node.lost += LOST_OUT,
-            Outcome::NotHere => node.lag = node.lag.max(4 * SLOWEST_PACE),
+            Outcome::NotHere => node.lag = node.lag.max(2 * SECOND),
             _ => {}
         }
         node.since_cut += 1;
@@ -803,7 +803,7 @@
             let pace = if seek {
                 SEEK_PACE
             } else if Some(id) != primary && aged && self.probe_budget >= 1.0 {
-                let behind = node.lag.max(bound.unwrap_or(SECOND)).min(4 * SLOWEST_PACE);
+                let behind = (node.lag / 2).max(bound.unwrap_or(SECOND));
                 (behind / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE)
             } else {
                 continue;
