Ask the most advanced replica that has room

Cause: only the single most advanced replica was asked, and its full line sent reads to the primary.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -553,10 +553,12 @@
             if let Some(id) = self.pick(now, entry, primary, |node| node.lag <= lag) {
                 return Way::To(id);
             }
-            let most = self.nodes.iter().filter(|(id, n)| n.group == entry.group && Some(**id) != primary);
-            let most = most.map(|(_, n)| n.position).max().unwrap_or(0);
-            if let Some(id) = self.pick(now, entry, primary, |node| node.position >= most) {
-                return Way::To(id);
+            let ready = |id: &MemberId, n: &Node| {
+                n.group == entry.group && Some(*id) != primary && self.open(now, *id, false) && !n.out
+            };
+            let ready = self.nodes.iter().filter(|(id, n)| ready(id, n) && self.room(now, **id, 1.0, true));
+            if let Some((id, _)) = ready.max_by_key(|(_, n)| n.position) {
+                return Way::To(*id);
             }
         }
         at_primary(FALLBACK_SHARE)
