--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -23,7 +23,7 @@
 /// A replica with this many times its peers' mean in flight, and one more, is skipped for now.
 const CLEARLY_MORE: f64 = 1.3;
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
-const LIMIT_START: f64 = 8.0;
+const LIMIT_START: f64 = 12.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
 const STRAIN_HIGH: f64 = 0.42;
@@ -228,13 +228,14 @@
             }
         }
         for member in members {
+            let fleet = f64::from(self.set.fleet_size.max(1));
             let credit = self.chance();
-            let fresh = Node::new(now, &member, credit);
+            let fresh = Node::new(now, &member, credit, fleet);
             let node = self.nodes.entry(member.id).or_insert(fresh);
             if member.started.is_some() && node.started != member.started {
                 // A restarted process is cold, and no longer what its past says of health or role.
                 let (position, in_flight) = (node.position, node.in_flight);
-                *node = Node { position, in_flight, ..Node::new(now, &member, credit) };
+                *node = Node { position, in_flight, ..Node::new(now, &member, credit, fleet) };
                 if let Some(group) = self.groups.get_mut(&member.group) {
                     if group.primary == Some(member.id) {
                         group.primary = None;
@@ -830,7 +831,7 @@
 }
 
 impl Node {
-    fn new(now: Time, member: &Member, credit: f64) -> Self {
+    fn new(now: Time, member: &Member, credit: f64, fleet: f64) -> Self {
         Node {
             group: member.group,
             weight: member.weight,
@@ -842,7 +843,7 @@
             lag: Span::MAX / 2,
             replica_at: 0,
             in_flight: 0,
-            limit: LIMIT_START,
+            limit: LIMIT_START / fleet,
             slow_start: true,
             since_cut: 0,
             strain: 0.25,
