--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -25,12 +25,9 @@
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
 const LIMIT_START: f64 = 12.0;
 const LIMIT_LEAST: f64 = 1.0;
-/// Strain is answer time over aim. Above STRAIN_HIGH the limit shrinks, below STRAIN_FINE of that it may
-/// grow. A member that is slow even when alone is allowed more, up to STRAIN_MOST.
+/// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
 const STRAIN_HIGH: f64 = 0.42;
-const STRAIN_FINE: f64 = 0.8;
-const STRAIN_GIVE: f64 = 1.2;
-const STRAIN_MOST: f64 = 0.8;
+const STRAIN_FINE: f64 = 0.35;
 const LIMIT_CUT: f64 = 0.85;
 /// Strain is smoothed over 1 / STRAIN_STEP answers, each counted as STRAIN_WORST at most, and a limit is cut
 /// once in CUT_EVERY answers: work varies so much that fewer would let chance alone close a member.
@@ -82,7 +79,6 @@
     slow_start: bool,
     since_cut: u32,
     strain: f64,
-    strain_high: f64,
     latency: f64,
     /// Since when the requests in flight have seen no answer.
     quiet_since: Time,
@@ -349,15 +345,11 @@
             _ => {}
         }
         node.since_cut += 1;
-        if node.strain > node.strain_high && node.since_cut >= CUT_EVERY {
-            if node.limit <= LIMIT_LEAST {
-                // Alone there and still slow: the member is slow itself, a shorter line cannot help.
-                node.strain_high = (node.strain_high * STRAIN_GIVE).min(STRAIN_MOST);
-            }
+        if node.strain > STRAIN_HIGH && node.since_cut >= CUT_EVERY {
             node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
             node.slow_start = false;
             node.since_cut = 0;
-        } else if node.strain < STRAIN_FINE * node.strain_high && f64::from(node.in_flight + 1) > 0.7 * node.limit {
+        } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
             node.limit += if node.slow_start { 0.5 } else { 1.0 / node.limit };
         }
         if node.errors >= ERRORS_OUT || node.lost >= LOST_OUT {
@@ -855,7 +847,6 @@
             slow_start: true,
             since_cut: 0,
             strain: 0.25,
-            strain_high: STRAIN_HIGH,
             latency: 50.0 * MS as f64,
             quiet_since: now,
             out: false,
