--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberId(pub u32);
 /// A group: one primary and the replicas that hold the same data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GroupId(pub u32);
 /// A client session, whose reads must see its own writes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -219,9 +219,10 @@
 }
 
 /// What the list says of a member's process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
     /// It serves.
+    #[default]
     Serving,
     /// It finishes what it has and takes nothing new.
     Draining,
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -17,6 +17,8 @@
 const PROBE_SHARE: i64 = 4;
 /// Probes for positions stay within this many for each request taken: they cost members work and us points.
 const PROBES_PER_REQUEST: f64 = 0.1;
+/// A replica that turned a read away is taken to be this far behind until it is heard again.
+const LAG_OF_MISS: Span = 2 * SECOND;
 /// Pace of probes while a group has no primary, and the slowest pace of any probe.
 const SEEK_PACE: Span = 120 * MS;
 const SLOWEST_PACE: Span = SECOND / 2;
@@ -29,6 +31,8 @@
 const STRAIN_HIGH: f64 = 0.42;
 const STRAIN_FINE: f64 = 0.35;
 const LIMIT_CUT: f64 = 0.85;
+/// Before the first answers, a quarter of the aim is as good a guess as any.
+const STRAIN_START: f64 = 0.25;
 /// Strain is smoothed over 1 / STRAIN_STEP answers, each counted as STRAIN_WORST at most, and a limit is cut
 /// once in CUT_EVERY answers: work varies so much that fewer would let chance alone close a member.
 const STRAIN_STEP: f64 = 0.05;
@@ -58,9 +62,10 @@
 const HOLD_RESERVE: f64 = 1.5;
 
 /// What the router knows of one member.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 struct Node {
     group: GroupId,
+    zone: u32,
     weight: f64,
     started: Option<Time>,
     standing: Standing,
@@ -92,7 +97,8 @@
     rest: Span,
     probed_at: Time,
     probe_out: bool,
-    credit: f64,
+    /// Its place in the rotation: the member with the least goes next.
+    turn: f64,
     /// Sends to it while cold, within the last fall window.
     cold_sends: VecDeque<Time>,
     sends: f64,
@@ -100,12 +106,12 @@
 
 #[derive(Debug, Default)]
 struct Group {
-    /// Last member to claim the primary's role, the claim's position, and whether an answer made it.
+    /// Last member to claim the primary's role, and the claim's position.
     primary: Option<MemberId>,
     claim: Time,
-    answered: bool,
     held: Vec<RequestId>,
-    last_request: Time,
+    /// How far the rotation has come.
+    turn: f64,
 }
 
 /// The ledger entry of a request: what was sent, what may have run.
@@ -121,17 +127,13 @@
     out: Vec<(u32, MemberId)>,
     /// When the first attempt that may have run was sent.
     may_have_run: Option<Time>,
+    /// Zone of the first attempt, where keys may be known.
+    first_zone: Option<u32>,
     /// Members that turned it away since the last probe round.
     tried: Vec<MemberId>,
     streaming: bool,
 }
 
-/// Where a request can go now.
-enum Way {
-    To(MemberId),
-    Wait,
-}
-
 /// The decision module. The same settings, seed and events give the same actions.
 #[derive(Debug)]
 pub struct Router {
@@ -141,11 +143,12 @@
     entries: BTreeMap<RequestId, Entry>,
     last_writes: BTreeMap<SessionId, Time>,
     random: u64,
+    /// Strain over all members.
+    strain: f64,
     /// Sends per second to a warm member, smoothed: the yardstick for cold ones.
     warm_rate: f64,
     counted_at: Time,
     ticking: bool,
-    asked_at: Time,
     /// Probes for positions that may still be sent.
     probe_budget: f64,
 }
@@ -160,10 +163,10 @@
             entries: BTreeMap::new(),
             last_writes: BTreeMap::new(),
             random: seed | 1,
+            strain: STRAIN_START,
             warm_rate: 0.0,
             counted_at: 0,
             ticking: false,
-            asked_at: 0,
             probe_budget: 0.0,
         }
     }
@@ -179,19 +182,17 @@
                 }
             }
             Event::Answer(answer) => self.answer(now, answer, out),
-            Event::Abandoned(request) => {
-                self.end(request, out);
-            }
+            Event::Abandoned(request) => self.end(request, out),
             Event::Probed { member, answered, report, .. } => {
-                if let Some(node) = self.nodes.get_mut(&member) {
-                    node.probe_out = false;
-                    if answered {
-                        self.learn(now, member, report.primary, report.position, false);
-                    }
-                    let group = self.nodes[&member].group;
-                    self.forget_tries(group);
-                    self.pump(now, group, out);
+                let Some(node) = self.nodes.get_mut(&member) else { return };
+                node.probe_out = false;
+                let group = node.group;
+                if answered {
+                    self.learn(now, member, report.primary, report.position);
                 }
+                let waiting = self.entries.values_mut().filter(|e| e.group == group && e.out.is_empty());
+                waiting.for_each(|entry| entry.tried.clear());
+                self.pump(now, group, out);
             }
             Event::Timer(_) => {
                 self.ticking = false;
@@ -199,8 +200,7 @@
             }
             Event::Peer { .. } => {}
         }
-        let idle = self.ticking || self.nodes.is_empty();
-        if !idle {
+        if !self.ticking && !self.nodes.is_empty() {
             self.ticking = true;
             out.push(Action::Timer { after: self.set.tick.max(10 * MS), token: 0 });
         }
@@ -209,44 +209,29 @@
     // ---- The list of members ----
 
     fn list(&mut self, now: Time, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
-        if self.set.list_on_request && scope == ListScope::Cached {
-            self.asked_at = now;
-            out.push(Action::Subscribe(true));
+        if self.set.list_on_request && matches!(scope, ListScope::Cached | ListScope::Failed) {
+            out.push(Action::Subscribe(true)); // A call fails only after a time-out, which sets the pace.
         }
         if scope == ListScope::Failed {
             return;
         }
         if scope != ListScope::Changes {
             self.probe_budget = members.len() as f64;
-            for (id, node) in &mut self.nodes {
-                if node.standing != Standing::Gone && !members.iter().any(|m| m.id == *id) {
-                    if node.standing == Standing::Serving {
-                        node.told = now;
-                    }
-                    node.standing = Standing::Gone;
-                }
-            }
+            let missing = self.nodes.iter_mut().filter(|(id, _)| !members.iter().any(|m| m.id == **id));
+            missing.for_each(|(_, node)| node.stand(now, Standing::Gone));
         }
         for member in members {
-            let fleet = f64::from(self.set.fleet_size.max(1));
-            let credit = self.chance();
-            let fresh = Node::new(now, &member, credit, fleet);
-            let node = self.nodes.entry(member.id).or_insert(fresh);
+            let fresh = Node::new(now, &member, self.set.fleet_size);
+            let node = self.nodes.entry(member.id).or_insert_with(|| fresh.clone());
             if member.started.is_some() && node.started != member.started {
                 // A restarted process is cold, and no longer what its past says of health or role.
                 let (position, in_flight) = (node.position, node.in_flight);
-                *node = Node { position, in_flight, ..Node::new(now, &member, credit, fleet) };
-                if let Some(group) = self.groups.get_mut(&member.group) {
-                    if group.primary == Some(member.id) {
-                        group.primary = None;
-                    }
-                }
-            } else if node.standing == Standing::Serving && member.standing != Standing::Serving {
-                node.told = now;
+                *node = Node { position, in_flight, ..fresh };
+                let group = self.groups.entry(member.group).or_default();
+                group.primary = group.primary.filter(|id| *id != member.id);
             }
-            node.standing = member.standing;
-            node.weight = member.weight;
-            node.listed_primary = member.primary;
+            node.stand(now, member.standing);
+            (node.weight, node.listed_primary) = (member.weight, member.primary);
             self.groups.entry(member.group).or_default();
         }
         self.tick(now, out);
@@ -268,7 +253,7 @@
 
     /// Takes a member's word on its role and position. Claims are ordered by position where known, so an
     /// old report cannot undo a newer answer.
-    fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>, answer: bool) {
+    fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if let Some(at) = at.filter(|at| *at > node.position) {
             (node.position, node.lag) = (at, now - at);
@@ -277,11 +262,7 @@
         let group = self.groups.entry(node.group).or_default();
         match primary {
             Some(true) if order >= group.claim && order >= node.replica_at => {
-                if group.primary != Some(id) {
-                    group.answered = false;
-                }
                 (group.primary, group.claim) = (Some(id), order);
-                group.answered |= answer;
             }
             Some(false) if order >= node.replica_at => {
                 node.replica_at = order;
@@ -306,7 +287,7 @@
     // ---- What members' behaviour says ----
 
     /// Books an attempt's end against the member's health and limit.
-    fn judge(&mut self, now: Time, answer: &Answer, aim: Span) {
+    fn judge(&mut self, now: Time, answer: &Answer, aim: Option<Span>) {
         let Some(node) = self.nodes.get_mut(&answer.member) else { return };
         node.in_flight = node.in_flight.saturating_sub(1);
         if answer.outcome == Outcome::Unsent || answer.outcome == Outcome::Cancelled {
@@ -326,8 +307,9 @@
                 }
                 (node.errors, node.rest) = (0, SHED_REST);
                 node.latency += (answer.took as f64 - node.latency) * 0.1;
-                let ratio = (answer.took as f64 / aim as f64).min(STRAIN_WORST);
-                node.strain += (ratio - node.strain) * STRAIN_STEP;
+                let ratio = aim.map_or(node.strain, |aim| answer.took as f64 / aim as f64);
+                node.strain += (ratio.min(STRAIN_WORST) - node.strain) * STRAIN_STEP;
+                self.strain += (ratio.min(STRAIN_WORST) - self.strain) * STRAIN_STEP;
             }
             Outcome::Error => node.errors += 1,
             Outcome::Shed => {
@@ -341,7 +323,6 @@
                 node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
             Outcome::NoConnection => node.lost += LOST_OUT,
-            Outcome::NotHere => node.lag = node.lag.max(2 * SECOND),
             _ => {}
         }
         node.since_cut += 1;
@@ -384,8 +365,7 @@
 
     /// Whether a member can take one more, of a kind that may use `share` of its limit. A member that is
     /// out gets one trial at a time, and never an unsafe request.
-    fn room(&self, now: Time, id: MemberId, share: f64, safe: bool) -> bool {
-        let Some(node) = self.nodes.get(&id) else { return false };
+    fn room(&self, now: Time, node: &Node, share: f64, safe: bool) -> bool {
         if node.out {
             return safe && now >= node.trial_at && self.cold_room(now, node);
         }
@@ -438,14 +418,13 @@
             sent: 0,
             out: Vec::new(),
             may_have_run: None,
+            first_zone: None,
             tried: Vec::new(),
             streaming: false,
         };
         self.entries.insert(request.id, entry);
         let most = self.nodes.len() as f64;
         self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(most);
-        let group = self.groups.entry(request.group).or_default();
-        group.last_request = now;
         self.proceed(now, request.id, out);
     }
 
@@ -458,37 +437,28 @@
         if !self.may_send(now, entry) || now >= self.hold_until(entry) {
             return self.give_up(now, id, out);
         }
-        match self.route(now, entry) {
-            Way::To(member) => self.send(now, id, member, out),
-            Way::Wait => {
-                let group = self.groups.entry(entry.group).or_default();
-                if !group.held.contains(&id) {
-                    group.held.push(id);
-                }
-            }
+        if let Some(member) = self.route(now, entry) {
+            return self.send(now, id, member, out);
+        }
+        let group = self.groups.entry(entry.group).or_default();
+        if !group.held.contains(&id) {
+            group.held.push(id);
         }
     }
 
     /// Until when a request may wait for a place. One that is worth nothing late waits while it can still
-    /// be answered in time; another for half its time, so that its client can still come back.
+    /// be answered in time; another for half its time, so that its client can still come back. One that
+    /// may not be refused has nothing to lose by waiting on: its client could not try again.
     fn hold_until(&self, entry: &Entry) -> Time {
         let class = &self.set.classes[entry.class];
+        if !self.may_refuse(entry) {
+            return entry.deadline - self.set.tick;
+        }
         if class.late_worth > 0.0 {
             return entry.arrived + (entry.deadline - entry.arrived) / 2;
         }
-        let strain = self.typical_strain(entry.group);
         let end = entry.deadline.min(entry.arrived + class.aim);
-        end - (class.aim as f64 * (strain * HOLD_RESERVE).min(0.7)) as Span
-    }
-
-    fn typical_strain(&self, group: GroupId) -> f64 {
-        let strains = self.nodes.values().filter(|n| n.group == group && !n.out).map(|n| n.strain);
-        let (sum, count) = strains.fold((0.0, 0.0), |(s, c), x| (s + x, c + 1.0));
-        if count > 0.0 {
-            sum / count
-        } else {
-            0.25
-        }
+        end - (class.aim as f64 * (self.strain * HOLD_RESERVE).min(0.7)) as Span
     }
 
     /// The ledger's answer to: may another attempt be sent?
@@ -514,113 +484,80 @@
         }
     }
 
-    /// The design's ordinary path, and its fallbacks.
-    fn route(&self, now: Time, entry: &Entry) -> Way {
-        let class = &self.set.classes[entry.class];
-        let safe = class.effect != Effect::Unsafe;
+    /// The design's ordinary path, and its fallbacks. `None`: there is no place now.
+    fn route(&self, now: Time, entry: &Entry) -> Option<MemberId> {
         let primary = self.primary(now, entry.group);
-        let at_primary = |share: f64| match primary {
-            Some(id) if !entry.tried.contains(&id) && self.room(now, id, share, safe) => Way::To(id),
-            _ => Way::Wait,
-        };
-        let floor = match class.need {
-            Need::Write => return self.route_write(now, entry, primary, safe),
+        let at_primary = |share| primary.filter(|id| self.fits(now, entry, *id, share, true));
+        let floor = match self.set.classes[entry.class].need {
+            Need::Write if primary.is_some() => return at_primary(1.0),
+            Need::Write => return self.seek(now, entry),
             Need::Fresh => {
+                // The list alone does not prove that a member is the primary now.
                 let confirmed = self.groups.get(&entry.group).is_some_and(|g| g.primary.is_some());
-                return if confirmed { at_primary(SESSION_SHARE) } else { Way::Wait };
+                return at_primary(SESSION_SHARE).filter(|_| confirmed);
             }
-            Need::Session => match entry.last_write {
-                Some(write) if now - write < READ_AFTER_WRITE => {
-                    if let Way::To(id) = at_primary(SESSION_SHARE) {
-                        return Way::To(id);
-                    }
-                    // Departure: a primary without room sheds session reads to replicas that cover them.
-                    write
+            Need::Session => {
+                let write = entry.last_write.unwrap_or(0);
+                // Departure: a primary without room leaves even these to replicas that cover the write.
+                let recent = now - write < READ_AFTER_WRITE;
+                if let Some(id) = at_primary(SESSION_SHARE).filter(|_| recent) {
+                    return Some(id);
                 }
-                Some(write) => write,
-                None => 0,
-            },
+                write
+            }
             Need::Bounded(bound) => now - (bound - STALENESS_MARGIN).max(bound / 2),
             Need::Loose => 0,
         };
-        if let Some(id) = self.pick(now, entry, primary, |node| node.position >= floor) {
-            return Way::To(id);
+        let fits = |id: &MemberId| Some(*id) != primary && self.fits(now, entry, *id, 1.0, false);
+        let replicas: Vec<_> = self.nodes.iter().filter(|(id, _)| fits(id)).collect();
+        let fresh = pick(&replicas, |node| node.position >= floor);
+        if fresh.is_some() {
+            return fresh;
         }
         if self.set.lagging != Lagging::Answers && floor > 0 && entry.tried.is_empty() {
             // Replicas check reads themselves here, so one whose position has merely aged may be asked: of
             // those last heard inside the bound the next in turn (not the same one each time, which
             // would crowd it), and where none was, the most advanced.
-            let lag = now - floor;
-            if let Some(id) = self.pick(now, entry, primary, |node| node.lag <= lag) {
-                return Way::To(id);
-            }
-            let ready = |id: &MemberId, n: &Node| {
-                n.group == entry.group && Some(*id) != primary && self.open(now, *id, false) && !n.out
-            };
-            let ready = self.nodes.iter().filter(|(id, n)| ready(id, n) && self.room(now, **id, 1.0, true));
-            if let Some((id, _)) = ready.max_by_key(|(_, n)| n.position) {
-                return Way::To(*id);
+            let advanced = replicas.iter().filter(|(_, n)| !n.out).max_by_key(|(_, n)| n.position);
+            let asked = pick(&replicas, |node| node.lag <= now - floor).or(advanced.map(|(id, _)| **id));
+            if asked.is_some() {
+                return asked;
             }
         }
         at_primary(FALLBACK_SHARE)
     }
 
-    /// Writes go to the primary. Met by a member that is none, they try the next, then wait for a probe.
-    fn route_write(&self, now: Time, entry: &Entry, primary: Option<MemberId>, safe: bool) -> Way {
-        if let Some(id) = primary {
-            let fit = !entry.tried.contains(&id) && self.room(now, id, 1.0, safe);
-            return if fit { Way::To(id) } else { Way::Wait };
-        }
+    /// A write met by a member that is not the primary tries the next, then waits for a probe.
+    fn seek(&self, now: Time, entry: &Entry) -> Option<MemberId> {
         if entry.tried.is_empty() || entry.sent >= self.set.limits.attempts / 2 {
-            return Way::Wait;
+            return None;
         }
-        let next = self.nodes.iter().find(|(id, node)| {
-            let untried = node.group == entry.group && !entry.tried.contains(id) && !node.out;
-            untried && self.open(now, **id, false) && self.room(now, **id, 1.0, safe)
-        });
-        next.map_or(Way::Wait, |(id, _)| Way::To(*id))
-    }
-
-    /// Weighted rotation over the replicas that are fresh enough, have room and no clearly longer line.
-    fn pick(
-        &self,
-        now: Time,
-        entry: &Entry,
-        primary: Option<MemberId>,
-        fresh: impl Fn(&Node) -> bool,
-    ) -> Option<MemberId> {
-        let fits = |id: &MemberId, node: &Node| {
-            node.group == entry.group
-                && Some(*id) != primary
-                && fresh(node)
-                && !entry.tried.contains(id)
-                && self.open(now, *id, false)
-                && self.room(now, *id, 1.0, true)
+        self.nodes.keys().copied().find(|id| self.fits(now, entry, *id, 1.0, false))
+    }
+
+    /// Whether a member may take this request now, using no more than `share` of its limit.
+    fn fits(&self, now: Time, entry: &Entry, id: MemberId, share: f64, as_primary: bool) -> bool {
+        let Some(node) = self.nodes.get(&id) else { return false };
+        let effect = self.set.classes[entry.class].effect;
+        let key_known = match (effect, entry.may_have_run, entry.first_zone) {
+            (Effect::Keyed { scope: KeyScope::Zone, .. }, Some(_), Some(zone)) => node.zone == zone,
+            _ => true,
         };
-        let fit: Vec<_> = self.nodes.iter().filter(|(id, node)| fits(id, node)).collect();
-        if let Some((id, _)) = fit.iter().find(|(_, node)| node.out) {
-            return Some(**id); // A trial is due; this read may be repeated elsewhere.
-        }
-        let mean = fit.iter().map(|(_, n)| f64::from(n.in_flight)).sum::<f64>() / fit.len().max(1) as f64;
-        let short = fit.iter().filter(|(_, n)| f64::from(n.in_flight) <= mean * CLEARLY_MORE + 1.0);
-        short.max_by(|a, b| a.1.credit.total_cmp(&b.1.credit)).map(|(id, _)| **id)
+        node.group == entry.group
+            && !entry.tried.contains(&id)
+            && key_known
+            && self.open(now, id, as_primary)
+            && self.room(now, node, share, effect != Effect::Unsafe)
     }
 
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
-        let group = self.nodes[&member].group;
-        let weights = |n: &Node, w: f64| if n.standing == Standing::Serving { n.weight * w } else { 0.0 };
-        let warm: Vec<f64> = self.nodes.values().map(|n| weights(n, self.warmth(now, n))).collect();
-        let mut total = 0.0;
-        for (node, weight) in self.nodes.values_mut().zip(warm) {
-            if node.group == group {
-                node.credit = (node.credit + weight).min(4.0 * weight);
-                total += weight;
-            }
-        }
         let timeout = self.entries.get(&id).and_then(|entry| self.timeout(now, entry, member));
-        let cold = self.warmth(now, &self.nodes[&member]) < 1.0;
+        let warmth = self.warmth(now, &self.nodes[&member]);
         if let Some(node) = self.nodes.get_mut(&member) {
-            node.credit -= total;
+            // Weighted rotation: a heavier member's turn comes sooner again; idle time earns no arrears.
+            let group = self.groups.entry(node.group).or_default();
+            group.turn = group.turn.max(node.turn);
+            node.turn = node.turn.max(group.turn - 1.0) + 1.0 / (node.weight * warmth).max(0.01);
             node.sends += 1.0;
             if node.in_flight == 0 {
                 node.quiet_since = now;
@@ -630,7 +567,7 @@
                 node.trial_wait = (node.trial_wait * 2).min(TRIAL_LONGEST);
                 node.trial_at = now + node.trial_wait;
             }
-            if cold {
+            if warmth < 1.0 {
                 let window = self.set.obligations.fall_window;
                 node.cold_sends.retain(|t| now - *t < window);
                 node.cold_sends.push_back(now);
@@ -638,6 +575,7 @@
         }
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.out.push((entry.sent, member));
+            entry.first_zone = entry.first_zone.or(self.nodes.get(&member).map(|n| n.zone));
             entry.sent += 1;
             out.push(Action::Send { request: id, member, timeout });
         }
@@ -657,12 +595,16 @@
 
     fn answer(&mut self, now: Time, answer: Answer, out: &mut Vec<Action>) {
         let group = self.nodes.get(&answer.member).map(|n| n.group);
-        let class = self.entries.get(&answer.request).map(|e| self.set.classes[e.class].clone());
-        let aim = class.as_ref().map_or(answer.took.max(1) * 3, |c| c.aim);
-        self.judge(now, &answer, aim);
-        self.learn(now, answer.member, answer.report.primary, answer.report.position, false);
-        self.learn(now, answer.member, answer.primary, answer.position, true);
-        let write = class.as_ref().is_some_and(|c| c.need == Need::Write);
+        let class = self.entries.get(&answer.request).map(|e| &self.set.classes[e.class]);
+        let write = class.is_some_and(|c| c.need == Need::Write);
+        self.judge(now, &answer, class.map(|c| c.aim));
+        self.learn(now, answer.member, answer.report.primary, answer.report.position);
+        self.learn(now, answer.member, answer.primary, answer.position);
+        if let Some(node) = self.nodes.get_mut(&answer.member) {
+            if answer.outcome == Outcome::NotHere && !write {
+                node.lag = node.lag.max(LAG_OF_MISS); // Too far behind, however fresh it looked.
+            }
+        }
         if let Some(entry) = self.entries.get_mut(&answer.request) {
             entry.out.retain(|(attempt, _)| *attempt != answer.attempt);
             if !answer.outcome.never_ran() {
@@ -697,12 +639,8 @@
         let left = (entry.arrived + class.deadline - now).max(0);
         let wait = (left / 3).min(self.set.limits.retry_after_max);
         let retry_after = Some(wait).filter(|w| self.set.limits.retry_after && *w > 0);
-        let action = if self.may_refuse(entry) {
-            Action::Refuse { request: id, retry_after }
-        } else {
-            Action::Fail(id)
-        };
-        out.push(action);
+        let refusal = Action::Refuse { request: id, retry_after };
+        out.push(if self.may_refuse(entry) { refusal } else { Action::Fail(id) });
         self.end(id, out);
     }
 
@@ -713,9 +651,8 @@
             group.held.retain(|held| *held != id);
         }
         if self.set.limits.cancel && !entry.streaming {
-            out.extend(
-                entry.out.iter().map(|(attempt, _)| Action::Cancel { request: id, attempt: *attempt }),
-            );
+            let cancel = |(attempt, _): &(u32, MemberId)| Action::Cancel { request: id, attempt: *attempt };
+            out.extend(entry.out.iter().map(cancel));
         }
     }
 
@@ -734,15 +671,6 @@
         }
     }
 
-    fn forget_tries(&mut self, group: GroupId) {
-        let held = self.groups.get(&group).map(|g| g.held.clone()).unwrap_or_default();
-        for id in held {
-            if let Some(entry) = self.entries.get_mut(&id) {
-                entry.tried.clear();
-            }
-        }
-    }
-
     // ---- Time ----
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -757,10 +685,6 @@
         if now - self.counted_at >= SECOND {
             self.count(now);
         }
-        if self.set.list_on_request && now - self.asked_at > self.set.must_ask_within / 2 {
-            self.asked_at = now;
-            out.push(Action::FetchList);
-        }
         for group in self.groups.keys().copied().collect::<Vec<_>>() {
             self.probe(now, group, out);
             self.pump(now, group, out);
@@ -830,37 +754,33 @@
     }
 }
 
+/// Weighted rotation over the replicas that are fresh enough and have no clearly longer line than the rest.
+fn pick(replicas: &[(&MemberId, &Node)], fresh: impl Fn(&Node) -> bool) -> Option<MemberId> {
+    let fit: Vec<_> = replicas.iter().filter(|(_, node)| fresh(node)).collect();
+    if let Some((id, _)) = fit.iter().find(|(_, node)| node.out) {
+        return Some(**id); // A trial is due; this read may be repeated elsewhere.
+    }
+    let mean = fit.iter().map(|(_, n)| f64::from(n.in_flight)).sum::<f64>() / fit.len().max(1) as f64;
+    let short = fit.iter().filter(|(_, n)| f64::from(n.in_flight) <= mean * CLEARLY_MORE + 1.0);
+    short.min_by(|a, b| a.1.turn.total_cmp(&b.1.turn)).map(|(id, _)| **id)
+}
+
 impl Node {
-    fn new(now: Time, member: &Member, credit: f64, fleet: f64) -> Self {
+    fn new(now: Time, member: &Member, fleet_size: u32) -> Self {
         Node {
             group: member.group,
-            weight: member.weight,
+            zone: member.zone,
             started: member.started,
-            standing: member.standing,
             told: now,
-            listed_primary: member.primary,
-            position: 0,
             lag: Span::MAX / 2,
-            replica_at: 0,
-            in_flight: 0,
-            limit: LIMIT_START / fleet,
+            limit: LIMIT_START / f64::from(fleet_size.max(1)),
             slow_start: true,
-            since_cut: 0,
-            strain: 0.25,
+            strain: STRAIN_START,
             latency: 50.0 * MS as f64,
             quiet_since: now,
-            out: false,
-            trial_at: now,
             trial_wait: TRIAL_FIRST,
-            errors: 0,
-            lost: 0,
-            rest_until: now,
             rest: SHED_REST,
-            probed_at: 0,
-            probe_out: false,
-            credit,
-            cold_sends: VecDeque::new(),
-            sends: 0.0,
+            ..Node::default()
         }
     }
 
@@ -870,4 +790,11 @@
             self.trial_at = now + self.trial_wait;
         }
     }
+
+    fn stand(&mut self, now: Time, standing: Standing) {
+        if self.standing == Standing::Serving && standing != Standing::Serving {
+            self.told = now;
+        }
+        self.standing = standing;
+    }
 }
