Four time-outs in a row, not two, put a member out

Cause: requests that are costly by nature end as time-outs too; two in a row put healthy members out several times a second at high load. It may hurt where one request at a time goes to a dead member.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -46,9 +46,10 @@
 /// work the gap between answers shrinks as 1/n, and e^-7 is rare enough.
 const SILENCE_A: f64 = 2.0;
 const SILENCE_B: f64 = 7.0;
-/// Consecutive errors that put a member out; one refused connection or two lost answers do as well.
+/// Consecutive errors that put a member out; one refused connection, two broken ones
+/// or four time-outs in a row do as well. Fewer time-outs prove nothing: costly requests end so too.
 const ERRORS_OUT: u32 = 5;
-const LOST_OUT: u32 = 2;
+const LOST_OUT: u32 = 4;
 /// Trials of a member that is out: first and longest wait between them.
 const TRIAL_FIRST: Span = 250 * MS;
 const TRIAL_LONGEST: Span = 2 * SECOND;
@@ -319,7 +320,7 @@
                 node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
             }
             Outcome::TimedOut | Outcome::Broken => {
-                node.lost += 1;
+                node.lost += if answer.outcome == Outcome::Broken { LOST_OUT / 2 } else { 1 };
                 node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
             Outcome::NoConnection => node.lost += LOST_OUT,
