--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -11,7 +11,7 @@
 pub const SECOND: Span = 1_000 * MS;
 
 /// A client's request, numbered by the host in order of arrival.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 /// A database process that some list has named, numbered in order of first mention.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -83,9 +83,10 @@
 }
 
 /// What a replica does with a read that it is too far behind for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Lagging {
     /// Answers from what it has; the router alone guards the bound.
+    #[default]
     Answers,
     /// Turns it away untouched.
     Refuses,
@@ -94,9 +95,10 @@
 }
 
 /// How the list of members names the primary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum RoleListing {
     /// Some seconds late.
+    #[default]
     Late,
     /// As it stood when the day began.
     AtStart,
@@ -105,18 +107,20 @@
 }
 
 /// Who knows when a session last wrote.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum SessionMarks {
     /// The client's request carries the age of its last write.
+    #[default]
     Client,
     /// The router, from the replies to writes that it has seen.
     Router,
 }
 
 /// Where load reports come from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Reports {
     /// On answers and probes.
+    #[default]
     OnAnswers,
     /// On probes alone.
     OnProbes,
@@ -125,7 +129,7 @@
 }
 
 /// What the deployment allows.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Limits {
     /// Attempts of one request, the first included.
     pub attempts: u32,
@@ -146,7 +150,7 @@
 }
 
 /// The figures behind the rules that every run must keep.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Obligations {
     /// A final answer still counts this long after the client's deadline.
     pub answer_slack: Span,
@@ -165,7 +169,7 @@
 }
 
 /// What costs points, as far as decisions turn on it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Prices {
     /// For each probe, per request.
     pub probe: f64,
@@ -178,7 +182,7 @@
 }
 
 /// What a router is told at start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
     /// The classes; requests name them by index.
     pub classes: Vec<Class>,
@@ -278,7 +282,7 @@
 }
 
 /// A request as it came in.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -17,6 +17,8 @@
 const PROBE_SHARE: i64 = 4;
 /// Probes for positions stay within this many for each request taken: they cost members work and us points.
 const PROBES_PER_REQUEST: f64 = 0.1;
+/// Session marks are kept this long even if all members cover them: a new member may start from an old copy.
+const MARK_KEPT: Span = 60 * SECOND;
 /// A replica that turned a read away is taken to be this far behind until it is heard again.
 const LAG_OF_MISS: Span = 2 * SECOND;
 /// Pace of probes while a group has no primary, and the slowest pace of any probe.
@@ -46,15 +48,14 @@
 /// work the gap between answers shrinks as 1/n, and e^-7 is rare enough.
 const SILENCE_A: f64 = 2.0;
 const SILENCE_B: f64 = 7.0;
-/// Consecutive errors that put a member out; one refused connection, two broken ones
-/// or four time-outs in a row do as well. Fewer time-outs prove nothing: costly requests end so too.
-const ERRORS_OUT: u32 = 5;
-const LOST_OUT: u32 = 4;
+/// Strikes that put a member out; an answer clears them. An error or a time-out is one (fewer prove nothing:
+/// costly requests end so too), a broken connection two, a refused one enough.
+const STRIKES_OUT: u32 = 4;
 /// Trials of a member that is out: first and longest wait between them.
 const TRIAL_FIRST: Span = 250 * MS;
 const TRIAL_LONGEST: Span = 2 * SECOND;
-/// Rest given to a member that sheds, doubled up to 16 times while it goes on.
-const SHED_REST: Span = 40 * MS;
+/// Rest given to a member that sheds.
+const SHED_REST: Span = 100 * MS;
 /// Part of a cold member's budget that this fleet uses; the rest covers chance and what it cannot see.
 const COLD_USE: f64 = 0.4;
 /// Part of the drain grace in which a draining primary still gets writes when no other is known.
@@ -66,7 +67,6 @@
 #[derive(Debug, Default, Clone)]
 struct Node {
     group: GroupId,
-    zone: u32,
     weight: f64,
     started: Option<Time>,
     standing: Standing,
@@ -92,17 +92,14 @@
     out: bool,
     trial_at: Time,
     trial_wait: Span,
-    errors: u32,
-    lost: u32,
+    strikes: u32,
     rest_until: Time,
-    rest: Span,
     probed_at: Time,
     probe_out: bool,
     /// Its place in the rotation: the member with the least goes next.
     turn: f64,
     /// Sends to it while cold, within the last fall window.
     cold_sends: VecDeque<Time>,
-    sends: f64,
 }
 
 #[derive(Debug, Default)]
@@ -118,21 +115,14 @@
 /// The ledger entry of a request: what was sent, what may have run.
 #[derive(Debug, Clone)]
 struct Entry {
-    class: usize,
-    group: GroupId,
-    session: Option<SessionId>,
-    last_write: Option<Time>,
+    request: Request,
     arrived: Time,
-    deadline: Time,
     sent: u32,
     out: Vec<(u32, MemberId)>,
     /// When the first attempt that may have run was sent.
     may_have_run: Option<Time>,
-    /// Zone of the first attempt, where keys may be known.
-    first_zone: Option<u32>,
     /// Members that turned it away since the last probe round.
     tried: Vec<MemberId>,
-    streaming: bool,
 }
 
 /// The decision module. The same settings, seed and events give the same actions.
@@ -143,10 +133,12 @@
     groups: BTreeMap<GroupId, Group>,
     entries: BTreeMap<RequestId, Entry>,
     last_writes: BTreeMap<SessionId, Time>,
-    random: u64,
+    /// Stretches this router's paces a little, so that a fleet does not probe in step.
+    stretch: f64,
     /// Strain over all members.
     strain: f64,
-    /// Sends per second to a warm member, smoothed: the yardstick for cold ones.
+    /// Requests taken since the last count, and per second and member: the yardstick for cold members.
+    taken: f64,
     warm_rate: f64,
     counted_at: Time,
     ticking: bool,
@@ -163,8 +155,9 @@
             groups: BTreeMap::new(),
             entries: BTreeMap::new(),
             last_writes: BTreeMap::new(),
-            random: seed | 1,
+            stretch: 1.0 + (seed % 1000) as f64 / 5000.0,
             strain: STRAIN_START,
+            taken: 0.0,
             warm_rate: 0.0,
             counted_at: 0,
             ticking: false,
@@ -177,11 +170,8 @@
         match event {
             Event::List { scope, members } => self.list(now, scope, members, out),
             Event::Request(request) => self.accept(now, request, out),
-            Event::Started { request, .. } => {
-                if let Some(entry) = self.entries.get_mut(&request) {
-                    entry.streaming = true;
-                }
-            }
+            // The stream is the client's from here on; nothing is owed for it.
+            Event::Started { request, .. } => drop(self.entries.remove(&request)),
             Event::Answer(answer) => self.answer(now, answer, out),
             Event::Abandoned(request) => self.end(request, out),
             Event::Probed { member, answered, report, .. } => {
@@ -191,7 +181,8 @@
                 if answered {
                     self.learn(now, member, report.primary, report.position);
                 }
-                let waiting = self.entries.values_mut().filter(|e| e.group == group && e.out.is_empty());
+                let waiting =
+                    self.entries.values_mut().filter(|e| e.request.group == group && e.out.is_empty());
                 waiting.for_each(|entry| entry.tried.clear());
                 self.pump(now, group, out);
             }
@@ -278,52 +269,53 @@
     /// The primary of a group as far as known: the last to answer so, else the list's.
     fn primary(&self, now: Time, group: GroupId) -> Option<MemberId> {
         let claimed = self.groups.get(&group).and_then(|g| g.primary).filter(|id| self.open(now, *id, true));
-        let listed = || {
-            let mut listed = self.nodes.iter().filter(|(_, n)| n.group == group && n.listed_primary);
-            listed.find(|(id, n)| n.replica_at == 0 && self.open(now, **id, true)).map(|(id, _)| *id)
+        let listed = |(id, n): &(&MemberId, &Node)| {
+            n.group == group && n.listed_primary && n.replica_at == 0 && self.open(now, **id, true)
         };
-        claimed.or_else(listed)
+        claimed.or_else(|| self.nodes.iter().find(listed).map(|(id, _)| *id))
     }
 
     // ---- What members' behaviour says ----
 
     /// Books an attempt's end against the member's health and limit.
-    fn judge(&mut self, now: Time, answer: &Answer, aim: Option<Span>) {
+    fn judge(&mut self, now: Time, answer: &Answer, class: Option<&Class>) {
         let Some(node) = self.nodes.get_mut(&answer.member) else { return };
         node.in_flight = node.in_flight.saturating_sub(1);
         if answer.outcome == Outcome::Unsent || answer.outcome == Outcome::Cancelled {
             return;
         }
-        if matches!(answer.outcome, Outcome::Served | Outcome::Error | Outcome::Shed | Outcome::NotHere) {
-            node.quiet_since = now;
-            node.lost = 0;
+        if matches!(answer.outcome, Outcome::Served | Outcome::NotHere) {
+            if node.out {
+                // Back from a trial: start carefully, it may be cold or still choking.
+                node.out = false;
+                node.limit = (node.limit / 2.0).max(LIMIT_LEAST);
+                node.trial_wait = TRIAL_FIRST;
+            }
+            (node.strikes, node.quiet_since) = (0, now);
         }
         match answer.outcome {
             Outcome::Served => {
-                if node.out {
-                    // Back from a trial: start carefully, it may be cold or still choking.
-                    node.out = false;
-                    node.limit = (node.limit / 2.0).max(LIMIT_LEAST);
-                    node.trial_wait = TRIAL_FIRST;
-                }
-                (node.errors, node.rest) = (0, SHED_REST);
                 node.latency += (answer.took as f64 - node.latency) * 0.1;
-                let ratio = aim.map_or(node.strain, |aim| answer.took as f64 / aim as f64);
+                let ratio = class.map_or(node.strain, |c| answer.took as f64 / c.aim as f64);
                 node.strain += (ratio.min(STRAIN_WORST) - node.strain) * STRAIN_STEP;
                 self.strain += (ratio.min(STRAIN_WORST) - self.strain) * STRAIN_STEP;
             }
-            Outcome::Error => node.errors += 1,
+            Outcome::Error => node.strikes += 1,
             Outcome::Shed => {
-                // Full or about to go: give it a rest, longer each time.
-                node.rest_until = now + node.rest;
-                node.rest = (node.rest * 2).min(16 * SHED_REST);
+                // Full, or about to go.
+                node.rest_until = now + SHED_REST;
                 node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
             }
-            Outcome::TimedOut | Outcome::Broken => {
-                node.lost += if answer.outcome == Outcome::Broken { LOST_OUT / 2 } else { 1 };
+            Outcome::Broken => node.strikes += 2,
+            Outcome::TimedOut => {
+                node.strikes += 1;
                 node.strain += (STRAIN_WORST - node.strain) * STRAIN_STEP;
             }
-            Outcome::NoConnection => node.lost += LOST_OUT,
+            // A read met by a miss: the replica is too far behind, however fresh it looked.
+            Outcome::NotHere if class.is_some_and(|c| c.need != Need::Write) => {
+                node.lag = node.lag.max(LAG_OF_MISS);
+            }
+            Outcome::NoConnection => node.strikes += STRIKES_OUT,
             _ => {}
         }
         node.since_cut += 1;
@@ -334,7 +326,7 @@
         } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
             node.limit += if node.slow_start { 0.5 } else { 1.0 / node.limit };
         }
-        if node.errors >= ERRORS_OUT || node.lost >= LOST_OUT {
+        if node.strikes >= STRIKES_OUT {
             node.put_out(now);
         }
     }
@@ -351,15 +343,10 @@
                 silent.push(*id);
             }
         }
-        if !self.set.limits.cancel {
-            return;
-        }
-        for (request, entry) in &self.entries {
-            let repeatable = self.set.classes[entry.class].effect != Effect::Unsafe;
-            for (attempt, member) in &entry.out {
-                if repeatable && !entry.streaming && silent.contains(member) {
-                    out.push(Action::Cancel { request: *request, attempt: *attempt });
-                }
+        for (request, entry) in self.entries.iter().filter(|_| self.set.limits.cancel) {
+            let repeatable = self.set.classes[entry.request.class].effect != Effect::Unsafe;
+            for (attempt, _) in entry.out.iter().filter(|(_, id)| repeatable && silent.contains(id)) {
+                out.push(Action::Cancel { request: *request, attempt: *attempt });
             }
         }
     }
@@ -383,15 +370,15 @@
     }
 
     /// A cold member falls over when sent too much, by all routers together, whatever it is. Each router
-    /// scales by what it sends to warm members, so the fleet's sum scales by what they bear.
+    /// scales by its own traffic for each member, so the fleet's sum scales by what warm members bear.
     fn cold_room(&self, now: Time, node: &Node) -> bool {
         let rules = &self.set.obligations;
         let warmth = self.warmth(now, node);
         if warmth >= 1.0 {
             return true;
         }
-        let window = rules.fall_window as f64 / SECOND as f64;
-        let budget = self.warm_rate * warmth * rules.fall_multiple * window * COLD_USE;
+        let rate = self.warm_rate * warmth * rules.fall_multiple * COLD_USE;
+        let budget = rate * rules.fall_window as f64 / SECOND as f64;
         let least = 4.0 / f64::from(self.set.fleet_size.max(1));
         let spent = node.cold_sends.iter().filter(|t| now - **t < rules.fall_window).count();
         (spent as f64) < budget.max(least)
@@ -399,40 +386,27 @@
 
     // ---- Requests ----
 
-    fn accept(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
-        let class = &self.set.classes[request.class];
-        let last_write = match (class.need, self.set.session_marks) {
+    fn accept(&mut self, now: Time, mut request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        let session = request.session.as_ref();
+        request.last_write = match self.set.session_marks {
             // A commit time is rounded up on the wire; stay on its far side.
-            (Need::Session, SessionMarks::Client) => request.last_write.map(|t| t + MS),
-            (Need::Session, SessionMarks::Router) => {
-                request.session.as_ref().and_then(|s| self.last_writes.get(s).copied())
-            }
-            _ => None,
+            SessionMarks::Client => request.last_write.map(|t| t + MS),
+            SessionMarks::Router => session.and_then(|s| self.last_writes.get(s).copied()),
         };
-        let entry = Entry {
-            class: request.class,
-            group: request.group,
-            session: request.session,
-            last_write,
-            arrived: now,
-            deadline: request.deadline,
-            sent: 0,
-            out: Vec::new(),
-            may_have_run: None,
-            first_zone: None,
-            tried: Vec::new(),
-            streaming: false,
-        };
-        self.entries.insert(request.id, entry);
+        let entry =
+            Entry { request, arrived: now, sent: 0, out: Vec::new(), may_have_run: None, tried: Vec::new() };
+        self.entries.insert(id, entry);
+        self.taken += 1.0;
         let most = self.nodes.len() as f64;
         self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(most);
-        self.proceed(now, request.id, out);
+        self.proceed(now, id, out);
     }
 
     /// Routes a request that has no attempt out: sends it, holds it or gives it up.
     fn proceed(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(entry) = self.entries.get(&id) else { return };
-        if !entry.out.is_empty() || entry.streaming {
+        if !entry.out.is_empty() {
             return;
         }
         if !self.may_send(now, entry) || now >= self.hold_until(entry) {
@@ -441,7 +415,7 @@
         if let Some(member) = self.route(now, entry) {
             return self.send(now, id, member, out);
         }
-        let group = self.groups.entry(entry.group).or_default();
+        let group = self.groups.entry(entry.request.group).or_default();
         if !group.held.contains(&id) {
             group.held.push(id);
         }
@@ -451,25 +425,26 @@
     /// be answered in time; another for half its time, so that its client can still come back. One that
     /// may not be refused has nothing to lose by waiting on: its client could not try again.
     fn hold_until(&self, entry: &Entry) -> Time {
-        let class = &self.set.classes[entry.class];
+        let class = &self.set.classes[entry.request.class];
         if !self.may_refuse(entry) {
-            return entry.deadline - self.set.tick;
+            return entry.request.deadline - self.set.tick;
         }
         if class.late_worth > 0.0 {
-            return entry.arrived + (entry.deadline - entry.arrived) / 2;
+            return entry.arrived + (entry.request.deadline - entry.arrived) / 2;
         }
-        let end = entry.deadline.min(entry.arrived + class.aim);
+        let end = entry.request.deadline.min(entry.arrived + class.aim);
         end - (class.aim as f64 * (self.strain * HOLD_RESERVE).min(0.7)) as Span
     }
 
     /// The ledger's answer to: may another attempt be sent?
     fn may_send(&self, now: Time, entry: &Entry) -> bool {
-        let left = entry.deadline - now;
+        let left = entry.request.deadline - now;
         if entry.sent >= self.set.limits.attempts || left <= self.set.tick {
             return false;
         }
-        match (self.set.classes[entry.class].effect, entry.may_have_run) {
+        match (self.set.classes[entry.request.class].effect, entry.may_have_run) {
             (Effect::Safe, _) | (_, None) => true,
+            (Effect::Keyed { scope: KeyScope::Zone, .. }, _) => false,
             (Effect::Keyed { window, .. }, Some(first)) => now - first < window - self.set.tick * 2,
             (Effect::Unsafe, Some(_)) => false,
         }
@@ -478,7 +453,7 @@
     /// The ledger's answer to: may the client be told that trying again is harmless?
     fn may_refuse(&self, entry: &Entry) -> bool {
         let clean = entry.may_have_run.is_none() && entry.out.is_empty();
-        match self.set.classes[entry.class].effect {
+        match self.set.classes[entry.request.class].effect {
             Effect::Safe => true,
             Effect::Keyed { scope, .. } => clean || scope == KeyScope::Everywhere,
             Effect::Unsafe => clean,
@@ -487,18 +462,18 @@
 
     /// The design's ordinary path, and its fallbacks. `None`: there is no place now.
     fn route(&self, now: Time, entry: &Entry) -> Option<MemberId> {
-        let primary = self.primary(now, entry.group);
+        let primary = self.primary(now, entry.request.group);
         let at_primary = |share| primary.filter(|id| self.fits(now, entry, *id, share, true));
-        let floor = match self.set.classes[entry.class].need {
+        let floor = match self.set.classes[entry.request.class].need {
             Need::Write if primary.is_some() => return at_primary(1.0),
             Need::Write => return self.seek(now, entry),
             Need::Fresh => {
                 // The list alone does not prove that a member is the primary now.
-                let confirmed = self.groups.get(&entry.group).is_some_and(|g| g.primary.is_some());
+                let confirmed = self.groups.get(&entry.request.group).is_some_and(|g| g.primary.is_some());
                 return at_primary(SESSION_SHARE).filter(|_| confirmed);
             }
             Need::Session => {
-                let write = entry.last_write.unwrap_or(0);
+                let write = entry.request.last_write.unwrap_or(0);
                 // Departure: a primary without room leaves even these to replicas that cover the write.
                 let recent = now - write < READ_AFTER_WRITE;
                 if let Some(id) = at_primary(SESSION_SHARE).filter(|_| recent) {
@@ -539,14 +514,9 @@
     /// Whether a member may take this request now, using no more than `share` of its limit.
     fn fits(&self, now: Time, entry: &Entry, id: MemberId, share: f64, as_primary: bool) -> bool {
         let Some(node) = self.nodes.get(&id) else { return false };
-        let effect = self.set.classes[entry.class].effect;
-        let key_known = match (effect, entry.may_have_run, entry.first_zone) {
-            (Effect::Keyed { scope: KeyScope::Zone, .. }, Some(_), Some(zone)) => node.zone == zone,
-            _ => true,
-        };
-        node.group == entry.group
+        let effect = self.set.classes[entry.request.class].effect;
+        node.group == entry.request.group
             && !entry.tried.contains(&id)
-            && key_known
             && self.open(now, id, as_primary)
             && self.room(now, node, share, effect != Effect::Unsafe)
     }
@@ -559,7 +529,6 @@
             let group = self.groups.entry(node.group).or_default();
             group.turn = group.turn.max(node.turn);
             node.turn = node.turn.max(group.turn - 1.0) + 1.0 / (node.weight * warmth).max(0.01);
-            node.sends += 1.0;
             if node.in_flight == 0 {
                 node.quiet_since = now;
             }
@@ -576,7 +545,6 @@
         }
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.out.push((entry.sent, member));
-            entry.first_zone = entry.first_zone.or(self.nodes.get(&member).map(|n| n.zone));
             entry.sent += 1;
             out.push(Action::Send { request: id, member, timeout });
         }
@@ -584,28 +552,23 @@
 
     /// An attempt that may be repeated is given up while there is still time for another.
     fn timeout(&self, now: Time, entry: &Entry, member: MemberId) -> Option<Span> {
-        let class = &self.set.classes[entry.class];
+        let class = &self.set.classes[entry.request.class];
         if class.effect == Effect::Unsafe {
             return None;
         }
         let usual = self.nodes.get(&member)?.latency;
         let patience = (usual * 8.0).max(class.aim as f64) as Span;
-        let end = if class.late_worth > 0.0 { entry.deadline } else { entry.arrived + class.aim };
-        (now + patience + usual as Span <= end.min(entry.deadline)).then_some(patience)
+        let end = if class.late_worth > 0.0 { entry.request.deadline } else { entry.arrived + class.aim };
+        (now + patience + usual as Span <= end.min(entry.request.deadline)).then_some(patience)
     }
 
     fn answer(&mut self, now: Time, answer: Answer, out: &mut Vec<Action>) {
         let group = self.nodes.get(&answer.member).map(|n| n.group);
-        let class = self.entries.get(&answer.request).map(|e| &self.set.classes[e.class]);
-        let write = class.is_some_and(|c| c.need == Need::Write);
-        self.judge(now, &answer, class.map(|c| c.aim));
+        let class = self.entries.get(&answer.request).map(|e| self.set.classes[e.request.class].clone());
+        let write = class.as_ref().is_some_and(|c| c.need == Need::Write);
+        self.judge(now, &answer, class.as_ref());
         self.learn(now, answer.member, answer.report.primary, answer.report.position);
         self.learn(now, answer.member, answer.primary, answer.position);
-        if let Some(node) = self.nodes.get_mut(&answer.member) {
-            if answer.outcome == Outcome::NotHere && !write {
-                node.lag = node.lag.max(LAG_OF_MISS); // Too far behind, however fresh it looked.
-            }
-        }
         if let Some(entry) = self.entries.get_mut(&answer.request) {
             entry.out.retain(|(attempt, _)| *attempt != answer.attempt);
             if !answer.outcome.never_ran() {
@@ -616,17 +579,16 @@
                 entry.tried.push(answer.member);
             }
             if write && answer.outcome == Outcome::Served && self.set.session_marks == SessionMarks::Router {
-                if let Some(session) = entry.session.clone() {
-                    let commit = answer.position.unwrap_or(now);
+                let commit = answer.position.unwrap_or(now);
+                if let Some(session) = entry.request.session.clone() {
                     let last = self.last_writes.entry(session).or_insert(commit);
                     *last = commit.max(*last);
                 }
             }
             if answer.finished {
                 self.end(answer.request, out);
-            } else {
-                self.proceed(now, answer.request, out);
             }
+            self.proceed(now, answer.request, out);
         }
         if let Some(group) = group {
             self.pump(now, group, out);
@@ -636,7 +598,7 @@
     /// The one final answer where no member gives it: at once, as a refusal wherever that is allowed.
     fn give_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(entry) = self.entries.get(&id) else { return };
-        let class = &self.set.classes[entry.class];
+        let class = &self.set.classes[entry.request.class];
         let left = (entry.arrived + class.deadline - now).max(0);
         let wait = (left / 3).min(self.set.limits.retry_after_max);
         let retry_after = Some(wait).filter(|w| self.set.limits.retry_after && *w > 0);
@@ -648,10 +610,10 @@
     /// Closes the ledger entry; attempts still out are called off.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(entry) = self.entries.remove(&id) else { return };
-        if let Some(group) = self.groups.get_mut(&entry.group) {
+        if let Some(group) = self.groups.get_mut(&entry.request.group) {
             group.held.retain(|held| *held != id);
         }
-        if self.set.limits.cancel && !entry.streaming {
+        if self.set.limits.cancel {
             let cancel = |(attempt, _): &(u32, MemberId)| Action::Cancel { request: id, attempt: *attempt };
             out.extend(entry.out.iter().map(cancel));
         }
@@ -663,7 +625,7 @@
         let Some(held) = self.groups.get_mut(&group).map(|g| std::mem::take(&mut g.held)) else { return };
         let rank = |id: &RequestId| {
             let entry = self.entries.get(id);
-            entry.map_or((0.0, 0), |e| (-self.set.classes[e.class].worth, self.hold_until(e)))
+            entry.map_or((0.0, 0), |e| (-self.set.classes[e.request.class].worth, self.hold_until(e)))
         };
         let mut order: Vec<_> = held.iter().map(|id| (rank(id), *id)).collect();
         order.sort_by(|(a, _), (b, _)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -677,7 +639,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.find_silent(now, out);
         let slack = self.set.obligations.answer_slack / 2;
-        let overdue = |e: &Entry| !e.streaming && now >= e.deadline + slack;
+        let overdue = |e: &Entry| now >= e.request.deadline + slack;
         let late: Vec<_> = self.entries.iter().filter(|(_, e)| overdue(e)).map(|(id, _)| *id).collect();
         for id in late {
             out.push(Action::Fail(id)); // Backstop: the outcome that should have come did not.
@@ -695,17 +657,13 @@
     /// Once a second: what a warm member bears, and which session marks every member has caught up with.
     fn count(&mut self, now: Time) {
         let elapsed = (now - self.counted_at) as f64 / SECOND as f64;
-        let warm = |n: &&Node| n.standing == Standing::Serving && self.warmth(now, n) >= 1.0 && !n.out;
-        let (sends, members) =
-            self.nodes.values().filter(warm).fold((0.0, 0.0), |(s, m), n| (s + n.sends, m + 1.0));
-        if self.counted_at > 0 && members > 0.0 && elapsed < 10.0 {
-            let rate = sends / members / elapsed;
-            self.warm_rate += (rate - self.warm_rate) * 0.3;
-        }
         self.counted_at = now;
-        self.nodes.values_mut().for_each(|n| n.sends = 0.0);
-        let least = self.nodes.values().filter(|n| n.standing != Standing::Gone).map(|n| n.position).min();
-        self.last_writes.retain(|_, write| *write > least.unwrap_or(0));
+        let serving = |n: &&Node| n.standing == Standing::Serving;
+        let rate = self.taken / self.nodes.values().filter(serving).count().max(1) as f64 / elapsed;
+        self.warm_rate += (rate - self.warm_rate) * 0.3;
+        self.taken = 0.0;
+        let behind = self.nodes.values().filter(serving).map(|n| n.position).min();
+        self.last_writes.retain(|_, write| now - *write < MARK_KEPT || *write > behind.unwrap_or(0));
     }
 
     /// Probes at a pace: every member while no primary is at work; replicas whose position ages out.
@@ -714,45 +672,25 @@
             return;
         }
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
-        let bounds = self.set.classes.iter().filter_map(|c| match c.need {
-            Need::Bounded(bound) => Some(bound),
-            Need::Session => Some(SECOND),
-            _ => None,
-        });
-        let bound = bounds.min();
-        let members: Vec<_> =
-            self.nodes.iter().filter(|(_, n)| n.group == group).map(|(id, _)| *id).collect();
-        for id in members {
-            let jitter = 1.0 + 0.2 * self.chance();
-            let usable = self.open(now, id, false);
+        let bound = |c: &Class| if let Need::Bounded(bound) = c.need { bound } else { SECOND };
+        let bound = self.set.classes.iter().map(bound).min().unwrap_or(SECOND);
+        let usable = |id: &MemberId| self.nodes[id].group == group && self.open(now, *id, false);
+        for id in self.nodes.keys().copied().filter(usable).collect::<Vec<_>>() {
             let Some(node) = self.nodes.get_mut(&id) else { continue };
-            let aged = bound.is_some_and(|b| now - node.position > b / 2);
             let seek = primary.is_none();
-            let pace = if seek {
-                SEEK_PACE
-            } else if Some(id) != primary && aged && self.probe_budget >= 1.0 {
-                let behind = (node.lag / 2).max(bound.unwrap_or(SECOND));
-                (behind / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE)
-            } else {
+            let aged = now - node.position > bound / 2 && self.probe_budget >= 1.0;
+            if !seek && (!aged || Some(id) == primary) {
                 continue;
-            };
-            if usable && !node.probe_out && now - node.probed_at >= (pace as f64 * jitter) as Span {
+            }
+            let pace = ((node.lag / 2).max(bound) / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE);
+            let pace = if seek { SEEK_PACE } else { pace };
+            if !node.probe_out && now - node.probed_at >= (pace as f64 * self.stretch) as Span {
                 (node.probed_at, node.probe_out) = (now, true);
-                if !seek {
-                    self.probe_budget -= 1.0;
-                }
+                self.probe_budget -= if seek { 0.0 } else { 1.0 };
                 out.push(Action::Probe(id));
             }
         }
     }
-
-    /// A number from 0 to 1 from the seed alone (xorshift).
-    fn chance(&mut self) -> f64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
 
 /// Weighted rotation over the replicas that are fresh enough and have no clearly longer line than the rest.
@@ -770,7 +708,6 @@
     fn new(now: Time, member: &Member, fleet_size: u32) -> Self {
         Node {
             group: member.group,
-            zone: member.zone,
             started: member.started,
             told: now,
             lag: Span::MAX / 2,
@@ -780,16 +717,13 @@
             latency: 50.0 * MS as f64,
             quiet_since: now,
             trial_wait: TRIAL_FIRST,
-            rest: SHED_REST,
             ..Node::default()
         }
     }
 
     fn put_out(&mut self, now: Time) {
-        if !self.out {
-            self.out = true;
-            self.trial_at = now + self.trial_wait;
-        }
+        self.out = true;
+        self.trial_at = now + self.trial_wait;
     }
 
     fn stand(&mut self, now: Time, standing: Standing) {
