--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -113,7 +113,7 @@
 }
 
 /// The ledger entry of a request: what was sent, what may have run.
-#[derive(Debug, Clone)]
+#[derive(Debug, Default, Clone)]
 struct Entry {
     request: Request,
     arrived: Time,
@@ -126,7 +126,7 @@
 }
 
 /// The decision module. The same settings, seed and events give the same actions.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Router {
     set: Settings,
     nodes: BTreeMap<MemberId, Node>,
@@ -148,21 +148,9 @@
 
 impl Router {
     /// A router that knows nothing yet but its settings.
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        Router {
-            set: settings,
-            nodes: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            entries: BTreeMap::new(),
-            last_writes: BTreeMap::new(),
-            stretch: 1.0 + (seed % 1000) as f64 / 5000.0,
-            strain: STRAIN_START,
-            taken: 0.0,
-            warm_rate: 0.0,
-            counted_at: 0,
-            ticking: false,
-            probe_budget: 0.0,
-        }
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let stretch = 1.0 + (seed % 1000) as f64 / 5000.0;
+        Router { set, stretch, strain: STRAIN_START, ..Router::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -394,8 +382,7 @@
             SessionMarks::Client => request.last_write.map(|t| t + MS),
             SessionMarks::Router => session.and_then(|s| self.last_writes.get(s).copied()),
         };
-        let entry =
-            Entry { request, arrived: now, sent: 0, out: Vec::new(), may_have_run: None, tried: Vec::new() };
+        let entry = Entry { request, arrived: now, ..Entry::default() };
         self.entries.insert(id, entry);
         self.taken += 1.0;
         let most = self.nodes.len() as f64;
