--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -167,7 +167,7 @@
                 node.probe_out = false;
                 let group = node.group;
                 if answered {
-                    self.learn(now, member, report.primary, report.position);
+                    self.learn(now, member, report.primary, report.position, false);
                 }
                 let waiting =
                     self.entries.values_mut().filter(|e| e.request.group == group && e.out.is_empty());
@@ -205,8 +205,9 @@
             let node = self.nodes.entry(member.id).or_insert_with(|| fresh.clone());
             if member.started.is_some() && node.started != member.started {
                 // A restarted process is cold, and no longer what its past says of health or role.
-                let (position, in_flight) = (node.position, node.in_flight);
-                *node = Node { position, in_flight, ..fresh };
+                // Its position holds, and so does the moment that it was told to drain.
+                let Node { position, in_flight, standing, told, .. } = *node;
+                *node = Node { position, in_flight, standing, told, ..fresh };
                 let group = self.groups.entry(member.group).or_default();
                 group.primary = group.primary.filter(|id| *id != member.id);
             }
@@ -232,25 +233,20 @@
     // ---- What members say ----
 
     /// Takes a member's word on its role and position. Claims are ordered by position where known, so an
-    /// old report cannot undo a newer answer.
-    fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>) {
+    /// old report cannot undo a newer answer; but an answer that denies the role counts at once, whatever
+    /// its position, as reads sent to that member are no longer excused for their age.
+    fn learn(&mut self, now: Time, id: MemberId, primary: Option<bool>, at: Option<Time>, answer: bool) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if let Some(at) = at.filter(|at| *at > node.position) {
             (node.position, node.lag) = (at, now - at);
         }
-        let order = at.unwrap_or(now);
+        let order = at.unwrap_or(now).max(if answer { node.position } else { 0 });
         let group = self.groups.entry(node.group).or_default();
-        match primary {
-            Some(true) if order >= group.claim && order >= node.replica_at => {
-                (group.primary, group.claim) = (Some(id), order);
-            }
-            Some(false) if order >= node.replica_at => {
-                node.replica_at = order;
-                if group.primary == Some(id) && order >= group.claim {
-                    group.primary = None;
-                }
-            }
-            _ => {}
+        if primary == Some(true) && order >= group.claim.max(node.replica_at) {
+            (group.primary, group.claim) = (Some(id), order);
+        } else if primary == Some(false) && (answer || order >= node.replica_at) {
+            node.replica_at = order.max(node.replica_at);
+            group.primary = group.primary.filter(|p| *p != id || (!answer && order < group.claim));
         }
     }
 
@@ -554,8 +550,8 @@
         let class = self.entries.get(&answer.request).map(|e| self.set.classes[e.request.class].clone());
         let write = class.as_ref().is_some_and(|c| c.need == Need::Write);
         self.judge(now, &answer, class.as_ref());
-        self.learn(now, answer.member, answer.report.primary, answer.report.position);
-        self.learn(now, answer.member, answer.primary, answer.position);
+        self.learn(now, answer.member, answer.report.primary, answer.report.position, false);
+        self.learn(now, answer.member, answer.primary, answer.position, true);
         if let Some(entry) = self.entries.get_mut(&answer.request) {
             entry.out.retain(|(attempt, _)| *attempt != answer.attempt);
             if !answer.outcome.never_ran() {
--- /dev/null
+++ b/crates/stackgw-router/tests/common/mod.rs
@@ -0,0 +1,201 @@
+//! A router under test with a hand-driven clock. Each test file uses part of it.
+#![allow(dead_code)]
+
+use stackgw_router::{api::*, Router};
+
+/// Classes of the test deployment, by index.
+pub const BOUNDED: usize = 0;
+pub const SESSION: usize = 1;
+pub const WRITE: usize = 2;
+pub const LOOSE: usize = 3;
+pub const KEYED: usize = 4;
+pub const FRESH: usize = 5;
+
+pub const BOUND: Span = 500 * MS;
+pub const GROUP: GroupId = GroupId(7);
+pub const START: Time = 1_000 * SECOND;
+
+pub fn settings() -> Settings {
+    let class = |need, effect, late_worth| Class {
+        need,
+        effect,
+        aim: 300 * MS,
+        deadline: 3 * SECOND,
+        worth: 1.0,
+        late_worth,
+    };
+    let keyed = Effect::Keyed { scope: KeyScope::Group, window: 2 * SECOND };
+    Settings {
+        classes: vec![
+            class(Need::Bounded(BOUND), Effect::Safe, 0.0),
+            class(Need::Session, Effect::Safe, 0.0),
+            class(Need::Write, Effect::Unsafe, 0.7),
+            class(Need::Loose, Effect::Safe, 0.0),
+            class(Need::Write, keyed, 0.7),
+            class(Need::Fresh, Effect::Safe, 0.0),
+        ],
+        fleet_size: 1,
+        tick: 5 * MS,
+        positions_in_answers: true,
+        report_position: true,
+        limits: Limits {
+            attempts: 6,
+            cancel: true,
+            probes: true,
+            retry_after: true,
+            retry_after_max: SECOND,
+            connect_timeout: 250 * MS,
+            ..Limits::default()
+        },
+        obligations: Obligations {
+            answer_slack: 20 * MS,
+            drain_grace: SECOND,
+            cold_share: 0.2,
+            warm_within: 15 * SECOND,
+            fall_multiple: 3.0,
+            fall_window: 2 * SECOND,
+            ..Obligations::default()
+        },
+        ..Settings::default()
+    }
+}
+
+pub fn member(id: u32, primary: bool) -> Member {
+    Member {
+        id: MemberId(id),
+        group: GROUP,
+        zone: 0,
+        weight: 1.0,
+        started: None,
+        standing: Standing::Serving,
+        primary,
+    }
+}
+
+pub struct Bench {
+    pub router: Router,
+    pub now: Time,
+    pub deadline: Span,
+    next: u64,
+    /// Everything the router asked for, in order.
+    pub log: Vec<Action>,
+    attempts: std::collections::BTreeMap<RequestId, u32>,
+}
+
+impl Bench {
+    /// Members 0 (the listed primary) to `count - 1`, as a cached list.
+    pub fn new(settings: Settings, count: u32) -> Self {
+        let router = Router::new(settings, 42);
+        let attempts = Default::default();
+        let mut bench =
+            Bench { router, now: START, deadline: 3 * SECOND, next: 0, log: Vec::new(), attempts };
+        let members = (0..count).map(|id| member(id, id == 0)).collect();
+        bench.tell(Event::List { scope: ListScope::Cached, members });
+        bench
+    }
+
+    /// As [`Bench::new`], with each member heard of: 0 as primary, the others as replicas without lag.
+    pub fn heard(settings: Settings, count: u32) -> Self {
+        let mut bench = Bench::new(settings, count);
+        (0..count).for_each(|id| bench.probed(id, id == 0, bench.now));
+        bench
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::Send { request, .. } = action {
+                *self.attempts.entry(*request).or_insert(0) += 1;
+            }
+        }
+        self.log.extend(actions.iter().cloned());
+        actions
+    }
+
+    pub fn pass(&mut self, span: Span) -> Vec<Action> {
+        let (end, mut all) = (self.now + span, Vec::new());
+        while self.now < end {
+            self.now = (self.now + 10 * MS).min(end);
+            all.extend(self.tell(Event::Timer(0)));
+        }
+        all
+    }
+
+    pub fn ask(&mut self, class: usize) -> (RequestId, Vec<Action>) {
+        self.ask_since(class, None)
+    }
+
+    /// A session read whose last write was `age` ago.
+    pub fn ask_since(&mut self, class: usize, age: Option<Span>) -> (RequestId, Vec<Action>) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let request = Request {
+            id,
+            class,
+            group: GROUP,
+            deadline: self.now + self.deadline,
+            session: Some(SessionId("s".into())),
+            last_write: age.map(|age| self.now - age),
+            repeat: false,
+        };
+        let actions = self.tell(Event::Request(request));
+        (id, actions)
+    }
+
+    pub fn probed(&mut self, id: u32, primary: bool, position: Time) {
+        let report = Report { position: Some(position), primary: Some(primary), ..Report::default() };
+        self.tell(Event::Probed { member: MemberId(id), answered: true, took: MS, report });
+    }
+
+    /// Ends the latest attempt of a request.
+    pub fn end(&mut self, request: RequestId, member: u32, outcome: Outcome, took: Span) -> Vec<Action> {
+        let primary = outcome.answers().then_some(member == 0);
+        self.end_as(request, member, outcome, took, primary, None)
+    }
+
+    pub fn end_as(
+        &mut self,
+        request: RequestId,
+        member: u32,
+        outcome: Outcome,
+        took: Span,
+        primary: Option<bool>,
+        position: Option<Time>,
+    ) -> Vec<Action> {
+        let attempt = self.attempts.get(&request).map_or(0, |n| n - 1);
+        let finished = outcome == Outcome::Served;
+        let member = MemberId(member);
+        let report = Report::default();
+        let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
+        self.tell(Event::Answer(answer))
+    }
+}
+
+/// Whether a member itself spoke.
+pub trait Answers {
+    fn answers(self) -> bool;
+}
+
+impl Answers for Outcome {
+    fn answers(self) -> bool {
+        matches!(self, Outcome::Served | Outcome::Error | Outcome::Shed | Outcome::NotHere)
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Vec<u32> {
+    let to = |a: &Action| if let Action::Send { member, .. } = a { Some(member.0) } else { None };
+    actions.iter().filter_map(to).collect()
+}
+
+pub fn probes(actions: &[Action]) -> Vec<u32> {
+    actions.iter().filter_map(|a| if let Action::Probe(m) = a { Some(m.0) } else { None }).collect()
+}
+
+pub fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.contains(&Action::Fail(id))
+}
--- /dev/null
+++ b/crates/stackgw-router/tests/rules.rs
@@ -0,0 +1,342 @@
+//! The five rules, and what must hold through primary changes, silence, drains and restarts.
+
+mod common;
+use common::*;
+use stackgw_router::api::*;
+
+// ---- One final answer ----
+
+#[test]
+fn a_held_request_is_refused_while_its_client_can_still_come_back() {
+    let mut bench = Bench::new(settings(), 1);
+    bench.tell(Event::List { scope: ListScope::Full, members: vec![] });
+    let (id, actions) = bench.ask(WRITE);
+    assert!(actions.iter().all(|a| !matches!(a, Action::Refuse { .. } | Action::Fail(_))));
+    let actions = bench.pass(2 * SECOND);
+    assert!(refused(&actions, id));
+    let hint = actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => *retry_after,
+        _ => None,
+    });
+    assert!(hint.is_some_and(|h| h > 0 && h <= SECOND), "says when to come back: {hint:?}");
+    assert!(!refused(&bench.pass(3 * SECOND), id), "only once");
+}
+
+#[test]
+fn an_attempt_whose_end_never_comes_is_failed_at_the_deadline() {
+    let mut bench = Bench::heard(settings(), 2);
+    let (id, _) = bench.ask(WRITE);
+    let actions = bench.pass(3 * SECOND + 15 * MS);
+    assert!(failed(&actions, id));
+}
+
+#[test]
+fn nothing_is_sent_for_a_request_that_has_ended() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (id, actions) = bench.ask(BOUNDED);
+    let to = sent(&actions)[0];
+    bench.tell(Event::Abandoned(id));
+    bench.tell(Event::Abandoned(id));
+    let actions = bench.end(id, to, Outcome::Broken, 10 * MS);
+    assert!(sent(&actions).is_empty() && !refused(&actions, id) && !failed(&actions, id));
+}
+
+// ---- No effect twice ----
+
+#[test]
+fn an_unsafe_write_that_may_have_run_is_only_failed() {
+    for outcome in [Outcome::TimedOut, Outcome::Broken, Outcome::Error, Outcome::Cancelled] {
+        let mut bench = Bench::heard(settings(), 3);
+        let (id, _) = bench.ask(WRITE);
+        bench.now += 100 * MS;
+        let actions = bench.end(id, 0, outcome, 100 * MS);
+        assert!(failed(&actions, id) && sent(&actions).is_empty(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_write_that_never_ran_goes_on() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (id, _) = bench.ask(WRITE);
+    let actions = bench.end_as(id, 0, Outcome::NotHere, MS, Some(false), Some(bench.now + MS));
+    assert_eq!(sent(&actions).len(), 1, "the next member is tried");
+    assert_ne!(sent(&actions), [0]);
+}
+
+#[test]
+fn a_keyed_write_is_resent_inside_its_window_and_never_after() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (id, _) = bench.ask(KEYED);
+    bench.now += 500 * MS;
+    let actions = bench.end(id, 0, Outcome::Broken, 500 * MS);
+    assert_eq!(sent(&actions), [0]);
+    bench.now += 1_600 * MS;
+    let actions = bench.end(id, 0, Outcome::Broken, 1_600 * MS);
+    assert!(sent(&actions).is_empty(), "its key is forgotten by now");
+    assert!(failed(&actions, id) && !refused(&actions, id), "it may have run");
+}
+
+#[test]
+fn one_attempt_is_out_at_a_time() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (id, actions) = bench.ask(LOOSE);
+    let to = sent(&actions)[0];
+    let actions = bench.pass(2 * SECOND);
+    assert!(sent(&actions).is_empty(), "called off at most, until the end is known");
+    let actions = bench.end(id, to, Outcome::Cancelled, 2 * SECOND);
+    assert!(refused(&actions, id), "too late to be of worth");
+}
+
+#[test]
+fn attempts_stay_within_the_limit() {
+    let mut bench = Bench::heard(settings(), 12);
+    let (id, actions) = bench.ask(LOOSE);
+    let mut to = sent(&actions);
+    let mut count = 0;
+    while let [member] = to[..] {
+        count += 1;
+        to = sent(&bench.end(id, member, Outcome::Shed, MS));
+    }
+    assert_eq!(count, 6);
+}
+
+// ---- Drains ----
+
+#[test]
+fn a_draining_or_gone_replica_gets_nothing_new() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let mut bench = Bench::heard(settings(), 3);
+        let gone = Member { standing, ..member(1, false) };
+        bench.tell(Event::List { scope: ListScope::Changes, members: vec![gone] });
+        for _ in 0..6 {
+            assert_eq!(sent(&bench.ask(LOOSE).1), [2]);
+        }
+    }
+}
+
+#[test]
+fn a_draining_primary_takes_writes_inside_the_grace_while_no_other_is_known() {
+    let mut bench = Bench::heard(settings(), 3);
+    let drains = Member { standing: Standing::Draining, ..member(0, true) };
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![drains] });
+    bench.now += 500 * MS;
+    assert_eq!(sent(&bench.ask(WRITE).1), [0]);
+    bench.now += 400 * MS;
+    assert!(sent(&bench.ask(WRITE).1).is_empty(), "the grace is nearly over");
+    bench.probed(1, true, bench.now);
+    assert!(sent(&bench.log).ends_with(&[1]), "the successor gets what was held");
+}
+
+#[test]
+fn a_member_missing_from_a_full_list_is_gone() {
+    let mut bench = Bench::heard(settings(), 3);
+    let left = vec![member(0, true), member(2, false)];
+    bench.tell(Event::List { scope: ListScope::Full, members: left });
+    for _ in 0..4 {
+        assert_eq!(sent(&bench.ask(LOOSE).1), [2]);
+    }
+}
+
+// ---- Cold members ----
+
+fn cold(id: u32, primary: bool, now: Time) -> Member {
+    Member { started: Some(now), ..member(id, primary) }
+}
+
+#[test]
+fn a_cold_member_gets_no_more_than_its_budget_whatever_fails() {
+    let mut bench = Bench::heard(settings(), 3);
+    bench.pass(SECOND);
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![cold(2, false, bench.now)] });
+    let mut to_cold = 0;
+    // 300 requests in 2 s, each turned away at once: a limit on requests in flight would not hold them.
+    for _ in 0..300 {
+        let (id, actions) = bench.ask(LOOSE);
+        for to in sent(&actions) {
+            to_cold += u32::from(to == 2);
+            bench.end(id, to, Outcome::Served, MS);
+        }
+        bench.pass(6 * MS);
+    }
+    assert!(to_cold > 0, "it gets its share");
+    assert!(to_cold <= 60, "{to_cold} sends in one window, of 300 requests for two replicas");
+}
+
+#[test]
+fn a_drained_primary_with_a_cold_successor_does_not_flood_it() {
+    let mut bench = Bench::heard(settings(), 3);
+    let drains = Member { standing: Standing::Draining, ..member(0, true) };
+    let change = vec![drains, cold(1, false, bench.now)];
+    bench.tell(Event::List { scope: ListScope::Changes, members: change });
+    bench.now += SECOND;
+    bench.probed(1, true, bench.now);
+    let first: usize = (0..100).map(|_| sent(&bench.ask(WRITE).1).len()).sum();
+    assert!((1..=8).contains(&first), "{first} writes at once");
+}
+
+// ---- No stale read ----
+
+#[test]
+fn where_replicas_do_not_check_no_bounded_read_goes_past_its_bound() {
+    let mut bench = Bench::heard(settings(), 3);
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![member(0, false)] });
+    bench.probed(0, false, bench.now + MS);
+    bench.now += BOUND;
+    let (_, actions) = bench.ask(BOUNDED);
+    assert!(sent(&actions).is_empty(), "no primary and no fresh replica: {actions:?}");
+}
+
+#[test]
+fn a_new_member_is_not_taken_for_fresh() {
+    let mut bench = Bench::heard(Settings { session_marks: SessionMarks::Router, ..settings() }, 2);
+    let (id, _) = bench.ask(WRITE);
+    bench.end_as(id, 0, Outcome::Served, 10 * MS, Some(true), Some(bench.now));
+    bench.pass(2 * SECOND);
+    (0..2).for_each(|m| bench.probed(m, m == 0, bench.now));
+    bench.pass(2 * SECOND);
+    // Every member covered the write; one that joins now may start from an older copy.
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![cold(2, false, bench.now)] });
+    for _ in 0..6 {
+        assert!(!sent(&bench.ask(SESSION).1).contains(&2));
+    }
+}
+
+// ---- Primary changes ----
+
+#[test]
+fn an_old_report_does_not_undo_a_newer_answer() {
+    let mut bench = Bench::heard(settings(), 3);
+    bench.now += SECOND;
+    let (id, _) = bench.ask(LOOSE);
+    bench.end_as(id, 1, Outcome::Served, MS, Some(true), Some(bench.now));
+    bench.probed(0, true, bench.now - 500 * MS);
+    assert_eq!(sent(&bench.ask(WRITE).1), [1]);
+    bench.probed(1, false, bench.now - 500 * MS);
+    assert_eq!(sent(&bench.ask(WRITE).1), [1]);
+}
+
+#[test]
+fn a_silent_primary_gets_no_unsafe_write_and_is_looked_for_elsewhere() {
+    let mut bench = Bench::heard(settings(), 4);
+    (0..4).for_each(|_| drop(bench.ask(WRITE)));
+    let actions = bench.pass(SECOND);
+    assert!(probes(&actions).contains(&2), "all members are probed for the role");
+    assert!(!actions.iter().any(|a| matches!(a, Action::Cancel { .. })), "a write may have run");
+    let (id, actions) = bench.ask(WRITE);
+    assert!(sent(&actions).is_empty(), "held");
+    bench.probed(2, true, bench.now);
+    assert!(bench.log.contains(&Action::Send { request: id, member: MemberId(2), timeout: None }));
+}
+
+#[test]
+fn the_primary_falls_silent_while_replicas_lag() {
+    let mut bench = Bench::heard(settings(), 3);
+    (0..4).for_each(|_| drop(bench.ask(WRITE)));
+    bench.pass(SECOND);
+    let held = bench.ask(BOUNDED);
+    assert!(sent(&held.1).len() <= 1, "one trial at most");
+    let waiting: Vec<_> = (0..5).map(|_| bench.ask(BOUNDED)).collect();
+    assert!(waiting.iter().all(|(_, actions)| sent(actions).is_empty()));
+    bench.probed(1, false, bench.now - 50 * MS);
+    assert!(sent(&bench.log).ends_with(&[1, 1]), "served as soon as one has caught up");
+}
+
+#[test]
+fn a_restart_during_a_primary_change_trusts_answers_over_its_cached_list() {
+    let mut bench = Bench::new(settings(), 3);
+    let (id, actions) = bench.ask(WRITE);
+    assert_eq!(sent(&actions), [0], "the list is all there is");
+    let actions = bench.end_as(id, 0, Outcome::NotHere, MS, Some(false), Some(bench.now));
+    let tried = sent(&actions)[0];
+    let actions = bench.end_as(id, tried, Outcome::NotHere, MS, Some(false), Some(bench.now));
+    let last = sent(&actions)[0];
+    assert_ne!(last, tried);
+    bench.end_as(id, last, Outcome::NotHere, MS, Some(false), Some(bench.now));
+    assert!(!refused(&bench.log, id), "after one round it waits for a probe");
+    bench.now += 200 * MS;
+    bench.probed(tried, true, bench.now);
+    assert!(sent(&bench.log).ends_with(&[tried]));
+}
+
+// ---- Health ----
+
+#[test]
+fn a_silent_replica_loses_its_reads_to_the_others() {
+    let mut patient = settings();
+    patient.classes[LOOSE].aim = 2 * SECOND;
+    let mut bench = Bench::heard(patient, 3);
+    let open: Vec<_> = (0..6).map(|_| bench.ask(LOOSE)).collect();
+    let mut stuck = None;
+    for (id, actions) in &open {
+        match sent(actions)[0] {
+            1 => stuck = Some(*id),
+            to => drop(bench.end(*id, to, Outcome::Served, 20 * MS)),
+        }
+    }
+    let actions = bench.pass(300 * MS);
+    let stuck = stuck.expect("replica 1 had its share");
+    assert!(actions.contains(&Action::Cancel { request: stuck, attempt: 0 }));
+    bench.probed(1, false, bench.now);
+    let to: Vec<_> = (0..4).flat_map(|_| sent(&bench.ask(LOOSE).1)).collect();
+    assert!(!to.contains(&1), "a probe does not prove that it serves");
+    assert_eq!(sent(&bench.end(stuck, 1, Outcome::Cancelled, 300 * MS)), [2]);
+}
+
+#[test]
+fn a_refused_connection_puts_a_member_out_until_a_trial_succeeds() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (mut id, actions) = bench.ask(LOOSE);
+    let mut to = sent(&actions)[0];
+    if to != 1 {
+        bench.end(id, to, Outcome::Served, MS);
+        (id, _) = bench.ask(LOOSE);
+        to = 1;
+    }
+    assert_eq!(sent(&bench.end(id, to, Outcome::NoConnection, MS)), [2], "sent on at once");
+    let next: Vec<_> = (0..4).flat_map(|_| sent(&bench.ask(LOOSE).1)).collect();
+    assert!(!next.contains(&1));
+    bench.pass(300 * MS);
+    let (trial, actions) = bench.ask(LOOSE);
+    assert_eq!(sent(&actions), [1], "one trial");
+    assert_ne!(sent(&bench.ask(LOOSE).1), [1], "one at a time");
+    bench.end(trial, 1, Outcome::Served, 10 * MS);
+    let next: Vec<_> = (0..6).flat_map(|_| sent(&bench.ask(LOOSE).1)).collect();
+    assert!(next.contains(&1), "back in rotation");
+}
+
+#[test]
+fn time_outs_mixed_with_answers_do_not_put_a_member_out() {
+    // Danger: requests that are costly by nature time out on healthy members.
+    let mut bench = Bench::heard(settings(), 2);
+    for round in 0..40 {
+        let (id, actions) = bench.ask(LOOSE);
+        assert_eq!(sent(&actions), [1], "round {round}");
+        let outcome = if round % 2 == 0 { Outcome::TimedOut } else { Outcome::Served };
+        bench.now += 20 * MS;
+        if outcome == Outcome::TimedOut {
+            bench.tell(Event::Abandoned(id));
+        }
+        bench.end(id, 1, outcome, 20 * MS);
+    }
+}
+
+// ---- Overload ----
+
+#[test]
+fn fallback_reads_leave_room_for_writes_on_the_primary() {
+    let mut bench = Bench::heard(settings(), 3);
+    bench.now += BOUND;
+    let reads: usize = (0..50).map(|_| sent(&bench.ask(BOUNDED).1).len()).sum();
+    assert!(reads < 12, "{reads} reads at once");
+    assert_eq!(sent(&bench.ask(WRITE).1), [0]);
+}
+
+#[test]
+fn a_read_that_cannot_be_answered_in_time_is_refused_at_once_with_a_hint() {
+    let mut bench = Bench::heard(settings(), 2);
+    let open: Vec<_> = (0..60).map(|_| bench.ask(LOOSE).0).collect();
+    let actions = bench.pass(300 * MS);
+    let turned_away = open.iter().filter(|id| refused(&actions, **id)).count();
+    assert!(turned_away >= 30, "{turned_away} of 60");
+    assert!(!actions.iter().any(|a| matches!(a, Action::Fail(_))), "all may try again");
+}
