--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -5,7 +5,7 @@
 //! arrives in `learn`; what their behaviour says about them arrives in `judge`; time passes in `tick`.
 
 use crate::api::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Session reads this soon after a write go to the primary. The design starts at 1 s; the position check
 /// already keeps later reads correct, so the window only has to cover the normal replication delay.
@@ -107,7 +107,7 @@
     /// Last member to claim the primary's role, and the claim's position.
     primary: Option<MemberId>,
     claim: Time,
-    held: Vec<RequestId>,
+    held: BTreeSet<RequestId>,
     /// How far the rotation has come.
     turn: f64,
 }
@@ -398,10 +398,7 @@
         if let Some(member) = self.route(now, entry) {
             return self.send(now, id, member, out);
         }
-        let group = self.groups.entry(entry.request.group).or_default();
-        if !group.held.contains(&id) {
-            group.held.push(id);
-        }
+        self.groups.entry(entry.request.group).or_default().held.insert(id);
     }
 
     /// Until when a request may wait for a place. One that is worth nothing late waits while it can still
@@ -594,7 +591,7 @@
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(entry) = self.entries.remove(&id) else { return };
         if let Some(group) = self.groups.get_mut(&entry.request.group) {
-            group.held.retain(|held| *held != id);
+            group.held.remove(&id);
         }
         if self.set.limits.cancel {
             let cancel = |(attempt, _): &(u32, MemberId)| Action::Cancel { request: id, attempt: *attempt };
