--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -108,8 +108,6 @@
     primary: Option<MemberId>,
     claim: Time,
     held: BTreeSet<RequestId>,
-    /// A write has found no room on the primary and waits.
-    pressed: bool,
     /// How far the rotation has come.
     turn: f64,
 }
@@ -400,10 +398,7 @@
         if let Some(member) = self.route(now, entry) {
             return self.send(now, id, member, out);
         }
-        let write = self.set.classes[entry.request.class].need == Need::Write;
-        let group = self.groups.entry(entry.request.group).or_default();
-        group.held.insert(id);
-        group.pressed |= write;
+        self.groups.entry(entry.request.group).or_default().held.insert(id);
     }
 
     /// Until when a request may wait for a place. One that is worth nothing late waits while it can still
@@ -448,11 +443,7 @@
     /// The design's ordinary path, and its fallbacks. `None`: there is no place now.
     fn route(&self, now: Time, entry: &Entry) -> Option<MemberId> {
         let primary = self.primary(now, entry.request.group);
-        // Reads leave a primary alone that writes wait for, unless they are its trial.
-        let pressed = self.groups.get(&entry.request.group).is_some_and(|g| g.pressed);
-        let free = |id: &MemberId, share: f64| share == 1.0 || !pressed || self.nodes[id].out;
-        let at_primary =
-            |share| primary.filter(|id| free(id, share) && self.fits(now, entry, *id, share, true));
+        let at_primary = |share| primary.filter(|id| self.fits(now, entry, *id, share, true));
         let floor = match self.set.classes[entry.request.class].need {
             Need::Write if primary.is_some() => return at_primary(1.0),
             Need::Write => return self.seek(now, entry),
@@ -608,19 +599,16 @@
         }
     }
 
-    /// Routes held requests again: writes first, as they can go nowhere else, then the worthiest, then those
-    /// with the least time, so that no class with a short aim starves behind one that can wait.
+    /// Routes held requests again: the worthiest first, then those with the least time, so that no class with
+    /// a short aim starves behind one that can wait.
     fn pump(&mut self, now: Time, group: GroupId, out: &mut Vec<Action>) {
-        let Some(state) = self.groups.get_mut(&group) else { return };
-        state.pressed = false;
-        let held = std::mem::take(&mut state.held);
+        let Some(held) = self.groups.get_mut(&group).map(|g| std::mem::take(&mut g.held)) else { return };
         let rank = |id: &RequestId| {
-            let Some(entry) = self.entries.get(id) else { return (false, 0.0, 0) };
-            let class = &self.set.classes[entry.request.class];
-            (class.need != Need::Write, -class.worth, self.hold_until(entry))
+            let entry = self.entries.get(id);
+            entry.map_or((0.0, 0), |e| (-self.set.classes[e.request.class].worth, self.hold_until(e)))
         };
         let mut order: Vec<_> = held.iter().map(|id| (rank(id), *id)).collect();
-        order.sort_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        order.sort_by(|(a, _), (b, _)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in order {
             self.proceed(now, id, out);
         }
