Limits below one as a pace, and a common scale from the strain over all members

Cause: in a burst eleven routers with a floor of one request each overfill every member, and each hears too seldom of one member to learn it.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -28,7 +28,9 @@
 const CLEARLY_MORE: f64 = 1.3;
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
 const LIMIT_START: f64 = 12.0;
-const LIMIT_LEAST: f64 = 1.0;
+const LIMIT_LEAST: f64 = 0.3;
+/// The least by which the strain over all members scales every limit.
+const SCALE_LEAST: f64 = 0.1;
 /// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
 const STRAIN_HIGH: f64 = 0.42;
 const STRAIN_FINE: f64 = 0.35;
@@ -80,6 +82,7 @@
     /// Position (or moment) of its latest word that it is a replica.
     replica_at: Time,
     in_flight: u32,
+    sent_at: Time,
     limit: f64,
     /// No cut since the start: the limit grows with every answer.
     slow_start: bool,
@@ -135,8 +138,10 @@
     last_writes: BTreeMap<SessionId, Time>,
     /// Stretches this router's paces a little, so that a fleet does not probe in step.
     stretch: f64,
-    /// Strain over all members.
+    /// Strain over all members, what it scales all limits by, and answers since that changed.
     strain: f64,
+    scale: f64,
+    since_cut: u32,
     /// Requests taken since the last count, and per second and member: the yardstick for cold members.
     taken: f64,
     warm_rate: f64,
@@ -150,7 +155,7 @@
     /// A router that knows nothing yet but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
         let stretch = 1.0 + (seed % 1000) as f64 / 5000.0;
-        Router { set, stretch, strain: STRAIN_START, ..Router::default() }
+        Router { set, stretch, strain: STRAIN_START, scale: 1.0, ..Router::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -283,6 +288,7 @@
                 let ratio = class.map_or(node.strain, |c| answer.took as f64 / c.aim as f64);
                 node.strain += (ratio.min(STRAIN_WORST) - node.strain) * STRAIN_STEP;
                 self.strain += (ratio.min(STRAIN_WORST) - self.strain) * STRAIN_STEP;
+                self.since_cut += 1;
             }
             Outcome::Error => node.strikes += 1,
             Outcome::Shed => {
@@ -308,7 +314,13 @@
             node.slow_start = false;
             node.since_cut = 0;
         } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
-            node.limit += if node.slow_start { 0.5 } else { 1.0 / node.limit };
+            node.limit += if node.slow_start { 0.5 } else { (1.0 / node.limit).min(0.2 * node.limit) };
+        }
+        if self.since_cut >= CUT_EVERY && (self.strain > STRAIN_HIGH || self.strain < STRAIN_FINE) {
+            // With many routers each hears too seldom of one member, but all of them hear of all soon.
+            self.since_cut = 0;
+            let step = if self.strain > STRAIN_HIGH { LIMIT_CUT } else { 1.0 / LIMIT_CUT };
+            self.scale = (self.scale * step).clamp(SCALE_LEAST, 1.0);
         }
         if node.strikes >= STRIKES_OUT {
             node.put_out(now);
@@ -341,8 +353,11 @@
         if node.out {
             return safe && now >= node.trial_at && self.cold_room(now, node);
         }
-        let limit = (node.limit * share * self.warmth(now, node)).max(1.0);
-        now >= node.rest_until && f64::from(node.in_flight) < limit && self.cold_room(now, node)
+        let limit = node.limit * self.scale * share * self.warmth(now, node);
+        // A limit below one is a pace: one at a time, and a pause after each.
+        let paced = limit >= 1.0 || (now - node.sent_at) as f64 >= node.latency / limit;
+        let short = f64::from(node.in_flight) < limit.max(1.0);
+        now >= node.rest_until && short && paced && self.cold_room(now, node)
     }
 
     /// Share of its capacity that a member has at least by now.
@@ -513,6 +528,7 @@
                 node.quiet_since = now;
             }
             node.in_flight += 1;
+            node.sent_at = now;
             if node.out {
                 node.trial_wait = (node.trial_wait * 2).min(TRIAL_LONGEST);
                 node.trial_at = now + node.trial_wait;
