--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -29,7 +29,9 @@
 /// A member's limit on requests in flight: where it starts, and the least that keeps news coming in.
 const LIMIT_START: f64 = 12.0;
 const LIMIT_LEAST: f64 = 0.3;
-/// The least by which the strain over all members scales every limit.
+/// The strain over all members scales every limit: down above the first, up again below the second.
+const SCALE_HIGH: f64 = 0.6;
+const SCALE_FINE: f64 = 0.5;
 const SCALE_LEAST: f64 = 0.1;
 /// Strain is answer time over aim. Above the first the limit shrinks; below the second it may grow.
 const STRAIN_HIGH: f64 = 0.42;
@@ -316,10 +318,10 @@
         } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
             node.limit += if node.slow_start { 0.5 } else { (1.0 / node.limit).min(0.2 * node.limit) };
         }
-        if self.since_cut >= CUT_EVERY && (self.strain > STRAIN_HIGH || self.strain < STRAIN_FINE) {
+        if self.since_cut >= CUT_EVERY && (self.strain > SCALE_HIGH || self.strain < SCALE_FINE) {
             // With many routers each hears too seldom of one member, but all of them hear of all soon.
             self.since_cut = 0;
-            let step = if self.strain > STRAIN_HIGH { LIMIT_CUT } else { 1.0 / LIMIT_CUT };
+            let step = if self.strain > SCALE_HIGH { LIMIT_CUT } else { 1.0 / LIMIT_CUT };
             self.scale = (self.scale * step).clamp(SCALE_LEAST, 1.0);
         }
         if node.strikes >= STRIKES_OUT {
