--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -86,8 +86,6 @@
     in_flight: u32,
     sent_at: Time,
     limit: f64,
-    /// No cut since the start: the limit grows with every answer.
-    slow_start: bool,
     since_cut: u32,
     strain: f64,
     latency: f64,
@@ -293,11 +291,7 @@
                 self.since_cut += 1;
             }
             Outcome::Error => node.strikes += 1,
-            Outcome::Shed => {
-                // Full, or about to go.
-                node.rest_until = now + SHED_REST;
-                node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
-            }
+            Outcome::Shed => node.rest_until = now + SHED_REST, // Full, or about to go.
             Outcome::Broken => node.strikes += 2,
             Outcome::TimedOut => {
                 node.strikes += 1;
@@ -313,10 +307,9 @@
         node.since_cut += 1;
         if node.strain > STRAIN_HIGH && node.since_cut >= CUT_EVERY {
             node.limit = (node.limit * LIMIT_CUT).max(LIMIT_LEAST);
-            node.slow_start = false;
             node.since_cut = 0;
         } else if node.strain < STRAIN_FINE && f64::from(node.in_flight + 1) > 0.7 * node.limit {
-            node.limit += if node.slow_start { 0.5 } else { (1.0 / node.limit).min(0.2 * node.limit) };
+            node.limit += (1.0 / node.limit).min(0.2 * node.limit);
         }
         if self.since_cut >= CUT_EVERY && (self.strain > SCALE_HIGH || self.strain < SCALE_FINE) {
             // With many routers each hears too seldom of one member, but all of them hear of all soon.
@@ -374,11 +367,7 @@
     /// scales by its own traffic for each member, so the fleet's sum scales by what warm members bear.
     fn cold_room(&self, now: Time, node: &Node) -> bool {
         let rules = &self.set.obligations;
-        let warmth = self.warmth(now, node);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let rate = self.warm_rate * warmth * rules.fall_multiple * COLD_USE;
+        let rate = self.warm_rate * self.warmth(now, node) * rules.fall_multiple * COLD_USE;
         let budget = rate * rules.fall_window as f64 / SECOND as f64;
         let least = 4.0 / f64::from(self.set.fleet_size.max(1));
         let spent = node.cold_sends.iter().filter(|t| now - **t < rules.fall_window).count();
@@ -710,7 +699,6 @@
             told: now,
             lag: Span::MAX / 2,
             limit: LIMIT_START / f64::from(fleet_size.max(1)),
-            slow_start: true,
             strain: STRAIN_START,
             latency: 50.0 * MS as f64,
             quiet_since: now,
