--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -52,14 +52,12 @@
 /// work the gap between answers shrinks as 1/n, and e^-7 is rare enough.
 const SILENCE_A: f64 = 2.0;
 const SILENCE_B: f64 = 7.0;
-/// Strikes that put a member out; an answer clears them. An error or a time-out is one (fewer prove nothing:
+/// Strikes that put a member out; an answer clears them. An error, a shed or a time-out is one (fewer prove nothing:
 /// costly requests end so too), a broken connection two, a refused one enough.
 const STRIKES_OUT: u32 = 4;
 /// Trials of a member that is out: first and longest wait between them.
 const TRIAL_FIRST: Span = 250 * MS;
 const TRIAL_LONGEST: Span = 2 * SECOND;
-/// Rest given to a member that sheds.
-const SHED_REST: Span = 100 * MS;
 /// Part of a cold member's budget that this fleet uses; the rest covers chance and what it cannot see.
 const COLD_USE: f64 = 0.4;
 /// Part of the drain grace in which a draining primary still gets writes when no other is known.
@@ -96,7 +94,6 @@
     trial_at: Time,
     trial_wait: Span,
     strikes: u32,
-    rest_until: Time,
     probed_at: Time,
     probe_out: bool,
     /// Its place in the rotation: the member with the least goes next.
@@ -136,6 +133,8 @@
     groups: BTreeMap<GroupId, Group>,
     entries: BTreeMap<RequestId, Entry>,
     last_writes: BTreeMap<SessionId, Time>,
+    /// The tightest staleness bound, or a second.
+    bound: Span,
     /// Stretches this router's paces a little, so that a fleet does not probe in step.
     stretch: f64,
     /// Strain over all members, what it scales all limits by, and answers since that changed.
@@ -154,8 +153,10 @@
 impl Router {
     /// A router that knows nothing yet but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
+        let bound = |c: &Class| if let Need::Bounded(bound) = c.need { bound } else { SECOND };
+        let bound = set.classes.iter().map(bound).min().unwrap_or(SECOND);
         let stretch = 1.0 + (seed % 1000) as f64 / 5000.0;
-        Router { set, stretch, strain: STRAIN_START, scale: 1.0, ..Router::default() }
+        Router { set, bound, stretch, strain: STRAIN_START, scale: 1.0, ..Router::default() }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -290,8 +291,7 @@
                 self.strain += (ratio.min(STRAIN_WORST) - self.strain) * STRAIN_STEP;
                 self.since_cut += 1;
             }
-            Outcome::Error => node.strikes += 1,
-            Outcome::Shed => node.rest_until = now + SHED_REST, // Full, or about to go.
+            Outcome::Error | Outcome::Shed => node.strikes += 1,
             Outcome::Broken => node.strikes += 2,
             Outcome::TimedOut => {
                 node.strikes += 1;
@@ -352,7 +352,7 @@
         // A limit below one is a pace: one at a time, and a pause after each.
         let paced = limit >= 1.0 || (now - node.sent_at) as f64 >= node.latency / limit;
         let short = f64::from(node.in_flight) < limit.max(1.0);
-        now >= node.rest_until && short && paced && self.cold_room(now, node)
+        short && paced && self.cold_room(now, node)
     }
 
     /// Share of its capacity that a member has at least by now.
@@ -472,7 +472,9 @@
         };
         let fits = |id: &MemberId| Some(*id) != primary && self.fits(now, entry, *id, 1.0, false);
         let replicas: Vec<_> = self.nodes.iter().filter(|(id, _)| fits(id)).collect();
-        let fresh = pick(&replicas, |node| node.position >= floor);
+        // Departure: while some replicas lag, reads that those may still serve leave the fresh ones alone.
+        let spare = |node: &Node| node.position >= floor && node.lag > self.bound && node.position > 0;
+        let fresh = pick(&replicas, spare).or_else(|| pick(&replicas, |node| node.position >= floor));
         if fresh.is_some() {
             return fresh;
         }
@@ -659,8 +661,7 @@
             return;
         }
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
-        let bound = |c: &Class| if let Need::Bounded(bound) = c.need { bound } else { SECOND };
-        let bound = self.set.classes.iter().map(bound).min().unwrap_or(SECOND);
+        let bound = self.bound;
         let usable = |id: &MemberId| self.nodes[id].group == group && self.open(now, *id, false);
         for id in self.nodes.keys().copied().filter(usable).collect::<Vec<_>>() {
             let Some(node) = self.nodes.get_mut(&id) else { continue };
