--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -472,9 +472,7 @@
         };
         let fits = |id: &MemberId| Some(*id) != primary && self.fits(now, entry, *id, 1.0, false);
         let replicas: Vec<_> = self.nodes.iter().filter(|(id, _)| fits(id)).collect();
-        // Departure: while some replicas lag, reads that those may still serve leave the fresh ones alone.
-        let spare = |node: &Node| node.position >= floor && node.lag > self.bound && node.position > 0;
-        let fresh = pick(&replicas, spare).or_else(|| pick(&replicas, |node| node.position >= floor));
+        let fresh = pick(&replicas, |node| node.position >= floor);
         if fresh.is_some() {
             return fresh;
         }
