A long retry hint for reads that are too late to be of any worth

Now it is still answered at once, but asked to stay away for the longest wait that clients respect. It should also calm any retry storm. It may hurt where a client would have had time for another try after its first missed its aim by little.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -587,7 +587,10 @@
         let Some(entry) = self.entries.get(&id) else { return };
         let class = &self.set.classes[entry.request.class];
         let left = (entry.arrived + class.deadline - now).max(0);
-        let wait = (left / 3).min(self.set.limits.retry_after_max);
+        // What is worth nothing late and too late by now can only come back for nothing, and feeds a storm
+        // of retries: it is asked to stay away for long. The rest may try again while its client waits.
+        let hopeless = class.late_worth <= 0.0 && now >= self.hold_until(entry);
+        let wait = if hopeless { Span::MAX } else { left / 3 }.min(self.set.limits.retry_after_max);
         let retry_after = Some(wait).filter(|w| self.set.limits.retry_after && *w > 0);
         let refusal = Action::Refuse { request: id, retry_after };
         out.push(if self.may_refuse(entry) { refusal } else { Action::Fail(id) });
