--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -52,8 +52,8 @@
 /// work the gap between answers shrinks as 1/n, and e^-7 is rare enough.
 const SILENCE_A: f64 = 2.0;
 const SILENCE_B: f64 = 7.0;
-/// Strikes that put a member out; an answer clears them. An error, a shed or a time-out is one (fewer prove nothing:
-/// costly requests end so too), a broken connection two, a refused one enough.
+/// Strikes that put a member out; an answer clears them. An error, a shed or a time-out is one (fewer prove
+/// nothing: costly requests end so too), a broken connection two, a refused one enough.
 const STRIKES_OUT: u32 = 4;
 /// Trials of a member that is out: first and longest wait between them.
 const TRIAL_FIRST: Span = 250 * MS;
