A class that earns little late is not held past its aim

Cause: lookups that earn a fifth when late were held for half their time, so under overload most answers were late and the room was gone for those still in time. It may hurt where a primary change outlasts the aim of such a class.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -62,6 +62,8 @@
 const COLD_USE: f64 = 0.4;
 /// Part of the drain grace in which a draining primary still gets writes when no other is known.
 const GRACE_USE: f64 = 0.8;
+/// Late answers that earn less than this share take room from others that earn it all: they are not held for.
+const LATE_COUNTS: f64 = 0.5;
 /// A request is held for capacity until its aim less this many expected answer times.
 const HOLD_RESERVE: f64 = 1.5;
 
@@ -387,8 +389,7 @@
         let entry = Entry { request, arrived: now, ..Entry::default() };
         self.entries.insert(id, entry);
         self.taken += 1.0;
-        let most = self.nodes.len() as f64;
-        self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(most);
+        self.probe_budget = (self.probe_budget + PROBES_PER_REQUEST).min(self.nodes.len() as f64);
         self.proceed(now, id, out);
     }
 
@@ -407,7 +408,7 @@
         self.groups.entry(entry.request.group).or_default().held.insert(id);
     }
 
-    /// Until when a request may wait for a place. One that is worth nothing late waits while it can still
+    /// Until when a request may wait for a place. One that is worth little late waits while it can still
     /// be answered in time; another for half its time, so that its client can still come back. One that
     /// may not be refused has nothing to lose by waiting on: its client could not try again.
     fn hold_until(&self, entry: &Entry) -> Time {
@@ -415,7 +416,7 @@
         if !self.may_refuse(entry) {
             return entry.request.deadline - self.set.tick;
         }
-        if class.late_worth > 0.0 {
+        if class.late_worth >= LATE_COUNTS {
             return entry.arrived + (entry.request.deadline - entry.arrived) / 2;
         }
         let end = entry.request.deadline.min(entry.arrived + class.aim);
@@ -589,7 +590,7 @@
         let left = (entry.arrived + class.deadline - now).max(0);
         // What is worth nothing late and too late by now can only come back for nothing, and feeds a storm
         // of retries: it is asked to stay away for long. The rest may try again while its client waits.
-        let hopeless = class.late_worth <= 0.0 && now >= self.hold_until(entry);
+        let hopeless = class.late_worth < LATE_COUNTS && now >= self.hold_until(entry);
         let wait = if hopeless { Span::MAX } else { left / 3 }.min(self.set.limits.retry_after_max);
         let retry_after = Some(wait).filter(|w| self.set.limits.retry_after && *w > 0);
         let refusal = Action::Refuse { request: id, retry_after };
@@ -662,16 +663,15 @@
             return;
         }
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
-        let bound = self.bound;
         let usable = |id: &MemberId| self.nodes[id].group == group && self.open(now, *id, false);
         for id in self.nodes.keys().copied().filter(usable).collect::<Vec<_>>() {
             let Some(node) = self.nodes.get_mut(&id) else { continue };
             let seek = primary.is_none();
-            let aged = now - node.position > bound / 2 && self.probe_budget >= 1.0;
+            let aged = now - node.position > self.bound / 2 && self.probe_budget >= 1.0;
             if !seek && (!aged || Some(id) == primary) {
                 continue;
             }
-            let pace = ((node.lag / 2).max(bound) / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE);
+            let pace = ((node.lag / 2).max(self.bound) / PROBE_SHARE).clamp(SEEK_PACE, SLOWEST_PACE);
             let pace = if seek { SEEK_PACE } else { pace };
             if !node.probe_out && now - node.probed_at >= (pace as f64 * self.stretch) as Span {
                 (node.probed_at, node.probe_out) = (now, true);
--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -340,3 +340,51 @@
     assert!(turned_away >= 30, "{turned_away} of 60");
     assert!(!actions.iter().any(|a| matches!(a, Action::Fail(_))), "all may try again");
 }
+
+#[test]
+fn a_read_too_late_to_be_of_worth_is_asked_to_stay_away_for_long() {
+    // Danger: its retry comes back late by nature, and many of them are a storm.
+    let mut bench = Bench::new(settings(), 1);
+    bench.tell(Event::List { scope: ListScope::Full, members: vec![] });
+    let (id, _) = bench.ask(LOOSE);
+    let actions = bench.pass(300 * MS);
+    assert!(actions.contains(&Action::Refuse { request: id, retry_after: Some(SECOND) }));
+}
+
+#[test]
+fn a_class_that_earns_little_late_is_not_held_past_its_aim() {
+    // Danger: late answers that earn a fifth take the room of answers that earn it all.
+    for (late_worth, held) in [(0.2, false), (0.7, true)] {
+        let mut settings = settings();
+        settings.classes[LOOSE].late_worth = late_worth;
+        let mut bench = Bench::new(settings, 1);
+        bench.tell(Event::List { scope: ListScope::Full, members: vec![] });
+        let (id, _) = bench.ask(LOOSE);
+        assert_eq!(refused(&bench.pass(400 * MS), id), !held, "{late_worth}");
+    }
+}
+
+#[test]
+fn a_limit_below_one_is_a_pace_and_strain_everywhere_scales_all_limits() {
+    // Danger: many routers, each with one request out, overfill every member in a burst.
+    let mut settings = settings();
+    settings.fleet_size = 12;
+    let mut bench = Bench::heard(settings, 5);
+    for _ in 0..60 {
+        let (id, actions) = bench.ask(LOOSE);
+        bench.pass(10 * MS);
+        if let [to] = sent(&actions)[..] {
+            bench.pass(290 * MS);
+            bench.end(id, to, Outcome::Served, 300 * MS);
+        }
+    }
+    let first: Vec<_> = (0..10).map(|_| bench.ask(LOOSE)).collect();
+    bench.pass(290 * MS);
+    for (id, actions) in &first {
+        if let [to] = sent(actions)[..] {
+            bench.end(*id, to, Outcome::Served, 290 * MS);
+        }
+    }
+    let again: usize = (0..10).map(|_| sent(&bench.ask(LOOSE).1).len()).sum();
+    assert!(again < 4, "{again} of four replicas took one more at once, after a minute of strain");
+}
