Hold reads for less, window of 0.4 s

Cause: a read sent after a long hold has too little of its aim left, as work varies; and a window shorter than normal only moved reads to replicas that had to be proved current.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -9,7 +9,7 @@
 
 /// Session reads this soon after a write go to the primary. The design starts at 1 s; the position check
 /// already keeps later reads correct, so the window only has to cover the normal replication delay.
-const READ_AFTER_WRITE: Span = 150 * MS;
+const READ_AFTER_WRITE: Span = 400 * MS;
 /// Kept off each staleness bound, for the time between the decision and the send.
 const STALENESS_MARGIN: Span = 100 * MS;
 /// Probes of a replica come no closer together than this share of the tightest bound or of its last lag:
@@ -65,7 +65,7 @@
 /// Late answers that earn less than this share take room from others that earn it all: they are not held for.
 const LATE_COUNTS: f64 = 0.5;
 /// A request is held for capacity until its aim less this many expected answer times.
-const HOLD_RESERVE: f64 = 1.5;
+const HOLD_RESERVE: f64 = 2.2;
 
 /// What the router knows of one member.
 #[derive(Debug, Default, Clone)]
