--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -7,9 +7,9 @@
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Session reads this soon after a write go to the primary. The design starts at 1 s; the position check
-/// already keeps later reads correct, so the window only has to cover the normal replication delay.
-const READ_AFTER_WRITE: Span = 400 * MS;
+/// Session reads this soon after a write go to the primary while it has room. This is the design's start; the
+/// position check keeps later reads correct, and shorter windows were worth nothing.
+const READ_AFTER_WRITE: Span = SECOND;
 /// Kept off each staleness bound, for the time between the decision and the send.
 const STALENESS_MARGIN: Span = 100 * MS;
 /// Probes of a replica come no closer together than this share of the tightest bound or of its last lag:
@@ -64,8 +64,10 @@
 const GRACE_USE: f64 = 0.8;
 /// Late answers that earn less than this share take room from others that earn it all: they are not held for.
 const LATE_COUNTS: f64 = 0.5;
-/// A request is held for capacity until its aim less this many expected answer times.
-const HOLD_RESERVE: f64 = 2.2;
+/// A request is held for capacity until its aim less this many expected answer times, as work varies much, but
+/// no more than this share of the aim is kept back.
+const HOLD_RESERVE: f64 = 3.0;
+const HOLD_RESERVE_MOST: f64 = 0.85;
 
 /// What the router knows of one member.
 #[derive(Debug, Default, Clone)]
@@ -420,7 +422,7 @@
             return entry.arrived + (entry.request.deadline - entry.arrived) / 2;
         }
         let end = entry.request.deadline.min(entry.arrived + class.aim);
-        end - (class.aim as f64 * (self.strain * HOLD_RESERVE).min(0.7)) as Span
+        end - (class.aim as f64 * (self.strain * HOLD_RESERVE).min(HOLD_RESERVE_MOST)) as Span
     }
 
     /// The ledger's answer to: may another attempt be sent?
