--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -388,3 +388,61 @@
     let again: usize = (0..10).map(|_| sent(&bench.ask(LOOSE).1).len()).sum();
     assert!(again < 4, "{again} of four replicas took one more at once, after a minute of strain");
 }
+
+// ---- More symptoms ----
+
+#[test]
+fn a_member_that_answers_fast_but_wrongly_is_put_out() {
+    let mut bench = Bench::heard(settings(), 3);
+    let mut errors = 0;
+    for _ in 0..40 {
+        let (id, actions) = bench.ask(LOOSE);
+        let mut to = sent(&actions);
+        while let [member] = to[..] {
+            errors += u32::from(member == 1);
+            let outcome = if member == 1 { Outcome::Error } else { Outcome::Served };
+            to = sent(&bench.end(id, member, outcome, MS));
+        }
+    }
+    assert!((4..=5).contains(&errors), "{errors} requests met it");
+}
+
+#[test]
+fn a_frozen_list_does_not_bring_an_old_primary_back() {
+    let mut bench = Bench::heard(Settings { role_listing: RoleListing::AtStart, ..settings() }, 3);
+    let (id, _) = bench.ask(WRITE);
+    bench.end_as(id, 0, Outcome::NotHere, MS, Some(false), Some(bench.now));
+    bench.now += SECOND;
+    bench.probed(2, true, bench.now);
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![member(0, true)] });
+    assert_eq!(sent(&bench.ask(WRITE).1), [2]);
+}
+
+#[test]
+fn a_group_that_changes_hands_again_and_again_is_followed() {
+    let mut bench = Bench::heard(settings(), 3);
+    for round in 1..9 {
+        let (old, new) = ((round - 1) % 3, round % 3);
+        bench.now += SECOND;
+        let (id, actions) = bench.ask(WRITE);
+        assert_eq!(sent(&actions), [old], "round {round}");
+        let mut to = vec![old];
+        while let [member] = to[..] {
+            if member == new {
+                break;
+            }
+            to = sent(&bench.end_as(id, member, Outcome::NotHere, MS, Some(false), Some(bench.now)));
+        }
+        bench.now += 100 * MS;
+        bench.probed(new, true, bench.now);
+        assert!(sent(&bench.log).ends_with(&[new]), "round {round}");
+    }
+}
+
+#[test]
+fn a_failed_list_changes_nothing_and_is_asked_for_again() {
+    let mut bench = Bench::heard(Settings { list_on_request: true, ..settings() }, 3);
+    let actions = bench.tell(Event::List { scope: ListScope::Failed, members: vec![] });
+    assert!(actions.contains(&Action::Subscribe(true)));
+    assert_eq!(sent(&bench.ask(WRITE).1), [0]);
+}
