Router and tests tidied: no lookup, branch or state twice

Members are no longer looked up a second time for each test of their standing, the search for a primary is decided once per round of probes, the group is fetched once per listed member, and the answer's strain is capped once. The module's opening lines name the function that exists. In the tests, one predicate tells whether a member spoke, one branch plays both ways replicas treat lag, and a field that never changed is gone.

--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -1,7 +1,7 @@
 //! Every decision of stackgw. The interface (settings, events, actions) is in api.rs; read it first.
 //!
 //! A request walks one path: `accept` -> `route` (which member fits?) -> `send`, or it is held in its group
-//! and routed again by `pump`, until `settle` gives the one final answer. What members say about themselves
+//! and routed again by `pump`, until a member or `give_up` gives the one final answer. What members say about themselves
 //! arrives in `learn`; what their behaviour says about them arrives in `judge`; time passes in `tick`.
 
 use crate::api::*;
@@ -116,7 +116,7 @@
 }
 
 /// The ledger entry of a request: what was sent, what may have run.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default)]
 struct Entry {
     request: Request,
     arrived: Time,
@@ -210,6 +210,7 @@
             missing.for_each(|(_, node)| node.stand(now, Standing::Gone));
         }
         for member in members {
+            let group = self.groups.entry(member.group).or_default();
             let fresh = Node::new(now, &member, self.set.fleet_size);
             let node = self.nodes.entry(member.id).or_insert_with(|| fresh.clone());
             if member.started.is_some() && node.started != member.started {
@@ -217,20 +218,17 @@
                 // Its position holds, and so does the moment that it was told to drain.
                 let Node { position, in_flight, standing, told, .. } = *node;
                 *node = Node { position, in_flight, standing, told, ..fresh };
-                let group = self.groups.entry(member.group).or_default();
                 group.primary = group.primary.filter(|id| *id != member.id);
             }
             node.stand(now, member.standing);
             (node.weight, node.listed_primary) = (member.weight, member.primary);
-            self.groups.entry(member.group).or_default();
         }
         self.tick(now, out);
     }
 
     /// Whether anything new may go to a member. A draining one gets nothing, but for a primary within the
     /// grace while no other is known: its group could take no writes at all.
-    fn open(&self, now: Time, id: MemberId, as_primary: bool) -> bool {
-        let Some(node) = self.nodes.get(&id) else { return false };
+    fn open(&self, now: Time, node: &Node, as_primary: bool) -> bool {
         let grace = (self.set.obligations.drain_grace as f64 * GRACE_USE) as Span;
         match node.standing {
             Standing::Serving => true,
@@ -261,9 +259,10 @@
 
     /// The primary of a group as far as known: the last to answer so, else the list's.
     fn primary(&self, now: Time, group: GroupId) -> Option<MemberId> {
-        let claimed = self.groups.get(&group).and_then(|g| g.primary).filter(|id| self.open(now, *id, true));
-        let listed = |(id, n): &(&MemberId, &Node)| {
-            n.group == group && n.listed_primary && n.replica_at == 0 && self.open(now, **id, true)
+        let claimed = self.groups.get(&group).and_then(|g| g.primary);
+        let claimed = claimed.filter(|id| self.open(now, &self.nodes[id], true));
+        let listed = |(_, n): &(&MemberId, &Node)| {
+            n.group == group && n.listed_primary && n.replica_at == 0 && self.open(now, n, true)
         };
         claimed.or_else(|| self.nodes.iter().find(listed).map(|(id, _)| *id))
     }
@@ -290,8 +289,9 @@
             Outcome::Served => {
                 node.latency += (answer.took as f64 - node.latency) * 0.1;
                 let ratio = class.map_or(node.strain, |c| answer.took as f64 / c.aim as f64);
-                node.strain += (ratio.min(STRAIN_WORST) - node.strain) * STRAIN_STEP;
-                self.strain += (ratio.min(STRAIN_WORST) - self.strain) * STRAIN_STEP;
+                let ratio = ratio.min(STRAIN_WORST);
+                node.strain += (ratio - node.strain) * STRAIN_STEP;
+                self.strain += (ratio - self.strain) * STRAIN_STEP;
                 self.since_cut += 1;
             }
             Outcome::Error | Outcome::Shed => node.strikes += 1,
@@ -505,7 +505,7 @@
         let effect = self.set.classes[entry.request.class].effect;
         node.group == entry.request.group
             && !entry.tried.contains(&id)
-            && self.open(now, id, as_primary)
+            && self.open(now, node, as_primary)
             && self.room(now, node, share, effect != Effect::Unsafe)
     }
 
@@ -663,10 +663,10 @@
             return;
         }
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
-        let usable = |id: &MemberId| self.nodes[id].group == group && self.open(now, *id, false);
-        for id in self.nodes.keys().copied().filter(usable).collect::<Vec<_>>() {
+        let seek = primary.is_none();
+        let usable = |(_, n): &(&MemberId, &Node)| n.group == group && self.open(now, n, false);
+        for id in self.nodes.iter().filter(usable).map(|(id, _)| *id).collect::<Vec<_>>() {
             let Some(node) = self.nodes.get_mut(&id) else { continue };
-            let seek = primary.is_none();
             let aged = now - node.position > self.bound / 2 && self.probe_budget >= 1.0;
             if !seek && (!aged || Some(id) == primary) {
                 continue;
--- a/crates/stackgw-router/tests/common/mod.rs
+++ b/crates/stackgw-router/tests/common/mod.rs
@@ -75,7 +75,6 @@
 pub struct Bench {
     pub router: Router,
     pub now: Time,
-    pub deadline: Span,
     next: u64,
     /// Everything the router asked for, in order.
     pub log: Vec<Action>,
@@ -87,8 +86,7 @@
     pub fn new(settings: Settings, count: u32) -> Self {
         let router = Router::new(settings, 42);
         let attempts = Default::default();
-        let mut bench =
-            Bench { router, now: START, deadline: 3 * SECOND, next: 0, log: Vec::new(), attempts };
+        let mut bench = Bench { router, now: START, next: 0, log: Vec::new(), attempts };
         let members = (0..count).map(|id| member(id, id == 0)).collect();
         bench.tell(Event::List { scope: ListScope::Cached, members });
         bench
@@ -134,7 +132,7 @@
             id,
             class,
             group: GROUP,
-            deadline: self.now + self.deadline,
+            deadline: self.now + 3 * SECOND,
             session: Some(SessionId("s".into())),
             last_write: age.map(|age| self.now - age),
             repeat: false,
--- a/crates/stackgw-router/tests/invariants.rs
+++ b/crates/stackgw-router/tests/invariants.rs
@@ -169,7 +169,7 @@
         }
         owed.ended |= outcome == Outcome::Served;
         let (finished, took) = (owed.ended, self.now - sent);
-        let answered = matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Shed | Outcome::NotHere);
+        let answered = outcome.answers();
         let (primary, position) = (primary.filter(|_| answered), position.filter(|_| answered));
         self.learn(member, primary, position, true);
         let report = Report::default();
@@ -266,14 +266,11 @@
     let days = proptest::collection::vec(step(), 1..150);
     let result = runner.run(&days, |steps| {
         for lagging in [Lagging::Answers, Lagging::Refuses] {
-            if lagging == Lagging::Refuses {
-                // There the members themselves keep the bound; the rest of the rules must hold all the same.
-                let loose: Vec<_> =
-                    steps.iter().filter(|s| !matches!(s, Step::Ask { class: 0, .. })).cloned().collect();
-                assert_eq!(World::play(&loose, lagging), World::play(&loose, lagging));
-            } else {
-                assert_eq!(World::play(&steps, lagging), World::play(&steps, lagging));
-            }
+            // Where replicas check reads they keep the bound; the other rules must hold all the same.
+            let left_out =
+                |s: &Step| lagging == Lagging::Refuses && matches!(s, Step::Ask { class: BOUNDED, .. });
+            let steps: Vec<_> = steps.iter().filter(|s| !left_out(s)).cloned().collect();
+            assert_eq!(World::play(&steps, lagging), World::play(&steps, lagging));
         }
         Ok(())
     });
