--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -1,8 +1,8 @@
 //! Every decision of stackgw. The interface (settings, events, actions) is in api.rs; read it first.
 //!
 //! A request walks one path: `accept` -> `route` (which member fits?) -> `send`, or it is held in its group
-//! and routed again by `pump`, until a member or `give_up` gives the one final answer. What members say about themselves
-//! arrives in `learn`; what their behaviour says about them arrives in `judge`; time passes in `tick`.
+//! and routed again by `pump`, until a member or `give_up` gives the one final answer. What members say about
+//! themselves arrives in `learn`; what their behaviour says, in `judge`; time passes in `tick`.
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
