--- a/crates/stackgw-adapter/src/host.rs
+++ b/crates/stackgw-adapter/src/host.rs
@@ -1,10 +1,9 @@
 //! Hosts router instances: turns lines into events and actions into lines. Decides nothing.
 
-use crate::conf;
-use crate::peers::Digests;
 use crate::wire::{Line, Malformed};
 use base64::{engine::general_purpose::STANDARD, Engine};
 use stackgw_router::{api::*, Router};
+use stackgw_settings::{Digests, HostSettings};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -99,12 +98,11 @@
                 let seed = text.parse::<u64>().or_else(|_| text.parse::<i64>().map(|s| s as u64));
                 let seed = seed.map_err(|_| line.wrong("Seed", format!("'{text}' is no whole number")))?;
                 let conf = line.text("Conf")?;
-                let settings = conf::settings(conf).map_err(|e| line.wrong("Conf", e))?;
-                let position_zero = conf::position_zero(conf).map_err(|e| line.wrong("Conf", e))?;
+                let host = HostSettings::from_text(conf).map_err(|e| line.wrong("Conf", e))?;
                 let instance = Instance {
-                    position_zero,
-                    classes: settings.classes.len(),
-                    router: Router::new(settings, seed),
+                    position_zero: host.position_zero,
+                    classes: host.router.classes.len(),
+                    router: Router::new(host.router, seed),
                     members: Vec::new(),
                     digests: Digests::default(),
                     member_ids: HashMap::new(),
--- a/crates/stackgw-adapter/src/main.rs
+++ b/crates/stackgw-adapter/src/main.rs
@@ -1,8 +1,6 @@
 //! `stackgw-adapter`: routers on standard input and output, one reply for each batch of events.
 
-mod conf;
 mod host;
-mod peers;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- /dev/null
+++ b/crates/stackgw-gateway/src/config.rs
@@ -0,0 +1,99 @@
+//! What the platform tells a gateway at start: `ROUTER_CONFIG` names a JSON document, the other variables override
+//! its fields. Each error is one plain line that names the variable or field.
+
+use crate::discovery::{self, ListUpdate};
+use crate::limits::{Limits, Platform};
+use serde_json::Value;
+use stackgw_settings::HostSettings;
+use std::net::SocketAddr;
+
+/// A gateway's configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The agent that has the list of members.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Where other gateways' datagrams arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// One address for each gateway of the tier, this one included.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches them all.
+    pub peers_all: Option<SocketAddr>,
+    /// The list as this gateway last had it.
+    pub known: Option<ListUpdate>,
+    /// The settings, for the router and for its host.
+    pub settings: HostSettings,
+    /// Every size, count and time.
+    pub limits: Limits,
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
+        Self::from_text(&text, var)
+    }
+
+    /// Reads the document's text; variables override its fields.
+    pub fn from_text(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let doc: Value = serde_json::from_str(text).map_err(|e| format!("ROUTER_CONFIG: no JSON: {e}"))?;
+        let word = |key: &str, env: &str| -> Result<String, String> {
+            let held = || doc.get(key).and_then(Value::as_str).map(str::to_owned);
+            var(env).or_else(held).ok_or_else(|| format!("{key} is no text and {env} is not set"))
+        };
+        let address = |key: &str, text: &str| -> Result<SocketAddr, String> {
+            text.parse().map_err(|_| format!("{key}: '{text}' is no address and port"))
+        };
+        let optional = |key: &str| match doc.get(key) {
+            None | Some(Value::Null) => Ok(None),
+            Some(value) => {
+                let text = value.as_str().ok_or_else(|| format!("{key} is no text"))?;
+                address(key, text).map(Some)
+            }
+        };
+        let peers = match doc.get("peers") {
+            None | Some(Value::Null) => Vec::new(),
+            Some(value) => {
+                let list = value.as_array().ok_or("peers is no list")?;
+                let one = |v: &Value| address("peers", v.as_str().ok_or("peers holds what is no text")?);
+                list.iter().map(one).collect::<Result<_, String>>()?
+            }
+        };
+        let given = doc.get("limits").ok_or("limits is missing")?;
+        let count = |key: &str| {
+            let n = given.get(key).and_then(Value::as_f64).filter(|n| *n >= 1.0);
+            n.map(|n| n as usize).ok_or_else(|| format!("limits.{key} is no positive number"))
+        };
+        let platform = Platform { memory_mb: count("memory_mb")?, sockets: count("sockets")? };
+        let settings = doc.get("settings").ok_or("settings is missing")?;
+        let settings = HostSettings::from_json(settings).map_err(|e| format!("settings: {e}"))?;
+        let known = match doc.get("known") {
+            None | Some(Value::Null) => None,
+            Some(list) => Some(discovery::list(list).map_err(|e| format!("known: {e}"))?),
+        };
+        Ok(Config {
+            name: word("name", "ROUTER_NAME")?,
+            listen: address("listen", &word("listen", "ROUTER_LISTEN")?)?,
+            discovery: address("discovery", &word("discovery", "ROUTER_DISCOVERY")?)?,
+            seed: seed(doc.get("seed").unwrap_or(&Value::Null))?,
+            peer_listen: optional("peer_listen")?,
+            peers,
+            peers_all: optional("peers_all")?,
+            known,
+            limits: Limits::new(platform, &settings),
+            settings,
+        })
+    }
+}
+
+fn seed(value: &Value) -> Result<u64, String> {
+    let text = value.as_str().map(str::to_owned).or_else(|| value.as_u64().map(|n| format!("{n:x}")));
+    let text = text.ok_or("seed is no text")?;
+    u64::from_str_radix(&text, 16).map_err(|_| format!("seed: '{text}' is no hexadecimal number"))
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -0,0 +1,120 @@
+//! What the gateway took in, sent and answered, and what it held at most. Plain numbers; printed on request and at
+//! the end.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Everything that is counted.
+        #[derive(Debug, Default, Clone, PartialEq, Eq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters")?;
+                $(write!(f, " {}={}", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Statements taken from clients.
+    taken,
+    /// Statements answered with an error because of their form, class or group.
+    malformed,
+    /// Requests answered with a member's row.
+    answered_served,
+    /// Requests answered with a refusal.
+    answered_refused,
+    /// Requests answered with a failure.
+    answered_failed,
+    /// Requests whose client left first.
+    answered_gone,
+    /// Requests refused because too many were open.
+    over_open,
+    /// Attempts asked for by the router.
+    attempts,
+    /// Attempts whose last byte was written to a member.
+    written,
+    /// Attempts that ended with a row.
+    ended_served,
+    /// Attempts that ended with a member's error.
+    ended_error,
+    /// Attempts that a member sent away.
+    ended_shed,
+    /// Attempts that met the wrong role or a replica too far behind.
+    ended_miss,
+    /// Attempts given up for time.
+    ended_timed_out,
+    /// Attempts without a connection.
+    ended_no_connection,
+    /// Attempts whose connection broke.
+    ended_reset,
+    /// Attempts called off.
+    ended_cancelled,
+    /// Attempts never sent.
+    ended_unsent,
+    /// Probes sent.
+    probes,
+    /// Probes that brought no report.
+    probes_failed,
+    /// Client connections taken.
+    clients_opened,
+    /// Client connections open.
+    clients_open,
+    /// Most client connections open together.
+    clients_peak,
+    /// Client connections closed because others waited.
+    clients_evicted,
+    /// Client connections closed for bytes that are no protocol.
+    clients_bad,
+    /// Client connections closed because they stood still inside a message or an answer.
+    clients_stalled,
+    /// Connections to members opened.
+    members_opened,
+    /// Connections to members that came up.
+    members_up,
+    /// Connections to members open.
+    members_open,
+    /// Most connections to members open together.
+    members_peak,
+    /// Idle connections that the member closed.
+    members_closed,
+    /// Idle connections retired ahead of the member's limit.
+    members_retired,
+    /// Idle connections closed to make room for others.
+    members_evicted,
+    /// Connections closed for bytes that are no protocol.
+    members_bad,
+    /// Attempts moved to a new connection because the idle one had closed.
+    members_reopened,
+    /// Lists taken, whole or changes.
+    lists,
+    /// Lists or answers of the agent that could not be read.
+    lists_bad,
+    /// Watches opened.
+    watches,
+    /// Watches that ended, broke or fell silent.
+    watches_lost,
+    /// Datagrams sent.
+    words_sent,
+    /// Datagrams taken.
+    words_heard,
+    /// Datagrams dropped: not from a gateway of the tier, or no words.
+    words_dropped,
+    /// Bytes of statements held.
+    held_bytes,
+    /// Most bytes of statements held together.
+    held_peak,
+}
+
+impl Counters {
+    /// Raises a peak to what is open.
+    pub fn peaks(&mut self) {
+        self.clients_peak = self.clients_peak.max(self.clients_open);
+        self.members_peak = self.members_peak.max(self.members_open);
+        self.held_peak = self.held_peak.max(self.held_bytes);
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -0,0 +1,93 @@
+//! Clients: the listener, and one task for each connection.
+
+use super::link::{Link, Turn, Turns};
+use super::{Client, Shell};
+use crate::pg::Frames;
+use crate::reducer::{ClientId, Closed, Input};
+use async_io::{Async, Timer};
+use futures_lite::{future, StreamExt};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Takes connections while the reducer has room, until it has the listener closed.
+pub(super) async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
+    let mut next = 0;
+    loop {
+        let stopped = async {
+            shell.stops_listening.wait(true).await;
+            None
+        };
+        let taken = async {
+            shell.accepts.wait(true).await;
+            Some(listener.accept().await)
+        };
+        match future::or(stopped, taken).await {
+            Some(Ok((socket, _))) => open(&shell, &mut next, socket),
+            // Out of descriptors, or the client has gone already: neither may end the listener.
+            Some(Err(_)) => drop(Timer::after(Duration::from_millis(5)).await),
+            None => break,
+        }
+    }
+    // Whoever stands in line has been accepted by this machine, and is served.
+    while let Ok((socket, _)) = listener.get_ref().accept() {
+        if let Ok(socket) = Async::new(socket) {
+            open(&shell, &mut next, socket);
+        }
+    }
+    drop(listener);
+    shell.input(Input::ListenerClosed);
+}
+
+fn open(shell: &Rc<Shell>, next: &mut u64, socket: Async<TcpStream>) {
+    let (id, link) = (ClientId(*next), Link::new(socket));
+    *next += 1;
+    shell.clients.borrow_mut().insert(id, Client { link: link.clone(), _task: None });
+    shell.input(Input::ClientOpened(id));
+    let task = shell.executor.spawn(serve(shell.clone(), id, link));
+    if let Some(client) = shell.clients.borrow_mut().get_mut(&id) {
+        client._task = Some(task);
+    }
+}
+
+async fn serve(shell: Rc<Shell>, id: ClientId, link: Rc<Link>) {
+    let limits = &shell.limits;
+    let mut frames = Frames::client(limits.startup_bytes, limits.statement_bytes);
+    let most = limits.statement_bytes;
+    let held_by_all = shell.clone();
+    // A client with a whole message in line is not read further, nor is one with much once all hold too much.
+    let reads = move |link: &Link| {
+        let room = held_by_all.client_bytes.get() < held_by_all.limits.client_bytes;
+        link.held.get() <= if room { most } else { 0 }
+    };
+    let mut turns = Turns { link: link.clone(), buffer: shell.buffer.clone(), reads };
+    while let Some(turn) = turns.next().await {
+        match turn {
+            Turn::Bytes(bytes) => frames.feed(&bytes),
+            Turn::Written => shell.input(Input::ClientFlushed(id)),
+            Turn::Woken => {}
+            Turn::Closed => {
+                shell.close_client(id, false);
+                return shell.input(Input::ClientClosed(id, Closed::Lost));
+            }
+        }
+        while shell.takes(id) {
+            match frames.next_frame() {
+                Some(Ok(frame)) => shell.input(Input::ClientFrame(id, frame)),
+                // The stream ends once the reducer's last word to this client is written.
+                Some(Err(_)) => shell.input(Input::ClientClosed(id, Closed::Bad)),
+                None => break,
+            }
+        }
+        if !shell.clients.borrow().contains_key(&id) {
+            return;
+        }
+        let held = frames.held();
+        shell.client_bytes.set(shell.client_bytes.get() + held - link.held.replace(held));
+        if held > 0 && shell.takes(id) {
+            shell.input(Input::ClientPartial(id));
+        } else if held > 0 {
+            shell.waiting.borrow_mut().insert(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -0,0 +1,83 @@
+//! The list's agent: the watch, and single calls.
+
+use super::Shell;
+use crate::discovery::{list_from_bytes, request, HttpLines, Malformed, Piece};
+use crate::reducer::Input;
+use async_io::{Async, Timer};
+use futures_lite::{future, stream, AsyncReadExt, AsyncWriteExt, Stream, StreamExt};
+use std::collections::VecDeque;
+use std::net::TcpStream;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Asks, and gives the answer's pieces as they come.
+fn answer(shell: Rc<Shell>, watch_after: Option<Option<u64>>) -> impl Stream<Item = Result<Piece, String>> {
+    let limits = &shell.limits;
+    let http = HttpLines::new(limits.head_bytes, limits.list_bytes);
+    let state = (shell, None::<Async<TcpStream>>, http, VecDeque::new());
+    stream::try_unfold(state, move |(shell, socket, mut http, mut pieces)| async move {
+        let mut socket = match socket {
+            Some(socket) => socket,
+            None => {
+                let io = |e: std::io::Error| e.to_string();
+                let mut socket = Async::<TcpStream>::connect(shell.discovery).await.map_err(io)?;
+                socket.write_all(&request(shell.discovery, watch_after)).await.map_err(io)?;
+                socket
+            }
+        };
+        let mut buffer = vec![0; shell.limits.read_bytes];
+        while pieces.is_empty() {
+            let said = |e: Malformed| e.to_string();
+            match socket.read(&mut buffer).await {
+                Ok(0) => {
+                    pieces.extend(http.end().map_err(said)?);
+                    pieces.push_back(Piece::End);
+                }
+                Ok(n) => pieces.extend(http.feed(&buffer[..n]).map_err(said)?),
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+        Ok(pieces.pop_front().map(|piece| (piece, (shell, Some(socket), http, pieces))))
+    })
+}
+
+/// Hands over each line of a watch until it ends.
+pub(super) async fn watch(shell: Rc<Shell>, after: Option<u64>) {
+    let mut pieces = pin!(answer(shell.clone(), Some(after)));
+    let why = loop {
+        match pieces.next().await {
+            Some(Ok(Piece::Line(line))) if line.is_empty() => shell.input(Input::WatchAlive),
+            Some(Ok(Piece::Line(line))) => match list_from_bytes(&line) {
+                Ok(list) => shell.input(Input::List(list)),
+                Err(e) => break e.to_string(),
+            },
+            Some(Ok(Piece::End)) | None => break "ended".to_owned(),
+            Some(Err(e)) => break e,
+        }
+    };
+    shell.input(Input::WatchLost(why));
+}
+
+/// Asks for the whole list once.
+pub(super) async fn fetch(shell: Rc<Shell>) {
+    let whole = async {
+        let mut pieces = pin!(answer(shell.clone(), None));
+        let mut body = Vec::new();
+        loop {
+            match pieces.next().await? {
+                Ok(Piece::Line(line)) => body.extend(line),
+                Ok(Piece::End) => break list_from_bytes(&body).ok(),
+                Err(_) => break None,
+            }
+        }
+    };
+    let late = async {
+        Timer::after(Duration::from_nanos(shell.limits.watch_silence as u64)).await;
+        None
+    };
+    match future::or(whole, late).await {
+        Some(list) => shell.input(Input::List(list)),
+        None => shell.input(Input::FetchFailed),
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -0,0 +1,174 @@
+//! One TCP connection: what is to be written to it, and the stream of what happens on it.
+
+use async_io::Async;
+use futures_lite::stream::Stream;
+use std::cell::{Cell, RefCell};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+/// How far a write got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Written {
+    All,
+    /// The rest follows when the socket takes it.
+    Part,
+    /// The connection is broken.
+    Broken,
+}
+
+/// What happened on a connection.
+#[derive(Debug)]
+pub(super) enum Turn {
+    Bytes(Vec<u8>),
+    /// All that was left to write is written.
+    Written,
+    /// Someone asked for a look at what is buffered.
+    Woken,
+    Closed,
+}
+
+/// A connection, shared by the task that reads it and the effects that write to it.
+pub(super) struct Link {
+    socket: Async<TcpStream>,
+    left: RefCell<Vec<u8>>,
+    waker: RefCell<Option<Waker>>,
+    woken: Cell<bool>,
+    close_when_written: Cell<bool>,
+    /// Bytes that its task holds and has not handed over.
+    pub(super) held: Cell<usize>,
+}
+
+impl Link {
+    pub(super) fn new(socket: Async<TcpStream>) -> Rc<Self> {
+        // A small message waits for no other; where that cannot be set it is merely slower.
+        let _ = socket.get_ref().set_nodelay(true);
+        Rc::new(Link {
+            socket,
+            left: RefCell::default(),
+            waker: RefCell::default(),
+            woken: Cell::new(false),
+            close_when_written: Cell::new(false),
+            held: Cell::new(0),
+        })
+    }
+
+    /// Wakes the connection's task for a look at what it holds.
+    pub(super) fn wake(&self) {
+        self.woken.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Writes what the socket takes now; the task writes the rest.
+    pub(super) fn write(&self, bytes: Vec<u8>) -> Written {
+        let mut left = self.left.borrow_mut();
+        if !left.is_empty() {
+            left.extend(bytes);
+            return Written::Part;
+        }
+        *left = bytes;
+        drop(left);
+        let written = self.push();
+        if written == Written::Part {
+            self.wake();
+        }
+        written
+    }
+
+    /// The connection ends once what is left has been written.
+    pub(super) fn close_when_written(&self) {
+        self.close_when_written.set(true);
+    }
+
+    /// The other side has closed, or something has come that is no answer to what is about to be written.
+    pub(super) fn is_over(&self) -> bool {
+        match self.socket.get_ref().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != ErrorKind::WouldBlock && e.kind() != ErrorKind::Interrupted,
+        }
+    }
+
+    /// Nothing has come that was not handed over.
+    pub(super) fn is_quiet(&self) -> bool {
+        let waits = self.socket.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0);
+        self.held.get() == 0 && !waits
+    }
+
+    fn push(&self) -> Written {
+        let mut left = self.left.borrow_mut();
+        let mut done = 0;
+        let written = loop {
+            if done == left.len() {
+                break Written::All;
+            }
+            match self.socket.get_ref().write(&left[done..]) {
+                Ok(0) => break Written::Broken,
+                Ok(n) => done += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break Written::Part,
+                Err(_) => break Written::Broken,
+            }
+        };
+        if written == Written::Part {
+            left.drain(..done);
+        } else {
+            *left = Vec::new();
+        }
+        written
+    }
+}
+
+/// What happens on a connection, as a stream; it reads only while `reads` says so.
+pub(super) struct Turns<F> {
+    pub(super) link: Rc<Link>,
+    pub(super) buffer: Rc<RefCell<Vec<u8>>>,
+    pub(super) reads: F,
+}
+
+impl<F: Fn(&Link) -> bool + Unpin> Stream for Turns<F> {
+    type Item = Turn;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Turn>> {
+        let link = &*self.link;
+        *link.waker.borrow_mut() = Some(cx.waker().clone());
+        if link.woken.take() && link.left.borrow().is_empty() {
+            return Poll::Ready(Some(Turn::Woken));
+        }
+        while !link.left.borrow().is_empty() {
+            match link.push() {
+                Written::All => return Poll::Ready(Some(Turn::Written)),
+                Written::Broken => return Poll::Ready(Some(Turn::Closed)),
+                Written::Part => {
+                    if link.socket.poll_writable(cx).is_pending() {
+                        break;
+                    }
+                }
+            }
+        }
+        if link.close_when_written.get() {
+            return match link.left.borrow().is_empty() {
+                true => Poll::Ready(Some(Turn::Closed)),
+                false => Poll::Pending,
+            };
+        }
+        while (self.reads)(link) {
+            let mut buffer = self.buffer.borrow_mut();
+            match link.socket.get_ref().read(&mut buffer) {
+                Ok(0) => return Poll::Ready(Some(Turn::Closed)),
+                Ok(n) => return Poll::Ready(Some(Turn::Bytes(buffer[..n].to_vec()))),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    if link.socket.poll_readable(cx).is_pending() {
+                        break;
+                    }
+                }
+                Err(_) => return Poll::Ready(Some(Turn::Closed)),
+            }
+        }
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/members.rs
@@ -0,0 +1,77 @@
+//! Members: one task for each connection.
+
+use super::link::{Link, Turn, Turns};
+use super::{Member, Shell};
+use crate::pg::Frames;
+use crate::reducer::{Closed, ConnId, Input};
+use async_io::Async;
+use futures_lite::StreamExt;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Opens a connection; the reducer ends it where that takes too long.
+pub(super) fn open(shell: &Rc<Shell>, id: ConnId, address: SocketAddr) {
+    let task = shell.executor.spawn(serve(shell.clone(), id, address));
+    shell.members.borrow_mut().insert(id, Member { link: None, _task: Some(task) });
+}
+
+async fn serve(shell: Rc<Shell>, id: ConnId, address: SocketAddr) {
+    let why = match Async::<TcpStream>::connect(address).await {
+        Ok(socket) => talk(&shell, id, Link::new(socket)).await,
+        Err(_) => Closed::Lost,
+    };
+    let known = shell.members.borrow_mut().remove(&id);
+    if known.is_some() {
+        shell.input(Input::MemberClosed(id, why));
+    }
+}
+
+async fn talk(shell: &Rc<Shell>, id: ConnId, link: Rc<Link>) -> Closed {
+    match shell.members.borrow_mut().get_mut(&id) {
+        Some(member) => member.link = Some(link.clone()),
+        None => return Closed::Lost,
+    }
+    shell.input(Input::MemberUp(id));
+    let mut frames = Frames::typed(shell.limits.answer_bytes);
+    let held_by_all = shell.clone();
+    let reads = move |link: &Link| {
+        link.held.get() == 0 || held_by_all.member_bytes.get() < held_by_all.limits.member_bytes
+    };
+    let mut turns = Turns { link: link.clone(), buffer: shell.buffer.clone(), reads };
+    // What this connection holds is given back however its task ends.
+    let held = Held { shell: shell.clone(), link };
+    while let Some(turn) = turns.next().await {
+        match turn {
+            Turn::Bytes(bytes) => frames.feed(&bytes),
+            Turn::Written => shell.input(Input::MemberWritten(id)),
+            Turn::Woken => {}
+            Turn::Closed => return Closed::Lost,
+        }
+        while let Some(frame) = frames.next_frame() {
+            match frame {
+                Ok(frame) => shell.input(Input::MemberFrame(id, frame)),
+                Err(_) => return Closed::Bad,
+            }
+        }
+        held.set(frames.held());
+    }
+    Closed::Lost
+}
+
+struct Held {
+    shell: Rc<Shell>,
+    link: Rc<Link>,
+}
+
+impl Held {
+    fn set(&self, held: usize) {
+        let others = self.shell.member_bytes.get() - self.link.held.replace(held);
+        self.shell.member_bytes.set(others + held);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -0,0 +1,274 @@
+//! The I/O side: tasks that read and hand inputs to the reducer, and the shell that carries its effects out. Nothing
+//! here decides. One thread, one executor.
+
+mod clients;
+mod discovery;
+mod link;
+mod members;
+mod peers;
+mod signals;
+mod timers;
+
+use crate::config::Config;
+use crate::limits::Limits;
+use crate::reducer::{ClientId, Closed, ConnId, Effect, Input, Reducer};
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use futures_lite::future;
+use link::{Link, Written};
+use slog::{info, Logger};
+use stackgw_router::api::Time;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+use std::task::Waker;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The monotonic clock, anchored once to the system's: Unix time in nanoseconds that never goes back.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    zero: Instant,
+    unix: Time,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { zero: Instant::now(), unix: unix.as_nanos() as Time }
+    }
+
+    fn now(&self) -> Time {
+        self.unix + self.zero.elapsed().as_nanos() as Time
+    }
+
+    fn instant(&self, at: Time) -> Instant {
+        self.zero + Duration::from_nanos(at.saturating_sub(self.unix).max(0) as u64)
+    }
+}
+
+/// A flag that one task waits for.
+#[derive(Debug, Default)]
+struct Gate {
+    open: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Gate {
+    fn set(&self, open: bool) {
+        self.open.set(open);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the flag is as wanted.
+    async fn wait(&self, wanted: bool) {
+        future::poll_fn(|cx| {
+            if self.open.get() == wanted {
+                return std::task::Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            std::task::Poll::Pending
+        })
+        .await;
+    }
+}
+
+/// A connection to a member: its task, and its socket once it is up. Dropped, it is closed.
+struct Member {
+    link: Option<Rc<Link>>,
+    _task: Option<Task<()>>,
+}
+
+/// A client's connection. Dropped, it is closed.
+struct Client {
+    link: Rc<Link>,
+    _task: Option<Task<()>>,
+}
+
+/// Everything the tasks share.
+struct Shell {
+    reducer: RefCell<Reducer>,
+    limits: Limits,
+    clock: Clock,
+    log: Logger,
+    executor: Rc<LocalExecutor<'static>>,
+    discovery: SocketAddr,
+    queue: RefCell<VecDeque<Input>>,
+    handling: Cell<bool>,
+    clients: RefCell<HashMap<ClientId, Client>>,
+    /// Clients with whole messages that are not taken yet.
+    waiting: RefCell<BTreeSet<ClientId>>,
+    /// Bytes that the clients' and the members' tasks hold.
+    client_bytes: Cell<usize>,
+    member_bytes: Cell<usize>,
+    members: RefCell<HashMap<ConnId, Member>>,
+    watch: RefCell<Option<Task<()>>>,
+    fetch: RefCell<Option<Task<()>>>,
+    datagrams: Option<Rc<Async<UdpSocket>>>,
+    accepts: Gate,
+    stops_listening: Gate,
+    alarm: timers::Alarm,
+    ended: Gate,
+    /// One read's bytes, shared by all connections of this one thread.
+    buffer: Rc<RefCell<Vec<u8>>>,
+}
+
+impl Shell {
+    /// Hands an input to the reducer and carries out what it asks for, until nothing is left.
+    fn input(self: &Rc<Self>, input: Input) {
+        self.queue.borrow_mut().push_back(input);
+        if self.handling.replace(true) {
+            return;
+        }
+        let mut effects = Vec::new();
+        loop {
+            let Some(input) = self.queue.borrow_mut().pop_front() else { break };
+            self.reducer.borrow_mut().handle(self.clock.now(), input, &mut effects);
+            for effect in effects.drain(..) {
+                self.carry_out(effect);
+            }
+        }
+        self.handling.set(false);
+        self.resume_waiting();
+        self.alarm.set(self.reducer.borrow().next_due());
+    }
+
+    fn later(&self, input: Input) {
+        self.queue.borrow_mut().push_back(input);
+    }
+
+    fn takes(&self, client: ClientId) -> bool {
+        self.reducer.borrow().takes(client)
+    }
+
+    fn resume_waiting(&self) {
+        let reducer = self.reducer.borrow();
+        self.waiting.borrow_mut().retain(|id| {
+            let taken = reducer.takes(*id);
+            if let Some(client) = self.clients.borrow().get(id).filter(|_| taken) {
+                client.link.wake();
+            }
+            !taken && self.clients.borrow().contains_key(id)
+        });
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Accept(on) => self.accepts.set(on),
+            Effect::ClientWrite { client, bytes, close } => {
+                let Some(link) = self.clients.borrow().get(&client).map(|c| c.link.clone()) else { return };
+                if close {
+                    link.close_when_written();
+                    link.wake();
+                }
+                match link.write(bytes) {
+                    Written::All => self.later(Input::ClientFlushed(client)),
+                    Written::Part => {}
+                    Written::Broken => self.close_client(client, true),
+                }
+            }
+            Effect::ClientClose(client) => self.close_client(client, false),
+            Effect::ClientRetire(client) => {
+                let quiet = self.clients.borrow().get(&client).is_some_and(|c| c.link.is_quiet());
+                if quiet {
+                    self.close_client(client, true);
+                }
+            }
+            Effect::MemberOpen(conn, address) => members::open(self, conn, address),
+            Effect::MemberWrite(conn, bytes) => {
+                let link = self.members.borrow().get(&conn).and_then(|m| m.link.clone());
+                let Some(link) = link else { return };
+                // Danger: a write into a connection that the member has closed would count as sent.
+                let written = if link.is_over() { Written::Broken } else { link.write(bytes) };
+                match written {
+                    Written::All => self.later(Input::MemberWritten(conn)),
+                    Written::Part => {}
+                    Written::Broken => {
+                        self.members.borrow_mut().remove(&conn);
+                        self.later(Input::MemberClosed(conn, Closed::Lost));
+                    }
+                }
+            }
+            Effect::MemberClose(conn) => drop(self.members.borrow_mut().remove(&conn)),
+            Effect::Watch(after) => {
+                let task = self.executor.spawn(discovery::watch(self.clone(), after));
+                *self.watch.borrow_mut() = Some(task);
+            }
+            Effect::Unwatch => drop(self.watch.borrow_mut().take()),
+            Effect::Fetch => {
+                *self.fetch.borrow_mut() = Some(self.executor.spawn(discovery::fetch(self.clone())));
+            }
+            Effect::Datagram(to, bytes) => {
+                if let Some(socket) = &self.datagrams {
+                    // A datagram that cannot leave now is lost, as any may be.
+                    let _ = socket.get_ref().send_to(&bytes, to);
+                }
+            }
+            Effect::StopListening => self.stops_listening.set(true),
+            Effect::Log(text) => info!(self.log, "{text}"),
+            Effect::Report(counters) => info!(self.log, "{counters}"),
+            Effect::Exit => self.ended.set(true),
+        }
+    }
+
+    fn close_client(&self, client: ClientId, tell: bool) {
+        let known = self.clients.borrow_mut().remove(&client);
+        if let Some(known) = known {
+            self.client_bytes.set(self.client_bytes.get() - known.link.held.get());
+            known.link.held.set(0);
+            if tell {
+                self.later(Input::ClientClosed(client, Closed::Lost));
+            }
+        }
+    }
+}
+
+/// Serves until told to end.
+pub(crate) fn serve(config: Config, log: Logger) -> Result<(), String> {
+    let bind = |what: &str, address: SocketAddr, e: std::io::Error| format!("{what}: {address}: {e}");
+    let listener = Async::<TcpListener>::bind(config.listen).map_err(|e| bind("listen", config.listen, e))?;
+    let datagrams = match config.peer_listen {
+        None => None,
+        Some(address) => {
+            let socket = Async::<UdpSocket>::bind(address).map_err(|e| bind("peer_listen", address, e))?;
+            Some(Rc::new(socket))
+        }
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    let limits = config.limits.clone();
+    let shell = Rc::new(Shell {
+        clock: Clock::new(),
+        log,
+        executor: executor.clone(),
+        discovery: config.discovery,
+        queue: RefCell::default(),
+        handling: Cell::new(false),
+        clients: RefCell::default(),
+        waiting: RefCell::default(),
+        client_bytes: Cell::new(0),
+        member_bytes: Cell::new(0),
+        members: RefCell::default(),
+        watch: RefCell::default(),
+        fetch: RefCell::default(),
+        datagrams,
+        accepts: Gate::default(),
+        stops_listening: Gate::default(),
+        alarm: timers::Alarm::default(),
+        ended: Gate::default(),
+        buffer: Rc::new(RefCell::new(vec![0; limits.read_bytes])),
+        reducer: RefCell::new(Reducer::new(config)),
+        limits,
+    });
+    let signals = signals::listen().map_err(|e| format!("signals: {e}"))?;
+    executor.spawn(signals::run(shell.clone(), signals)).detach();
+    executor.spawn(timers::run(shell.clone())).detach();
+    if let Some(socket) = shell.datagrams.clone() {
+        executor.spawn(peers::run(shell.clone(), socket)).detach();
+    }
+    executor.spawn(clients::accept(shell.clone(), listener)).detach();
+    shell.input(Input::Start);
+    async_io::block_on(executor.run(shell.ended.wait(true)));
+    Ok(())
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -0,0 +1,112 @@
+//! Every size, count and time of the gateway, filled once at start and handed down.
+
+use stackgw_router::api::{Span, MS, SECOND};
+use stackgw_settings::HostSettings;
+
+/// What the platform gives one gateway.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Platform {
+    /// Memory in MB; over it the gateway is killed.
+    pub memory_mb: usize,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+}
+
+/// Every size, count and time of the gateway.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Client connections held together; the rest of the line waits in the kernel.
+    pub clients: usize,
+    /// Connections to members held together, idle ones included.
+    pub member_connections: usize,
+    /// Requests held open together.
+    pub requests: usize,
+    /// Members that lists may name, over the gateway's life.
+    pub members: usize,
+    /// Connections that the kernel keeps in line before they are accepted.
+    pub backlog: usize,
+    /// A client's startup packet.
+    pub startup_bytes: usize,
+    /// A client's message: a value of 64 KiB in hexadecimal, and the text around it.
+    pub statement_bytes: usize,
+    /// One message of a member's answer, and a whole answer.
+    pub answer_bytes: usize,
+    /// The head of an HTTP answer.
+    pub head_bytes: usize,
+    /// One list of members as JSON.
+    pub list_bytes: usize,
+    /// A datagram between gateways.
+    pub datagram_bytes: usize,
+    /// Taken from a socket in one read.
+    pub read_bytes: usize,
+    /// Statements and partial messages of all clients together; past it reads pause.
+    pub client_bytes: usize,
+    /// Partial answers of all members together; past it reads pause.
+    pub member_bytes: usize,
+    /// A connection to a member that is not up by then has failed.
+    pub connect: Span,
+    /// A probe without an answer by then has failed.
+    pub probe: Span,
+    /// Idle connections to members are retired after this, ahead of the members' own limit.
+    pub idle: Span,
+    /// Pace of the look at idle connections.
+    pub sweep: Span,
+    /// A client that has not finished its startup, a message or the reading of an answer by then is let go.
+    pub client_stall: Span,
+    /// A watch without a line for this long is opened anew.
+    pub watch_silence: Span,
+    /// Shortest and longest pause before the list's agent is asked again.
+    pub watch_pause: Span,
+    /// Longest such pause.
+    pub watch_pause_most: Span,
+    /// After SIGTERM new connections are taken for this long.
+    pub drain_accept: Span,
+    /// After SIGTERM the gateway ends by then, whatever is left.
+    pub drain_end: Span,
+}
+
+/// Descriptors for the gateway itself: standard streams, listener, reactor, signals, datagrams, discovery.
+const OWN_DESCRIPTORS: usize = 32;
+/// Share of the others that connections to members may take; clients have the rest.
+const MEMBER_SHARE: f64 = 0.4;
+/// Values reach this.
+const VALUE_BYTES: usize = 64 << 10;
+/// Text around a value: the statement's words, key and comment, or an answer's other messages.
+const ROOM: usize = 8 << 10;
+
+impl Limits {
+    /// The limits that this platform and these settings allow.
+    pub fn new(platform: Platform, settings: &HostSettings) -> Self {
+        let usable = platform.sockets.saturating_sub(OWN_DESCRIPTORS).max(2);
+        let member_connections = ((usable as f64 * MEMBER_SHARE) as usize).max(1);
+        let memory = platform.memory_mb << 20;
+        let longest = settings.router.classes.iter().map(|c| c.deadline).max().unwrap_or(SECOND);
+        let idle = if settings.conn_idle > 0 { settings.conn_idle } else { 30 * SECOND };
+        Limits {
+            clients: usable - member_connections.min(usable - 1),
+            member_connections,
+            requests: settings.max_open,
+            members: 16 << 10,
+            backlog: 1024,
+            startup_bytes: 10_000,
+            statement_bytes: 2 * VALUE_BYTES + ROOM,
+            answer_bytes: VALUE_BYTES + ROOM,
+            head_bytes: 16 << 10,
+            list_bytes: 8 << 20,
+            datagram_bytes: stackgw_settings::MOST_BYTES,
+            read_bytes: 16 << 10,
+            client_bytes: memory / 4,
+            member_bytes: memory / 8,
+            connect: settings.router.limits.connect_timeout,
+            probe: settings.router.limits.connect_timeout,
+            idle: idle / 5 * 4,
+            sweep: SECOND / 2,
+            client_stall: 15 * SECOND,
+            watch_silence: 5 * SECOND,
+            watch_pause: 100 * MS,
+            watch_pause_most: SECOND,
+            drain_accept: 500 * MS,
+            drain_end: longest.min(3 * SECOND) + 550 * MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -0,0 +1,113 @@
+//! Splits a byte stream into messages, kept as the bytes that came.
+
+use std::fmt;
+
+/// One message, its header included.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame {
+    /// Its type byte; 0 for a packet of the startup, which has none.
+    pub kind: u8,
+    /// The bytes as they came, header included.
+    pub bytes: Vec<u8>,
+}
+
+impl Frame {
+    /// What follows the header.
+    pub fn body(&self) -> &[u8] {
+        self.bytes.get(if self.kind == 0 { 4 } else { 5 }..).unwrap_or_default()
+    }
+
+    /// The code at the start of a startup packet.
+    pub fn code(&self) -> Option<u32> {
+        self.body().first_chunk().map(|code| u32::from_be_bytes(*code))
+    }
+}
+
+/// A length that no message of this protocol has here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadFrame {
+    /// The type byte it stood behind.
+    pub kind: u8,
+    /// The length given.
+    pub length: u32,
+}
+
+impl fmt::Display for BadFrame {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "message {:?} of length {}", char::from(self.kind), self.length)
+    }
+}
+
+impl std::error::Error for BadFrame {}
+
+/// Bytes of one connection that are not yet whole messages, or not yet asked for.
+#[derive(Debug)]
+pub struct Frames {
+    buffer: Vec<u8>,
+    start: usize,
+    /// The next packet has no type byte.
+    untyped: bool,
+    most: usize,
+    startup_most: usize,
+}
+
+impl Frames {
+    /// A server's stream: every message has a type.
+    pub fn typed(most: usize) -> Self {
+        Frames { buffer: Vec::new(), start: 0, untyped: false, most, startup_most: 0 }
+    }
+
+    /// A client's stream: packets without a type until the startup is done.
+    pub fn client(startup_most: usize, most: usize) -> Self {
+        Frames { buffer: Vec::new(), start: 0, untyped: true, most, startup_most }
+    }
+
+    /// Takes bytes as they come.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Bytes held.
+    pub fn held(&self) -> usize {
+        self.buffer.len() - self.start
+    }
+
+    /// As much is held as one message may have: reading on can wait.
+    pub fn full(&self) -> bool {
+        self.held() > self.most
+    }
+
+    /// The next whole message.
+    pub fn next_frame(&mut self) -> Option<Result<Frame, BadFrame>> {
+        let head = usize::from(!self.untyped);
+        let most = if self.untyped { self.startup_most } else { self.most };
+        let rest = &self.buffer[self.start..];
+        let kind = if self.untyped { 0 } else { *rest.first()? };
+        let length = u32::from_be_bytes(*rest.get(head..)?.first_chunk()?);
+        let least = if self.untyped { 8 } else { 4 };
+        if length < least || length as usize > most {
+            return Some(Err(BadFrame { kind, length }));
+        }
+        let whole = head + length as usize;
+        let bytes = rest.get(..whole)?.to_vec();
+        self.start += whole;
+        if self.start == self.buffer.len() {
+            self.start = 0;
+            // What one large message took is not kept for the connection's life.
+            if self.buffer.capacity() > 16 << 10 {
+                self.buffer = Vec::new();
+            } else {
+                self.buffer.clear();
+            }
+        }
+        let frame = Frame { kind, bytes };
+        if self.untyped && frame.code().is_some_and(|code| code >> 16 == super::code::VERSION_3 >> 16) {
+            self.untyped = false;
+        }
+        Some(Ok(frame))
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -0,0 +1,160 @@
+//! A member's reply, gathered until it is whole.
+
+use super::Frame;
+use stackgw_router::api::{Report, Time, MS};
+
+/// A message that has no place in a reply, or too many of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OutOfPlace;
+
+impl std::fmt::Display for OutOfPlace {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the message has no place in a reply")
+    }
+}
+
+impl std::error::Error for OutOfPlace {}
+
+/// What a reply amounts to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// One row, whole.
+    Row,
+    /// An error with this SQLSTATE.
+    Error([u8; 5]),
+    /// Neither: complete, but without a row, or an answer to nothing.
+    Nothing,
+}
+
+/// A reply as far as it has come.
+#[derive(Debug, Default)]
+pub struct Reply {
+    /// The row's description, the row and its completion, as they came.
+    pub row: Vec<u8>,
+    rows: usize,
+    described: bool,
+    complete: bool,
+    failed: Option<[u8; 5]>,
+    /// The member says that it is the primary, or that it is not.
+    pub primary: Option<bool>,
+    /// Its position, or the commit time of a write.
+    pub position: Option<Time>,
+    /// The load report that rode along.
+    pub report: Report,
+}
+
+impl Reply {
+    /// Takes the next message. `Ok(true)`: the member is ready again, the reply is over. `Err`: the message has no
+    /// place here.
+    pub fn take(&mut self, frame: &Frame, most: usize) -> Result<bool, OutOfPlace> {
+        let body = frame.body();
+        match frame.kind {
+            b'T' if !self.described && !self.complete && self.failed.is_none() => {
+                self.described = true;
+                self.row.extend_from_slice(&frame.bytes);
+            }
+            b'D' if self.described && !self.complete && self.rows == 0 && one_column(body) => {
+                self.rows = 1;
+                self.row.extend_from_slice(&frame.bytes);
+            }
+            b'C' if !self.complete && self.failed.is_none() => {
+                self.complete = true;
+                self.row.extend_from_slice(&frame.bytes);
+            }
+            b'I' if !self.complete && self.failed.is_none() => self.complete = true,
+            b'E' if !self.complete && self.failed.is_none() => {
+                self.failed = Some(sqlstate(body).ok_or(OutOfPlace)?)
+            }
+            b'S' => self.status(body).ok_or(OutOfPlace)?,
+            b'N' | b'K' | b'A' => {}
+            b'R' if body == [0; 4] => {}
+            b'Z' => return Ok(true),
+            _ => return Err(OutOfPlace),
+        }
+        if self.row.len() > most {
+            return Err(OutOfPlace);
+        }
+        Ok(false)
+    }
+
+    /// How it ended, once the member is ready again or has closed; `None`: it had not come so far.
+    pub fn ended(&self) -> Option<Ended> {
+        match (self.failed, self.complete) {
+            (Some(code), _) => Some(Ended::Error(code)),
+            (None, true) if self.rows == 1 => Some(Ended::Row),
+            (None, true) => Some(Ended::Nothing),
+            (None, false) => None,
+        }
+    }
+
+    /// The text of the one column of the row, as probes get it.
+    pub fn column(&self) -> Option<&str> {
+        let description = 1 + u32::from_be_bytes(*self.row.get(1..)?.first_chunk()?) as usize;
+        // Type, length, number of columns, length of the column.
+        let row = self.row.get(description..)?;
+        let length = u32::from_be_bytes(*row.get(7..)?.first_chunk()?) as usize;
+        std::str::from_utf8(row.get(11..)?.get(..length)?).ok()
+    }
+
+    fn status(&mut self, body: &[u8]) -> Option<()> {
+        let text = std::str::from_utf8(body).ok()?;
+        let mut parts = text.split('\0');
+        match (parts.next()?, parts.next()?) {
+            ("node_role", "leader") => self.primary = Some(true),
+            ("node_role", "follower") => self.primary = Some(false),
+            ("replay_position", at) => {
+                let ms = at.parse::<i64>().ok().filter(|ms| (0..1 << 43).contains(ms))?;
+                self.position = Some(ms * MS).filter(|at| *at > 0);
+            }
+            ("server_load", load) => self.report = load_report(load)?,
+            _ => {}
+        }
+        Some(())
+    }
+}
+
+/// The row has one column, and its length is that of the row.
+fn one_column(body: &[u8]) -> bool {
+    let [0, 1, a, b, c, d, value @ ..] = body else { return false };
+    match i32::from_be_bytes([*a, *b, *c, *d]) {
+        -1 => value.is_empty(),
+        length => usize::try_from(length) == Ok(value.len()),
+    }
+}
+
+fn sqlstate(body: &[u8]) -> Option<[u8; 5]> {
+    body.split(|b| *b == 0).find_map(|field| field.strip_prefix(b"C")).and_then(|code| code.try_into().ok())
+}
+
+/// Reads `name=value` pairs; names without a meaning here are skipped.
+pub fn load_report(text: &str) -> Option<Report> {
+    let mut report = Report::default();
+    for pair in text.split(',').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once('=')?;
+        let number = value.parse::<f64>().ok().filter(|n| n.is_finite())?;
+        match name {
+            "x0" => report.position = Some(nanoseconds(value)?),
+            "x1" => report.primary = Some(number > 0.5),
+            "inflight" => report.in_flight = Some(number),
+            "queue" => report.queued = Some(number),
+            "util" => report.utilisation = Some(number),
+            _ => {}
+        }
+    }
+    Some(report)
+}
+
+/// Seconds as a decimal number, cut (never rounded up) to whole nanoseconds; a float of Unix times is too coarse.
+fn nanoseconds(text: &str) -> Option<Time> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let plain = |digits: &str| digits.bytes().all(|b| b.is_ascii_digit());
+    if !plain(whole) || !plain(part) || whole.is_empty() || whole.len() > 10 {
+        return text
+            .parse::<f64>()
+            .ok()
+            .filter(|s| *s >= 0.0 && *s < 1e10)
+            .map(|s| (s * 1e9).floor() as Time);
+    }
+    let digits = format!("{:0<9}", part.get(..part.len().min(9))?);
+    Some(whole.parse::<Time>().ok()? * 1_000_000_000 + digits.parse::<Time>().ok()?)
+}
--- /dev/null
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -0,0 +1,1170 @@
+//! The only place where the gateway's state changes. It takes one input at a time and appends the effects that the
+//! I/O side is to carry out. It owns the router, the requests, the connections and their pools, the timers and the
+//! counters, and it knows no socket, clock or await. Whom to ask, when to stop, retry or refuse is the router's.
+
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::discovery::{ListEntry, ListUpdate};
+use crate::limits::Limits;
+use crate::pg::{self, code, write, Ended, Frame, Reply, Statement};
+use crate::pool::Pool;
+use stackgw_router::{api::*, Router};
+use stackgw_settings::{Digests, Names};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A client's connection, numbered by the I/O side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+/// A connection to a member, numbered here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// Why a connection is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// The other side closed or broke it, or it never came up.
+    Lost,
+    /// Its bytes are no protocol.
+    Bad,
+}
+
+/// What happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// The gateway starts.
+    Start,
+    /// A client connected.
+    ClientOpened(ClientId),
+    /// A client's whole message; handed over only where [`Reducer::takes`] says so.
+    ClientFrame(ClientId, Frame),
+    /// A client's message has begun and is not whole.
+    ClientPartial(ClientId),
+    /// All that was to be written to a client is written.
+    ClientFlushed(ClientId),
+    /// A client's connection is over.
+    ClientClosed(ClientId, Closed),
+    /// A connection to a member came up.
+    MemberUp(ConnId),
+    /// The last byte of what was to be written to a member is written.
+    MemberWritten(ConnId),
+    /// A member's whole message.
+    MemberFrame(ConnId, Frame),
+    /// A connection to a member is over, or never came up.
+    MemberClosed(ConnId, Closed),
+    /// The watch brought a list, or the whole list that was asked for came.
+    List(ListUpdate),
+    /// The watch brought a line without news.
+    WatchAlive,
+    /// The watch ended, or could not be opened; the text says why.
+    WatchLost(String),
+    /// The list could not be had.
+    FetchFailed,
+    /// A datagram.
+    Datagram(SocketAddr, Vec<u8>),
+    /// The time that [`Reducer::next_due`] named has come.
+    Due,
+    /// Finish what was taken and end.
+    Terminate,
+    /// New connections are no longer taken; all that waited have been handed over.
+    ListenerClosed,
+    /// Print the counters.
+    Report,
+}
+
+/// What is to be done outside.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Take new clients, or leave them waiting.
+    Accept(bool),
+    /// Write to a client; then, if `close`, close.
+    ClientWrite {
+        /// Whom.
+        client: ClientId,
+        /// What.
+        bytes: Vec<u8>,
+        /// Nothing follows.
+        close: bool,
+    },
+    /// Close a client's connection at once.
+    ClientClose(ClientId),
+    /// Close a client's connection unless it has sent something by now, which is then to be handed over.
+    ClientRetire(ClientId),
+    /// Open a connection to a member.
+    MemberOpen(ConnId, SocketAddr),
+    /// Write to a member.
+    MemberWrite(ConnId, Vec<u8>),
+    /// Close a connection to a member.
+    MemberClose(ConnId),
+    /// Open a watch of what changes after this version, in place of any other.
+    Watch(Option<u64>),
+    /// Close the watch.
+    Unwatch,
+    /// Ask for the whole list.
+    Fetch,
+    /// Send a datagram.
+    Datagram(SocketAddr, Vec<u8>),
+    /// Take what waits in line, then close the listener.
+    StopListening,
+    /// A line for the log.
+    Log(String),
+    /// Print the counters.
+    Report(Box<Counters>),
+    /// End the program.
+    Exit,
+}
+
+/// What a timer is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Due {
+    Router(u64),
+    /// A connection's connect limit, or the time that its attempt or probe may take.
+    Conn(ConnId),
+    /// A look at what stands idle or still.
+    Sweep,
+    Watch,
+    StopListening,
+    Retire,
+    End,
+}
+
+type TimerKey = (Time, u64);
+
+/// A client's connection.
+#[derive(Debug)]
+struct Client {
+    opened: Time,
+    /// Its startup is done; the key that cancels its query.
+    started: Option<u32>,
+    request: Option<RequestId>,
+    /// Since when something written to it has not left.
+    unsent: Option<Time>,
+    /// Since when a message has been incomplete.
+    partial: Option<Time>,
+    /// Sent an empty query before the gateway could serve.
+    awaits_ready: bool,
+    /// Used the extended protocol, which is not spoken: skip to its Sync.
+    skips: bool,
+    closing: bool,
+    idle_since: Time,
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.request.is_none() && self.unsent.is_none() && !self.awaits_ready && !self.closing
+    }
+}
+
+/// A request until it has its answer and its last attempt has ended.
+#[derive(Debug)]
+struct Open {
+    client: Option<ClientId>,
+    statement: Statement,
+    deadline: Time,
+    sent: u32,
+    out: Vec<(u32, ConnId)>,
+    ended: bool,
+}
+
+/// What a connection to a member is busy with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Job {
+    Attempt { request: RequestId, number: u32, sent: Time, give_up: Time },
+    Probe { sent: Time },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    Starting,
+    Idle,
+    /// The job's bytes are being written.
+    Writing,
+    /// They are written.
+    Waiting,
+}
+
+/// A connection to a member.
+#[derive(Debug)]
+struct Conn {
+    member: MemberId,
+    phase: Phase,
+    job: Option<Job>,
+    /// It had stood idle before this job.
+    reused: bool,
+    reply: Reply,
+    timer: Option<TimerKey>,
+}
+
+/// A member that some list has named.
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+}
+
+/// The gateway's state.
+pub struct Reducer {
+    router: Router,
+    limits: Limits,
+    names: Names,
+    classes: Vec<Class>,
+    subscribed: bool,
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    me: usize,
+    known: Option<ListUpdate>,
+    members: Vec<Peer>,
+    member_ids: HashMap<String, MemberId>,
+    groups: BTreeSet<u32>,
+    digests: Digests,
+    revision: Option<u64>,
+    watching: bool,
+    watch_heard: Time,
+    watch_pause: Span,
+    clients: BTreeMap<ClientId, Client>,
+    idle_clients: BTreeSet<(Time, ClientId)>,
+    accepting: bool,
+    requests: HashMap<RequestId, Open>,
+    next_request: u64,
+    conns: HashMap<ConnId, Conn>,
+    next_conn: u64,
+    pool: Pool,
+    timers: BTreeMap<TimerKey, Due>,
+    next_timer: u64,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    counters: Counters,
+    /// Since SIGTERM; whether the listener is closed.
+    ending: Option<Time>,
+    listener_closed: bool,
+    exited: bool,
+    secret: u64,
+}
+
+impl Reducer {
+    /// A gateway that has not started yet.
+    pub fn new(config: Config) -> Self {
+        let settings = config.settings.router;
+        Reducer {
+            limits: config.limits,
+            names: config.settings.names,
+            classes: settings.classes.clone(),
+            subscribed: !settings.list_on_request,
+            peers: config.peers,
+            peers_all: config.peers_all,
+            me: settings.me as usize,
+            known: config.known,
+            router: Router::new(settings, config.seed),
+            members: Vec::new(),
+            member_ids: HashMap::new(),
+            groups: BTreeSet::new(),
+            digests: Digests::default(),
+            revision: None,
+            watching: false,
+            watch_heard: 0,
+            watch_pause: 0,
+            clients: BTreeMap::new(),
+            idle_clients: BTreeSet::new(),
+            accepting: false,
+            requests: HashMap::new(),
+            next_request: 0,
+            conns: HashMap::new(),
+            next_conn: 0,
+            pool: Pool::default(),
+            timers: BTreeMap::new(),
+            next_timer: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            counters: Counters::default(),
+            ending: None,
+            listener_closed: false,
+            exited: false,
+            secret: config.seed,
+        }
+    }
+
+    /// When [`Input::Due`] is wanted next.
+    pub fn next_due(&self) -> Option<Time> {
+        self.timers.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Whether a client's next message is taken now; else it waits where it is.
+    pub fn takes(&self, client: ClientId) -> bool {
+        let room = self.counters.held_bytes < self.limits.client_bytes as u64;
+        self.clients.get(&client).is_some_and(Client::idle) && room
+    }
+
+    /// The counters as they stand.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Takes one input and appends what is to be done about it.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Start => self.start(now, out),
+            Input::ClientOpened(id) => self.client_opened(now, id, out),
+            Input::ClientFrame(id, frame) => self.client_frame(now, id, frame, out),
+            Input::ClientPartial(id) => {
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.partial.get_or_insert(now);
+                }
+            }
+            Input::ClientFlushed(id) => self.client_flushed(now, id, out),
+            Input::ClientClosed(id, Closed::Lost) => self.client_gone(id),
+            Input::ClientClosed(id, Closed::Bad) => self.client_bad(now, id, out),
+            Input::MemberUp(id) => self.member_up(id, out),
+            Input::MemberWritten(id) => self.member_written(id),
+            Input::MemberFrame(id, frame) => self.member_frame(now, id, &frame, out),
+            Input::MemberClosed(id, why) => self.member_closed(now, id, why, out),
+            Input::List(list) => self.list(now, list, out),
+            Input::WatchAlive => self.watch_heard = now,
+            Input::WatchLost(why) => self.watch_lost(now, why, out),
+            Input::FetchFailed => self.list_failed(),
+            Input::Datagram(from, bytes) => self.datagram(now, from, &bytes),
+            Input::Due => self.due(now, out),
+            Input::Terminate => self.terminate(now, out),
+            Input::ListenerClosed => {
+                self.listener_closed = true;
+                self.retire_clients(now, out);
+            }
+            Input::Report => out.push(Effect::Report(Box::new(self.counters.clone()))),
+        }
+        self.route(now, out);
+        self.admit(out);
+        self.counters.peaks();
+        if self.listener_closed && self.clients.is_empty() {
+            self.exit(out);
+        }
+    }
+
+    fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(known) = self.known.take() {
+            self.revision = Some(known.revision);
+            let members = known.members.iter().filter_map(|e| self.listed(e, out)).collect();
+            self.events.push_back(Event::List { scope: ListScope::Cached, members });
+        }
+        self.set_timer(now + self.limits.sweep, Due::Sweep);
+        if self.subscribed {
+            self.watch(now, out);
+        }
+        out.push(Effect::Log(format!("started, {} members known", self.members.len())));
+    }
+
+    /// Hands the router what is queued and carries out what it asks for, until nothing is left.
+    fn route(&mut self, now: Time, out: &mut Vec<Effect>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { request, member, timeout } => self.send(now, request, member, timeout, out),
+            Action::Cancel { request, attempt } => {
+                let open = self.requests.get(&request);
+                let conn = open.and_then(|o| o.out.iter().find(|(n, _)| *n == attempt)).map(|(_, c)| *c);
+                if let Some(conn) = conn {
+                    self.close_conn(conn, out);
+                    self.end_job(now, conn, Outcome::Cancelled, out);
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                let wait = retry_after.map(|wait| ((wait + MS - 1) / MS).to_string());
+                self.counters.answered_refused += 1;
+                let text = "not now, trying again is harmless";
+                self.answer_error(now, request, "53300", text, wait.as_deref(), out);
+            }
+            Action::Fail(request) => {
+                self.counters.answered_failed += 1;
+                self.answer_error(now, request, "58000", "the request failed", None, out);
+            }
+            Action::Timer { after, token } => {
+                self.set_timer(now + after, Due::Router(token));
+            }
+            Action::Probe(member) => {
+                self.counters.probes += 1;
+                self.employ(now, member, Job::Probe { sent: now }, out);
+            }
+            Action::CloseIdle(member) => {
+                for conn in self.pool.drain(member) {
+                    self.close_conn(conn, out);
+                    self.forget(conn);
+                }
+            }
+            Action::Tell { to, news } => {
+                let address = to.map_or(self.peers_all, |n| self.peers.get(n as usize).copied());
+                for body in self.digests.pack(now, to.is_some(), &news) {
+                    if let Some(address) = address {
+                        self.counters.words_sent += 1;
+                        out.push(Effect::Datagram(address, body));
+                    }
+                }
+            }
+            Action::Subscribe(true) => {
+                self.subscribed = true;
+                if !self.watching && !self.timers.values().any(|due| *due == Due::Watch) {
+                    self.watch(now, out);
+                }
+            }
+            Action::Subscribe(false) => {
+                (self.subscribed, self.watching) = (false, false);
+                out.push(Effect::Unwatch);
+            }
+            Action::FetchList => out.push(Effect::Fetch),
+            Action::Note(text) => out.push(Effect::Log(text)),
+        }
+    }
+
+    // Timers.
+
+    fn set_timer(&mut self, at: Time, due: Due) -> TimerKey {
+        self.next_timer += 1;
+        let key = (at, self.next_timer);
+        self.timers.insert(key, due);
+        key
+    }
+
+    fn due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Due::Router(token) => self.events.push_back(Event::Timer(token)),
+                Due::Conn(id) => self.conn_due(now, id, out),
+                Due::Sweep => {
+                    self.sweep(now, out);
+                    self.set_timer(now + self.limits.sweep, Due::Sweep);
+                }
+                Due::Watch => {
+                    if self.subscribed && !self.watching {
+                        self.watch(now, out);
+                    }
+                }
+                Due::StopListening => out.push(Effect::StopListening),
+                Due::Retire => self.retire_clients(now, out),
+                Due::End => self.exit(out),
+            }
+            self.route(now, out);
+        }
+    }
+
+    fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for conn in self.pool.expired(now - self.limits.idle) {
+            self.counters.members_retired += 1;
+            self.close_conn(conn, out);
+            self.forget(conn);
+        }
+        if self.watching && now - self.watch_heard > self.limits.watch_silence {
+            out.push(Effect::Unwatch);
+            self.watch_lost(now, "silent".to_owned(), out);
+        }
+        let late = |since: Option<Time>| since.is_some_and(|t| now - t > self.limits.client_stall);
+        let stalled = |c: &Client| {
+            late(c.unsent) || late(c.partial) || late(Some(c.opened).filter(|_| c.started.is_none()))
+        };
+        let stalled: Vec<_> = self.clients.iter().filter(|(_, c)| stalled(c)).map(|(id, _)| *id).collect();
+        for id in stalled {
+            self.counters.clients_stalled += 1;
+            out.push(Effect::ClientClose(id));
+            self.client_gone(id);
+        }
+    }
+
+    // Clients.
+
+    fn client_opened(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        self.counters.clients_opened += 1;
+        self.counters.clients_open += 1;
+        let client = Client {
+            opened: now,
+            started: None,
+            request: None,
+            unsent: None,
+            partial: None,
+            awaits_ready: false,
+            skips: false,
+            closing: false,
+            idle_since: now,
+        };
+        self.clients.insert(id, client);
+        self.idle_clients.insert((now, id));
+        if self.clients.len() >= self.limits.clients {
+            // One more may be waiting: the client that has been idle longest makes room.
+            let oldest = self.idle_clients.iter().find(|(_, other)| *other != id).copied();
+            if let Some((_, oldest)) = oldest {
+                self.counters.clients_evicted += 1;
+                out.push(Effect::ClientClose(oldest));
+                self.client_gone(oldest);
+            }
+        }
+    }
+
+    /// Takes new clients while there is room for one more.
+    fn admit(&mut self, out: &mut Vec<Effect>) {
+        let wanted = self.clients.len() < self.limits.clients && !self.listener_closed;
+        if wanted != self.accepting {
+            self.accepting = wanted;
+            out.push(Effect::Accept(wanted));
+        }
+    }
+
+    /// Keeps the order of idle clients after a client's state has changed.
+    fn note_idle(&mut self, now: Time, id: ClientId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            self.idle_clients.remove(&(client.idle_since, id));
+            if client.idle() {
+                client.idle_since = now;
+                self.idle_clients.insert((now, id));
+            }
+        }
+    }
+
+    fn client_write(&mut self, now: Time, id: ClientId, bytes: Vec<u8>, close: bool, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.unsent = Some(now);
+        client.closing |= close;
+        self.note_idle(now, id);
+        out.push(Effect::ClientWrite { client: id, bytes, close });
+    }
+
+    fn client_flushed(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.unsent = None;
+        self.note_idle(now, id);
+        if self.listener_closed && self.takes(id) {
+            out.push(Effect::ClientRetire(id));
+        }
+    }
+
+    /// A client's bytes are no protocol: that connection alone ends, with a word if it can still be read.
+    fn client_bad(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        self.counters.clients_bad += 1;
+        if self.counters.clients_bad.is_power_of_two() {
+            out.push(Effect::Log(format!("bad bytes from clients: {}", self.counters.clients_bad)));
+        }
+        if let Some(request) = client.request.take() {
+            self.abandon(request);
+        }
+        let mut reply = Vec::new();
+        write::error(&mut reply, true, "08P01", "these bytes are no message of the protocol", None);
+        self.client_write(now, id, reply, true, out);
+    }
+
+    fn client_gone(&mut self, id: ClientId) {
+        let Some(client) = self.clients.remove(&id) else { return };
+        self.idle_clients.remove(&(client.idle_since, id));
+        self.counters.clients_open -= 1;
+        if let Some(request) = client.request {
+            self.abandon(request);
+        }
+    }
+
+    fn abandon(&mut self, request: RequestId) {
+        if let Some(open) = self.requests.get_mut(&request) {
+            (open.client, open.ended) = (None, true);
+            self.counters.answered_gone += 1;
+            self.events.push_back(Event::Abandoned(request));
+            self.forget_request(request);
+        }
+    }
+
+    fn client_frame(&mut self, now: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.partial = None;
+        if client.started.is_none() {
+            return self.startup(now, id, &frame, out);
+        }
+        let mut reply = Vec::new();
+        match frame.kind {
+            b'Q' if client.skips => {}
+            b'Q' if Statement::is_empty(&frame) => {
+                if self.members.is_empty() {
+                    client.awaits_ready = true;
+                    return self.note_idle(now, id);
+                }
+                write::empty(&mut reply);
+                write::ready(&mut reply);
+                self.client_write(now, id, reply, false, out);
+            }
+            b'Q' => self.query(now, id, frame, out),
+            b'X' => {
+                out.push(Effect::ClientClose(id));
+                self.client_gone(id);
+            }
+            b'S' => {
+                client.skips = false;
+                write::ready(&mut reply);
+                self.client_write(now, id, reply, false, out);
+            }
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' if client.skips => {}
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
+                client.skips = frame.kind != b'F';
+                write::error(&mut reply, false, "0A000", "only simple queries are spoken here", None);
+                if frame.kind == b'F' {
+                    write::ready(&mut reply);
+                }
+                self.client_write(now, id, reply, false, out);
+            }
+            // Copy data that crossed an error is skipped.
+            b'd' | b'c' | b'f' => {}
+            _ => self.client_bad(now, id, out),
+        }
+    }
+
+    fn startup(&mut self, now: Time, id: ClientId, frame: &Frame, out: &mut Vec<Effect>) {
+        let mut reply = Vec::new();
+        let version = frame.code().unwrap_or_default();
+        match version {
+            code::SSL | code::GSS => self.client_write(now, id, b"N".to_vec(), false, out),
+            code::CANCEL => {
+                self.cancel(now, frame, out);
+                out.push(Effect::ClientClose(id));
+                self.client_gone(id);
+            }
+            _ if version >> 16 == code::VERSION_3 >> 16 => {
+                self.secret = self.secret.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(id.0 | 1);
+                let secret = (self.secret >> 32) as u32;
+                if version != code::VERSION_3 {
+                    write::negotiate(&mut reply);
+                }
+                write::welcome(&mut reply, id.0 as u32, secret);
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.started = Some(secret);
+                }
+                self.client_write(now, id, reply, false, out);
+            }
+            _ => {
+                self.counters.clients_bad += 1;
+                write::error(&mut reply, true, "0A000", "this version of the protocol is not spoken", None);
+                self.client_write(now, id, reply, true, out);
+            }
+        }
+    }
+
+    /// A cancel request, by the key of the connection whose query it means.
+    fn cancel(&mut self, now: Time, frame: &Frame, out: &mut Vec<Effect>) {
+        let &[_, _, _, _, a, b, c, d, e, f, g, h] = frame.body() else { return };
+        let (process, secret) = (u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes([e, f, g, h]));
+        let id = ClientId(process.into());
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.started == Some(secret)) else { return };
+        if let Some(request) = client.request.take() {
+            self.abandon(request);
+            let mut reply = Vec::new();
+            write::error(&mut reply, false, "57014", "cancelled on the client's request", None);
+            write::ready(&mut reply);
+            self.client_write(now, id, reply, false, out);
+        }
+    }
+
+    fn query(&mut self, now: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
+        self.counters.taken += 1;
+        let statement = match Statement::parse(frame) {
+            Ok(statement) => statement,
+            Err(why) => return self.reject(now, id, why.0, out),
+        };
+        let Some(class) = self.names.classes.iter().position(|name| *name == statement.class) else {
+            return self.reject(now, id, "the class is unknown", out);
+        };
+        if !self.groups.contains(&statement.cluster) {
+            return self.reject(now, id, "the cluster is unknown", out);
+        }
+        let need = self.classes[class].need;
+        if (need == Need::Write) != statement.write {
+            return self.reject(now, id, "the class and the statement do not go together", out);
+        }
+        if self.requests.len() >= self.limits.requests {
+            self.counters.over_open += 1;
+            let mut reply = Vec::new();
+            write::error(&mut reply, false, "53300", "too many requests are open", None);
+            write::ready(&mut reply);
+            return self.client_write(now, id, reply, false, out);
+        }
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        let deadline = now + statement.wait_ms as Span * MS;
+        let sessions = matches!(need, Need::Write | Need::Session);
+        self.events.push_back(Event::Request(Request {
+            id: request,
+            class,
+            group: GroupId(statement.cluster),
+            deadline,
+            session: sessions.then(|| SessionId(statement.key.as_str().into())),
+            last_write: statement.after_ms.map(|ms| ms * MS),
+            repeat: statement.repeat,
+        }));
+        self.counters.held_bytes += statement.held() as u64;
+        let open = Open { client: Some(id), statement, deadline, sent: 0, out: Vec::new(), ended: false };
+        self.requests.insert(request, open);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.request = Some(request);
+        }
+        self.note_idle(now, id);
+    }
+
+    fn reject(&mut self, now: Time, id: ClientId, why: &str, out: &mut Vec<Effect>) {
+        self.counters.malformed += 1;
+        let mut reply = Vec::new();
+        write::error(&mut reply, false, "42601", why, None);
+        write::ready(&mut reply);
+        self.client_write(now, id, reply, false, out);
+    }
+
+    /// The final answer where no member gave one.
+    fn answer_error(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        code: &str,
+        text: &str,
+        detail: Option<&str>,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut reply = Vec::new();
+        write::error(&mut reply, false, code, text, detail);
+        write::ready(&mut reply);
+        self.answer(now, request, reply, out);
+    }
+
+    fn answer(&mut self, now: Time, request: RequestId, reply: Vec<u8>, out: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        open.ended = true;
+        if let Some(id) = open.client.take() {
+            if let Some(client) = self.clients.get_mut(&id) {
+                client.request = None;
+            }
+            self.client_write(now, id, reply, false, out);
+        }
+        self.forget_request(request);
+    }
+
+    fn forget_request(&mut self, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|o| o.ended && o.out.is_empty()) {
+            if let Some(open) = self.requests.remove(&request) {
+                let before = self.counters.held_bytes;
+                self.counters.held_bytes = before - open.statement.held() as u64;
+            }
+        }
+    }
+
+    // Members.
+
+    fn send(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        member: MemberId,
+        timeout: Option<Span>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        self.counters.attempts += 1;
+        let number = open.sent;
+        open.sent += 1;
+        let give_up = timeout.map_or(open.deadline, |t| open.deadline.min(now + t));
+        let job = Job::Attempt { request, number, sent: now, give_up };
+        if give_up <= now || open.ended {
+            return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
+        }
+        self.employ(now, member, job, out);
+    }
+
+    /// Gives a job to an idle connection, the one used last, or to a new one.
+    fn employ(&mut self, now: Time, member: MemberId, job: Job, out: &mut Vec<Effect>) {
+        if let Some(id) = self.pool.take(member) {
+            self.bind(id, job);
+            if let Some(conn) = self.conns.get_mut(&id) {
+                conn.reused = true;
+            }
+            return self.write_job(now, id, out);
+        }
+        if self.conns.len() >= self.limits.member_connections {
+            match self.pool.oldest() {
+                Some(idle) => {
+                    self.counters.members_evicted += 1;
+                    self.close_conn(idle, out);
+                    self.forget(idle);
+                }
+                None => return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out),
+            }
+        }
+        let id = ConnId(self.next_conn);
+        self.next_conn += 1;
+        self.counters.members_opened += 1;
+        self.counters.members_open += 1;
+        let timer = Some(self.set_timer(now + self.limits.connect, Due::Conn(id)));
+        let phase = Phase::Connecting;
+        let conn = Conn { member, phase, job: None, reused: false, reply: Reply::default(), timer };
+        self.conns.insert(id, conn);
+        self.bind(id, job);
+        out.push(Effect::MemberOpen(id, self.members[member.0 as usize].address));
+    }
+
+    fn bind(&mut self, id: ConnId, job: Job) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.job = Some(job);
+        }
+        if let Job::Attempt { request, number, .. } = job {
+            if let Some(open) = self.requests.get_mut(&request) {
+                open.out.push((number, id));
+            }
+        }
+    }
+
+    fn member_up(&mut self, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.phase = Phase::Starting;
+        let mut bytes = Vec::new();
+        write::startup(&mut bytes, "stackgw", "core");
+        out.push(Effect::MemberWrite(id, bytes));
+    }
+
+    /// Writes the connection's job; its time to answer begins.
+    fn write_job(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let old = conn.timer.take();
+        let (bytes, until) = match conn.job {
+            Some(Job::Attempt { request, give_up, .. }) => {
+                let Some(open) = self.requests.get(&request) else { return };
+                (open.statement.with_wait(((give_up - now) / MS).max(1) as u64), give_up)
+            }
+            Some(Job::Probe { sent }) => {
+                let mut bytes = Vec::new();
+                write::query(&mut bytes, "SHOW server_load");
+                (bytes, sent + self.limits.probe)
+            }
+            None => return,
+        };
+        (conn.phase, conn.reply) = (Phase::Writing, Reply::default());
+        if let Some(old) = old {
+            self.timers.remove(&old);
+        }
+        let timer = self.set_timer(until, Due::Conn(id));
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.timer = Some(timer);
+        }
+        out.push(Effect::MemberWrite(id, bytes));
+    }
+
+    fn member_written(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|c| c.phase == Phase::Writing) else { return };
+        conn.phase = Phase::Waiting;
+        if matches!(conn.job, Some(Job::Attempt { .. })) {
+            self.counters.written += 1;
+        }
+    }
+
+    fn member_frame(&mut self, now: Time, id: ConnId, frame: &Frame, out: &mut Vec<Effect>) {
+        let most = self.limits.answer_bytes;
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        match (conn.phase, conn.reply.take(frame, most)) {
+            (Phase::Connecting, _) | (_, Err(_)) => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Bad, out);
+            }
+            // Notices and parameters may come at any time; anything else between requests is out of place.
+            (Phase::Idle, _) if matches!(frame.kind, b'S' | b'N') => conn.reply = Reply::default(),
+            (Phase::Idle, _) => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Bad, out);
+            }
+            (_, Ok(false)) => {}
+            (Phase::Starting, Ok(true)) => {
+                self.counters.members_up += 1;
+                self.write_job(now, id, out);
+            }
+            (Phase::Writing | Phase::Waiting, Ok(true)) => {
+                let outcome = outcome(&conn.reply).unwrap_or(Outcome::Broken);
+                if conn.phase == Phase::Writing || outcome == Outcome::Broken {
+                    // It is out of step: what is still to be written would be taken for the next request.
+                    self.close_conn(id, out);
+                    return self.end_job(now, id, outcome, out);
+                }
+                if let Some(timer) = conn.timer.take() {
+                    self.timers.remove(&timer);
+                }
+                conn.phase = Phase::Idle;
+                let member = conn.member;
+                self.end_job(now, id, outcome, out);
+                self.pool.put(member, id, now);
+            }
+        }
+    }
+
+    /// A connection is over. Whether its request's last byte was written tells what that means.
+    fn member_closed(&mut self, now: Time, id: ConnId, why: Closed, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        if why == Closed::Bad {
+            self.counters.members_bad += 1;
+            if self.counters.members_bad.is_power_of_two() {
+                out.push(Effect::Log(format!("bad bytes from members: {}", self.counters.members_bad)));
+            }
+        }
+        let (member, job) = (conn.member, conn.job);
+        let ended = outcome(&conn.reply);
+        let outcome = match conn.phase {
+            Phase::Idle => {
+                self.counters.members_closed += 1;
+                self.pool.remove(member, id);
+                return self.forget(id);
+            }
+            Phase::Writing if conn.reused && why == Closed::Lost && ended.is_none() => {
+                // It had closed while idle, so this request has not been sent at all yet.
+                self.counters.members_reopened += 1;
+                self.unbind(id);
+                self.forget(id);
+                if let Some(job) = job {
+                    self.employ(now, member, job, out);
+                }
+                return;
+            }
+            Phase::Connecting => Outcome::NoConnection,
+            Phase::Starting | Phase::Writing if ended == Some(Outcome::Shed) => Outcome::Shed,
+            Phase::Starting | Phase::Writing => Outcome::NoConnection,
+            Phase::Waiting => ended.filter(|_| why == Closed::Lost).unwrap_or(Outcome::Broken),
+        };
+        self.end_job(now, id, outcome, out);
+    }
+
+    /// A connection's time is up: it did not come up, or its attempt or probe is given up.
+    fn conn_due(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.timer = None;
+        let outcome = match conn.phase {
+            Phase::Connecting | Phase::Starting | Phase::Writing => Outcome::NoConnection,
+            Phase::Waiting => Outcome::TimedOut,
+            Phase::Idle => return,
+        };
+        self.close_conn(id, out);
+        self.end_job(now, id, outcome, out);
+    }
+
+    /// Asks for a connection to be closed; it has no job from here on but the one that is being ended.
+    fn close_conn(&mut self, id: ConnId, out: &mut Vec<Effect>) {
+        out.push(Effect::MemberClose(id));
+    }
+
+    fn unbind(&mut self, id: ConnId) -> Option<Job> {
+        let job = self.conns.get_mut(&id)?.job.take()?;
+        if let Job::Attempt { request, .. } = job {
+            if let Some(open) = self.requests.get_mut(&request) {
+                open.out.retain(|(_, conn)| *conn != id);
+            }
+        }
+        Some(job)
+    }
+
+    fn forget(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id) {
+            self.counters.members_open -= 1;
+            if let Some(timer) = conn.timer {
+                self.timers.remove(&timer);
+            }
+        }
+    }
+
+    /// Ends the job of a connection, which is forgotten unless it stands idle again.
+    fn end_job(&mut self, now: Time, id: ConnId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let job = self.unbind(id);
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let (member, reply) = (conn.member, std::mem::take(&mut conn.reply));
+        if conn.phase != Phase::Idle {
+            self.forget(id);
+        }
+        if let Some(job) = job {
+            self.job_ended(now, member, job, outcome, reply, out);
+        }
+    }
+
+    fn job_ended(
+        &mut self,
+        now: Time,
+        member: MemberId,
+        job: Job,
+        outcome: Outcome,
+        mut reply: Reply,
+        out: &mut Vec<Effect>,
+    ) {
+        let Job::Attempt { request, number, sent, .. } = job else {
+            let Job::Probe { sent } = job else { return };
+            let told =
+                if outcome == Outcome::Served { reply.column().and_then(pg::load_report) } else { None };
+            self.counters.probes_failed += u64::from(told.is_none());
+            let (answered, report) = (told.is_some(), told.unwrap_or_default());
+            return self.events.push_back(Event::Probed { member, answered, took: now - sent, report });
+        };
+        self.count(outcome);
+        let ended = self.requests.get(&request).is_none_or(|open| open.ended);
+        let finished = ended || outcome == Outcome::Served;
+        if outcome == Outcome::Served && !ended {
+            self.counters.answered_served += 1;
+            let mut row = std::mem::take(&mut reply.row);
+            write::ready(&mut row);
+            self.answer(now, request, row, out);
+        }
+        let Reply { primary, position, report, .. } = reply;
+        let took = now - sent;
+        let attempt = number;
+        let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
+        self.events.push_back(Event::Answer(answer));
+        self.forget_request(request);
+    }
+
+    fn count(&mut self, outcome: Outcome) {
+        let counters = &mut self.counters;
+        *match outcome {
+            Outcome::Served => &mut counters.ended_served,
+            Outcome::Error => &mut counters.ended_error,
+            Outcome::Shed => &mut counters.ended_shed,
+            Outcome::NotHere => &mut counters.ended_miss,
+            Outcome::TimedOut => &mut counters.ended_timed_out,
+            Outcome::NoConnection => &mut counters.ended_no_connection,
+            Outcome::Broken => &mut counters.ended_reset,
+            Outcome::Cancelled => &mut counters.ended_cancelled,
+            Outcome::Unsent => &mut counters.ended_unsent,
+        } += 1;
+    }
+
+    // The list.
+
+    fn watch(&mut self, now: Time, out: &mut Vec<Effect>) {
+        (self.watching, self.watch_heard) = (true, now);
+        self.counters.watches += 1;
+        out.push(Effect::Watch(self.revision));
+    }
+
+    fn watch_lost(&mut self, now: Time, why: String, out: &mut Vec<Effect>) {
+        if !std::mem::replace(&mut self.watching, false) {
+            return;
+        }
+        self.counters.watches_lost += 1;
+        if self.counters.watches_lost.is_power_of_two() {
+            out.push(Effect::Log(format!("watch of the list lost ({why}), {}", self.counters.watches_lost)));
+        }
+        self.watch_pause =
+            (self.watch_pause * 2).clamp(self.limits.watch_pause, self.limits.watch_pause_most);
+        self.set_timer(now + self.watch_pause, Due::Watch);
+        self.list_failed();
+    }
+
+    /// Told only where the router asks for the list itself; elsewhere the old list simply holds.
+    fn list_failed(&mut self) {
+        self.events.push_back(Event::List { scope: ListScope::Failed, members: Vec::new() });
+    }
+
+    fn list(&mut self, now: Time, list: ListUpdate, out: &mut Vec<Effect>) {
+        (self.watch_heard, self.watch_pause) = (now, 0);
+        if !list.complete && self.revision.is_some_and(|known| list.revision < known) {
+            return; // Word that newer word has overtaken.
+        }
+        self.counters.lists += 1;
+        self.revision = Some(list.revision);
+        let members = list.members.iter().filter_map(|e| self.listed(e, out)).collect();
+        let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
+        self.events.push_back(Event::List { scope, members });
+        if !self.members.is_empty() {
+            let waiting = self.clients.iter().filter(|(_, c)| c.awaits_ready).map(|(id, _)| *id);
+            for id in waiting.collect::<Vec<_>>() {
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.awaits_ready = false;
+                }
+                let mut reply = Vec::new();
+                write::empty(&mut reply);
+                write::ready(&mut reply);
+                self.client_write(now, id, reply, false, out);
+            }
+        }
+    }
+
+    fn listed(&mut self, entry: &ListEntry, out: &mut Vec<Effect>) -> Option<Member> {
+        let next = MemberId(self.members.len() as u32);
+        let id = match self.member_ids.get(&entry.id) {
+            Some(id) => *id,
+            None if self.members.len() >= self.limits.members => return None,
+            None => {
+                self.member_ids.insert(entry.id.clone(), next);
+                self.members.push(Peer { address: entry.address });
+                self.digests.add(&entry.id);
+                next
+            }
+        };
+        if let Some(peer) = self.members.get_mut(id.0 as usize).filter(|p| p.address != entry.address) {
+            peer.address = entry.address;
+            for conn in self.pool.drain(id) {
+                self.close_conn(conn, out);
+                self.forget(conn);
+            }
+        }
+        self.groups.insert(entry.cell);
+        Some(Member {
+            id,
+            group: GroupId(entry.cell),
+            zone: self.names.zones.iter().position(|z| *z == entry.locality).unwrap_or(0) as u32,
+            weight: entry.size,
+            started: Some(entry.up_since_ms * MS).filter(|at| *at > 0),
+            standing: entry.phase,
+            primary: entry.leader,
+        })
+    }
+
+    // Other gateways.
+
+    fn datagram(&mut self, now: Time, from: SocketAddr, bytes: &[u8]) {
+        let sender = self.peers.iter().position(|peer| *peer == from);
+        let known = sender.is_some_and(|n| n != self.me) && bytes.len() <= self.limits.datagram_bytes;
+        match self.digests.unpack(now, bytes).filter(|_| known) {
+            Some((told, relay, news)) => {
+                self.counters.words_heard += 1;
+                self.events.push_back(Event::Peer { told, relay, news });
+            }
+            None => self.counters.words_dropped += 1,
+        }
+    }
+
+    // The end.
+
+    fn terminate(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.ending.is_none() {
+            self.ending = Some(now);
+            self.set_timer(now + self.limits.drain_accept, Due::StopListening);
+            self.set_timer(now + self.limits.drain_end, Due::End);
+            out.push(Effect::Log(format!("ending, {} requests in hand", self.requests.len())));
+        }
+    }
+
+    /// Closes clients between requests, again and again until none is left. Those that have only just come get a
+    /// moment for the request that they came with.
+    fn retire_clients(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let fresh = |c: &Client| now - c.opened < self.limits.drain_accept / 2;
+        let idle = self.clients.iter().filter(|(_, c)| c.idle() && !fresh(c) || c.awaits_ready);
+        out.extend(idle.map(|(id, _)| Effect::ClientRetire(*id)));
+        if !self.clients.is_empty() {
+            self.set_timer(now + self.limits.drain_accept / 5, Due::Retire);
+        }
+    }
+
+    fn exit(&mut self, out: &mut Vec<Effect>) {
+        if std::mem::replace(&mut self.exited, true) {
+            return;
+        }
+        out.push(Effect::Report(Box::new(self.counters.clone())));
+        out.push(Effect::Exit);
+    }
+}
+
+/// What a reply that is over means for its attempt; `None`: it is not over.
+fn outcome(reply: &Reply) -> Option<Outcome> {
+    Some(match reply.ended()? {
+        Ended::Row => Outcome::Served,
+        Ended::Error(code) => match &code {
+            b"25006" | b"72000" => Outcome::NotHere,
+            b"53300" => Outcome::Shed,
+            _ => Outcome::Error,
+        },
+        Ended::Nothing => Outcome::Error,
+    })
+}
--- a/crates/stackgw-adapter/src/conf.rs
+++ b/crates/stackgw-settings/src/document.rs
@@ -1,16 +1,66 @@
-//! The settings document, translated into the router's [`Settings`].
+//! The settings document, translated into the router's [`Settings`] and into what its host needs.
 
 use serde_json::Value;
 use stackgw_router::api::*;
 
-/// Reads the document; an error names the key at fault.
-pub fn settings(text: &str) -> Result<Settings, String> {
-    let conf: Value = serde_json::from_str(text).map_err(|e| format!("no JSON object: {e}"))?;
-    let domain = part(&conf, "Domain")?;
-    let limits = part(&conf, "Limits")?;
-    let rules = part(&conf, "Obligations")?;
-    let prices = part(&conf, "Prices")?;
-    let stats = part(&conf, "Stats")?;
+/// What the document calls things; requests and lists name them so on some wires.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Names {
+    /// The classes, by index.
+    pub classes: Vec<String>,
+    /// The zones, by index.
+    pub zones: Vec<String>,
+}
+
+/// The whole document, told apart into the router's part and its host's.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct HostSettings {
+    /// What the router is told.
+    pub router: Settings,
+    /// What the document calls things.
+    pub names: Names,
+    /// The moment that positions are counted from, where a wire counts them from one.
+    pub position_zero: Time,
+    /// A member closes a connection that has stood idle for this long.
+    pub conn_idle: Span,
+    /// Requests that one router may hold open.
+    pub max_open: usize,
+}
+
+impl HostSettings {
+    /// Reads the document from its text; an error names the key at fault.
+    pub fn from_text(text: &str) -> Result<Self, String> {
+        Self::from_json(&serde_json::from_str(text).map_err(|e| format!("no JSON object: {e}"))?)
+    }
+
+    /// Reads the document; an error names the key at fault.
+    pub fn from_json(conf: &Value) -> Result<Self, String> {
+        let limits = part(conf, "Limits")?;
+        let called = |value: &Value, list: &str| {
+            value.as_str().map(str::to_owned).ok_or_else(|| format!("{list} holds a name that is no text"))
+        };
+        let zones = conf.get("Zones").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let classes = conf.get("Classes").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let class = |c: &Value| called(c.get("Name").unwrap_or(&Value::Null), "Classes");
+        Ok(HostSettings {
+            router: settings(conf)?,
+            names: Names {
+                classes: classes.iter().map(class).collect::<Result<_, _>>()?,
+                zones: zones.iter().map(|z| called(z, "Zones")).collect::<Result<_, _>>()?,
+            },
+            position_zero: int(part(conf, "Domain")?, "CountedFromNs")?,
+            conn_idle: int_or(limits, "ConnIdleNs", 0)?,
+            max_open: int_or(limits, "MaxOpen", i64::from(u32::MAX))?.max(0) as usize,
+        })
+    }
+}
+
+fn settings(conf: &Value) -> Result<Settings, String> {
+    let domain = part(conf, "Domain")?;
+    let limits = part(conf, "Limits")?;
+    let rules = part(conf, "Obligations")?;
+    let prices = part(conf, "Prices")?;
+    let stats = part(conf, "Stats")?;
     let list = |at: &Value, key: &str| -> Result<Vec<Value>, String> {
         at.get(key).and_then(Value::as_array).cloned().ok_or(format!("{key} is no list"))
     };
@@ -49,12 +99,12 @@
     };
     let reported = list(stats, "Fields")?;
     Ok(Settings {
-        classes: list(&conf, "Classes")?.iter().enumerate().map(class).collect::<Result<_, _>>()?,
-        fleet_size: index(&conf, "FleetSize")?,
-        me: index(&conf, "Me")?,
-        zone: index(&conf, "Zone")?,
-        tick: int(&conf, "QuantumNs")?,
-        list_on_request: word(&conf, "MembershipMode")? == "subscribe",
+        classes: list(conf, "Classes")?.iter().enumerate().map(class).collect::<Result<_, _>>()?,
+        fleet_size: index(conf, "FleetSize")?,
+        me: index(conf, "Me")?,
+        zone: index(conf, "Zone")?,
+        tick: int(conf, "QuantumNs")?,
+        list_on_request: word(conf, "MembershipMode")? == "subscribe",
         must_ask_within: int_or(rules, "MustAskInNs", 0)?,
         lagging: match word(domain, "Behind")? {
             "silent" => Lagging::Answers,
@@ -111,12 +161,6 @@
     })
 }
 
-/// The moment that positions are counted from.
-pub fn position_zero(text: &str) -> Result<Time, String> {
-    let conf: Value = serde_json::from_str(text).map_err(|e| format!("no JSON object: {e}"))?;
-    int(part(&conf, "Domain")?, "CountedFromNs")
-}
-
 fn part<'a>(at: &'a Value, key: &str) -> Result<&'a Value, String> {
     at.get(key).filter(|v| v.is_object()).ok_or(format!("{key} is no object"))
 }
--- a/crates/stackgw-adapter/src/peers.rs
+++ b/crates/stackgw-settings/src/words.rs
@@ -6,7 +6,8 @@
 use stackgw_router::api::{MemberId, News, Span, Time, MS};
 use std::collections::HashMap;
 
-const MOST_BYTES: usize = 256;
+/// No message is longer.
+pub const MOST_BYTES: usize = 256;
 const HEAD: usize = 5;
 const ENTRY: usize = 6;
 /// Ages of positions come in steps of this, rounded up so that a position is never told too new.
