Tests of parsers, reducer and the whole gateway; refusal while no list is known

Parsers over whole, split and mutated input; the reducer driven by hand through outcomes, limits, list, drain, SIGTERM; the binary between small stand-ins on loopback. Found by the end-to-end test: a statement that came before the first list was answered as an error for its unknown group; it never ran, so it is now refused with 57P03.

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -32,8 +32,8 @@
     answered_failed,
     /// Requests whose client left first.
     answered_gone,
-    /// Requests refused because too many were open.
-    over_open,
+    /// Requests turned away unseen: too many were open, or no list was known yet.
+    turned_away,
     /// Attempts asked for by the router.
     attempts,
     /// Attempts whose last byte was written to a member.
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -229,6 +229,8 @@
 pub(crate) fn serve(config: Config, log: Logger) -> Result<(), String> {
     let bind = |what: &str, address: SocketAddr, e: std::io::Error| format!("{what}: {address}: {e}");
     let listener = Async::<TcpListener>::bind(config.listen).map_err(|e| bind("listen", config.listen, e))?;
+    let at = listener.get_ref().local_addr().map_err(|e| bind("listen", config.listen, e))?;
+    info!(log, "listening on {at}");
     let datagrams = match config.peer_listen {
         None => None,
         Some(address) => {
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -670,6 +670,9 @@
         let Some(class) = self.names.classes.iter().position(|name| *name == statement.class) else {
             return self.reject(now, id, "the class is unknown", out);
         };
+        if self.members.is_empty() {
+            return self.refuse(now, id, "57P03", "no list of members is known yet", out);
+        }
         if !self.groups.contains(&statement.cluster) {
             return self.reject(now, id, "the cluster is unknown", out);
         }
@@ -678,11 +681,7 @@
             return self.reject(now, id, "the class and the statement do not go together", out);
         }
         if self.requests.len() >= self.limits.requests {
-            self.counters.over_open += 1;
-            let mut reply = Vec::new();
-            write::error(&mut reply, false, "53300", "too many requests are open", None);
-            write::ready(&mut reply);
-            return self.client_write(now, id, reply, false, out);
+            return self.refuse(now, id, "53300", "too many requests are open", out);
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
@@ -714,6 +713,15 @@
         self.client_write(now, id, reply, false, out);
     }
 
+    /// Turned away before the router has seen it.
+    fn refuse(&mut self, now: Time, id: ClientId, code: &str, why: &str, out: &mut Vec<Effect>) {
+        self.counters.turned_away += 1;
+        let mut reply = Vec::new();
+        write::error(&mut reply, false, code, why, None);
+        write::ready(&mut reply);
+        self.client_write(now, id, reply, false, out);
+    }
+
     /// The final answer where no member gave one.
     fn answer_error(
         &mut self,
--- /dev/null
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -0,0 +1,335 @@
+//! The binary on loopback, between small stand-ins of clients, members and the list's agent. Every wait is for an
+//! event and bounded.
+
+mod common;
+
+use common::*;
+use stackgw_gateway::pg::{code, Frame, Frames};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// One end of a PostgreSQL connection.
+struct Wire {
+    socket: TcpStream,
+    frames: Frames,
+}
+
+impl Wire {
+    fn new(socket: TcpStream, client_side: bool) -> Self {
+        socket.set_read_timeout(Some(WAIT)).expect("a time-out");
+        let frames = if client_side { Frames::typed(1 << 20) } else { Frames::client(1 << 16, 1 << 20) };
+        Wire { socket, frames }
+    }
+
+    fn next(&mut self) -> Option<Frame> {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(frame) = self.frames.next_frame() {
+                return frame.ok();
+            }
+            match self.socket.read(&mut buffer) {
+                Ok(0) | Err(_) => return None,
+                Ok(n) => self.frames.feed(&buffer[..n]),
+            }
+        }
+    }
+
+    fn write(&mut self, frames: &[Frame]) {
+        let bytes: Vec<u8> = frames.iter().flat_map(|f| f.bytes.clone()).collect();
+        let _ = self.socket.write_all(&bytes);
+    }
+
+    /// Everything up to ReadyForQuery.
+    fn answer(&mut self) -> Vec<Frame> {
+        let mut answer = Vec::new();
+        while let Some(frame) = self.next() {
+            answer.push(frame);
+            if answer.last().is_some_and(|f| f.kind == b'Z') {
+                break;
+            }
+        }
+        answer
+    }
+}
+
+/// A member that answers each statement with its key; `slow` waits for a word of the test first.
+fn member(primary: bool, seen: Sender<String>, go: Receiver<()>) -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    let go = Arc::new(Mutex::new(go));
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let (seen, go) = (seen.clone(), go.clone());
+            std::thread::spawn(move || serve(Wire::new(socket, false), primary, &seen, &go));
+        }
+    });
+    port
+}
+
+fn serve(mut wire: Wire, primary: bool, seen: &Sender<String>, go: &Mutex<Receiver<()>>) {
+    while let Some(frame) = wire.next() {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        if frame.kind == 0 {
+            assert_eq!(frame.code(), Some(code::VERSION_3));
+            wire.write(&[message(b'R', &[0; 4]), status("server_version", "16"), ready()]);
+            continue;
+        }
+        let text = String::from_utf8_lossy(frame.body()).trim_end_matches('\0').to_owned();
+        if text == "SHOW server_load" {
+            let report = format!("x0={}.{:03},x1={}", now / 1000, now % 1000, u8::from(primary));
+            wire.write(&[row(report.as_bytes()), vec![ready()]].concat());
+            continue;
+        }
+        let write = text.starts_with("INSERT");
+        let key = text.split('\'').nth(1).unwrap_or_default().to_owned();
+        let _ = seen.send(text);
+        if key == "slow" {
+            let _ = go.lock().map(|go| go.recv_timeout(WAIT));
+        }
+        let role = status("node_role", if primary { "leader" } else { "follower" });
+        let tail = vec![role, status("replay_position", &now.to_string()), ready()];
+        let head = if write && !primary { vec![error("25006")] } else { row(key.as_bytes()) };
+        wire.write(&[head, tail].concat());
+    }
+}
+
+/// An agent whose watch sends one list and then stays open.
+fn agent(list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut socket in listener.incoming().flatten() {
+            let body = format!("{list}\n");
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let _ = socket.write_all(format!("{head}{:x}\r\n{body}\r\n", body.len()).as_bytes());
+            open.push(socket);
+        }
+    });
+    address
+}
+
+struct Gateway {
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+    config: PathBuf,
+}
+
+impl Gateway {
+    fn start(name: &str, agent: SocketAddr) -> Self {
+        let config = std::env::temp_dir().join(format!("stackgw-{}-{name}.json", std::process::id()));
+        std::fs::write(&config, config_text("null")).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_stackgw"))
+            .env("ROUTER_CONFIG", &config)
+            .env("ROUTER_LISTEN", "127.0.0.1:0")
+            .env("ROUTER_DISCOVERY", agent.to_string())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the gateway");
+        let (lines, log) = channel();
+        let stderr = child.stderr.take().expect("its log");
+        std::thread::spawn(move || {
+            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|line| drop(lines.send(line)))
+        });
+        let mut gateway = Gateway { child, address: agent, log, config };
+        let line = gateway.line("listening on ");
+        let word = line.split("listening on ").nth(1).and_then(|rest| rest.split(',').next());
+        gateway.address = word.and_then(|a| a.trim().parse().ok()).expect("its address");
+        gateway
+    }
+
+    fn line(&self, with: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(WAIT).unwrap_or_else(|_| panic!("no line with '{with}'"));
+            if line.contains(with) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    fn connect(&self) -> Wire {
+        Wire::new(TcpStream::connect(self.address).expect("a connection"), true)
+    }
+
+    /// A client whose startup is done.
+    fn client(&self) -> Wire {
+        let mut wire = self.connect();
+        wire.write(&[startup()]);
+        assert_eq!(wire.answer().last().map(|f| f.kind), Some(b'Z'));
+        // Answered only once the gateway can serve.
+        wire.write(&[query("")]);
+        assert_eq!(kinds(&wire.answer()), "IZ");
+        wire
+    }
+
+    fn ended(&mut self) -> ExitStatus {
+        for _ in 0..2000 {
+            if let Some(status) = self.child.try_wait().expect("its state") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the gateway does not end");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+struct World {
+    gateway: Gateway,
+    seen: Receiver<String>,
+    go: Vec<Sender<()>>,
+}
+
+/// A primary and two replicas, their agent, and a gateway before them.
+fn world(name: &str) -> World {
+    let (told, seen) = channel();
+    let (mut go, mut entries) = (Vec::new(), Vec::new());
+    for n in 1..=3 {
+        let (send, receive) = channel();
+        go.push(send);
+        let port = member(n == 1, told.clone(), receive);
+        let role = if n == 1 { "leader" } else { "follower" };
+        entries.push(entry(n, "ready", role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\"")));
+    }
+    World { gateway: Gateway::start(name, agent(list_text(1, true, &entries))), seen, go }
+}
+
+fn insert(key: &str) -> Frame {
+    let comment = "/* id=a2,c=buy,d=20000,cluster=2 */";
+    query(&format!("INSERT INTO state (uid, val) VALUES ('{key}', '\\x9f') RETURNING val {comment}"))
+}
+
+fn select(key: &str) -> Frame {
+    query(&format!("SELECT val FROM state WHERE uid = '{key}' /* id=a1,c=look,d=20000,cluster=2 */"))
+}
+
+fn kinds(answer: &[Frame]) -> String {
+    answer.iter().map(|f| char::from(f.kind)).collect()
+}
+
+#[test]
+fn requests_go_to_members_and_their_rows_come_back() {
+    let World { gateway, seen, .. } = world("rows");
+    let _client = gateway.client();
+    // Startup and query in one piece; then two queries at once, answered in order.
+    let mut eager = gateway.connect();
+    eager.write(&[startup(), insert("k1")]);
+    assert_eq!(eager.answer().last().map(|f| f.kind), Some(b'Z'));
+    let answer = eager.answer();
+    assert_eq!(kinds(&answer), "TDCZ");
+    assert_eq!(answer[..3], row(b"k1")[..], "as the member gave it");
+    eager.write(&[select("k2"), insert("k3")]);
+    assert_eq!(eager.answer()[1], row(b"k2")[1]);
+    assert_eq!(eager.answer()[1], row(b"k3")[1]);
+    // Split at every byte.
+    let mut slow = gateway.connect();
+    for byte in [startup().bytes, select("k4").bytes].concat() {
+        slow.socket.write_all(&[byte]).expect("written");
+    }
+    slow.answer();
+    assert_eq!(slow.answer()[1], row(b"k4")[1]);
+    // What members saw differs from what was asked in `d` alone.
+    let texts: Vec<_> = seen.try_iter().collect();
+    assert!(texts.len() >= 4);
+    for text in texts {
+        let (before, rest) = text.split_once(",d=").expect("its time");
+        let (wait, after) = rest.split_once(',').expect("more");
+        assert!(wait.parse::<u64>().is_ok_and(|ms| ms <= 20_000));
+        assert!(before.contains("/* id=a") && after == "cluster=2 */", "{text}");
+    }
+}
+
+#[test]
+fn bad_bytes_end_their_own_connection_and_no_other() {
+    let World { gateway, seen, .. } = world("bad");
+    let mut good = gateway.client();
+    let mut bad = gateway.connect();
+    bad.socket.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("written");
+    let last = std::iter::from_fn(|| bad.next()).last();
+    assert_eq!(last.map(|f| f.kind), Some(b'E'), "one word, then the end");
+    let mut out_of_place = gateway.client();
+    out_of_place.write(&[message(b'?', b"x")]);
+    assert_eq!(std::iter::from_fn(|| out_of_place.next()).last().map(|f| f.kind), Some(b'E'));
+    good.write(&[query("SELECT 1")]);
+    assert_eq!(kinds(&good.answer()), "EZ");
+    good.write(&[select("k1")]);
+    assert_eq!(kinds(&good.answer()), "TDCZ");
+    assert_eq!(seen.try_iter().count(), 1, "nothing malformed was passed on");
+    gateway.signal("USR1");
+    let counters = gateway.line("counters taken=2");
+    assert!(counters.contains(" malformed=1") && counters.contains(" clients_bad=2"), "{counters}");
+}
+
+#[test]
+fn sigterm_loses_nothing_that_was_taken() {
+    let World { mut gateway, seen, go } = world("term");
+    let mut busy = gateway.client();
+    let mut idle = gateway.client();
+    busy.write(&[insert("slow")]);
+    assert!(seen.recv_timeout(WAIT).expect("the statement").contains("'slow'"));
+    gateway.signal("TERM");
+    gateway.line("ending, 1 requests in hand");
+    // New clients still come, and are served.
+    let mut late = gateway.connect();
+    late.write(&[startup(), select("k1")]);
+    late.answer();
+    assert_eq!(kinds(&late.answer()), "TDCZ");
+    assert!(late.next().is_none() && idle.next().is_none(), "closed between requests");
+    go[0].send(()).expect("the member waits");
+    assert_eq!(kinds(&busy.answer()), "TDCZ");
+    assert!(busy.next().is_none());
+    let line = gateway.line("counters ");
+    assert!(line.contains(" answered_served=2 answered_refused=0 answered_failed=0"), "{line}");
+    assert!(gateway.ended().success());
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let run = |name: &str, text: Option<&str>| {
+        let path = std::env::temp_dir().join(format!("stackgw-{}-{name}.json", std::process::id()));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stackgw"));
+        command.env_remove("ROUTER_CONFIG");
+        if let Some(text) = text {
+            std::fs::write(&path, text).expect("a file");
+            command.env("ROUTER_CONFIG", &path);
+        }
+        let output = command.output().expect("the gateway");
+        let _ = std::fs::remove_file(path);
+        assert!(!output.status.success());
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    let whole = config_text("null");
+    for (name, text, says) in [
+        ("none", None, "ROUTER_CONFIG is not set"),
+        ("json", Some("{".to_owned()), "ROUTER_CONFIG: no JSON"),
+        ("listen", Some(whole.replace("127.0.0.1:0", "here")), "listen: 'here' is no address"),
+        ("limits", Some(whole.replace("\"sockets\":128", "\"sockets\":-1")), "limits.sockets"),
+        ("idle", Some(whole.replace("\"DialTimeoutNs\"", "\"X\"")), "settings: DialTimeoutNs"),
+        ("seed", Some(whole.replace("8c1f", "zz")), "seed: 'zz'"),
+        ("known", Some(config_text("{\"revision\":1}")), "known: complete"),
+    ] {
+        let said = run(name, text.as_deref());
+        assert_eq!(said.lines().count(), 1, "{name}: {said}");
+        assert!(said.contains(says), "{name}: {said}");
+    }
+}
--- /dev/null
+++ b/crates/stackgw-gateway/tests/parsers.rs
@@ -0,0 +1,242 @@
+//! The parsers over whole, split and mutated input.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use stackgw_gateway::discovery::{list_from_bytes, HttpLines, Piece};
+use stackgw_gateway::pg::{load_report, write, Ended, Frame, Frames, Reply, Statement};
+use stackgw_router::api::{MS, SECOND};
+
+const MOST: usize = 4096;
+
+/// Feeds bytes in pieces that end at the given places, and takes what comes out after each.
+fn pieces<'a>(bytes: &'a [u8], cuts: &[usize]) -> Vec<&'a [u8]> {
+    let mut ends: Vec<_> = cuts.iter().map(|c| c % (bytes.len() + 1)).collect();
+    ends.push(bytes.len());
+    ends.sort_unstable();
+    let mut from = 0;
+    ends.into_iter().map(|end| &bytes[std::mem::replace(&mut from, end)..end]).collect()
+}
+
+fn frames(mut parser: Frames, bytes: &[u8], cuts: &[usize]) -> (Vec<Frame>, bool) {
+    let (mut all, mut bad) = (Vec::new(), false);
+    for piece in pieces(bytes, cuts) {
+        parser.feed(piece);
+        while let Some(next) = parser.next_frame().filter(|_| !bad) {
+            match next {
+                Ok(frame) => all.push(frame),
+                Err(_) => bad = true,
+            }
+        }
+    }
+    (all, bad)
+}
+
+fn http(bytes: &[u8], cuts: &[usize]) -> Result<Vec<Piece>, String> {
+    let mut parser = HttpLines::new(512, MOST);
+    let mut all = Vec::new();
+    for piece in pieces(bytes, cuts) {
+        all.extend(parser.feed(piece).map_err(|e| e.to_string())?);
+    }
+    Ok(all)
+}
+
+fn statement(key: &str, value: Option<&[u8]>, d: u64, extra: &str) -> String {
+    let comment = format!("/* id=9b1f,c=look,d={d},cluster=2{extra} */");
+    match value {
+        None => format!("SELECT val FROM state WHERE uid = '{key}' {comment}"),
+        Some(value) => {
+            let hex: String = value.iter().map(|b| format!("{b:02x}")).collect();
+            format!("INSERT INTO state (uid, val) VALUES ('{key}', '\\x{hex}') RETURNING val {comment}")
+        }
+    }
+}
+
+fn a_body() -> impl Strategy<Value = Vec<u8>> {
+    proptest::collection::vec(any::<u8>(), 0..200)
+}
+
+fn cuts() -> impl Strategy<Value = Vec<usize>> {
+    proptest::collection::vec(0usize..4000, 0..12)
+}
+
+proptest! {
+    #[test]
+    fn frames_come_out_whole_however_they_are_split(
+        bodies in proptest::collection::vec((any::<u8>(), a_body()), 0..8), cuts in cuts()
+    ) {
+        let wanted: Vec<_> = bodies.iter().map(|(kind, body)| message(*kind, body)).collect();
+        let mut bytes = startup().bytes;
+        let typed: Vec<u8> = wanted.iter().flat_map(|f| f.bytes.clone()).collect();
+        bytes.extend_from_slice(&typed);
+        prop_assert_eq!(&frames(Frames::typed(MOST), &typed, &cuts).0, &wanted);
+        let (got, bad) = frames(Frames::client(MOST, MOST), &bytes, &cuts);
+        prop_assert!(!bad);
+        prop_assert_eq!(&got[0], &startup());
+        prop_assert_eq!(&got[1..], &wanted[..]);
+    }
+
+    #[test]
+    fn any_bytes_give_the_same_frames_however_they_are_split(bytes in a_body(), cuts in cuts()) {
+        let whole = frames(Frames::client(64, 100), &bytes, &[]);
+        prop_assert_eq!(&frames(Frames::client(64, 100), &bytes, &cuts), &whole);
+        prop_assert!(whole.0.iter().all(|f| f.bytes.len() <= 101));
+    }
+
+    #[test]
+    fn a_statement_is_read_and_changed_in_its_wait_alone(
+        key in "[0-9a-f]{1,32}", value in proptest::option::of(a_body()), d in 0u64..100_000, left in 1u64..100_000,
+        after in proptest::option::of(1i64..1 << 42), repeat in any::<bool>()
+    ) {
+        let mut extra = after.map_or(String::new(), |ms| format!(",after={ms}"));
+        extra += if repeat { ",r=1,other=7" } else { "" };
+        let text = statement(&key, value.as_deref(), d, &extra);
+        let read = Statement::parse(query(&text)).expect("well formed");
+        prop_assert_eq!((&read.key, read.wait_ms, read.cluster), (&key, d, 2));
+        prop_assert_eq!((read.after_ms, read.repeat, read.write), (after, repeat, value.is_some()));
+        let wanted = query(&statement(&key, value.as_deref(), left, &extra));
+        prop_assert_eq!(read.with_wait(left), wanted.bytes);
+    }
+
+    #[test]
+    fn a_mutated_statement_is_an_error_or_still_one_statement(at in 0usize..200, byte in any::<u8>()) {
+        let mut bytes = query(&statement("7f3a", Some(b"\x01"), 480, "")).bytes;
+        let at = 5 + at % (bytes.len() - 5);
+        bytes[at] = byte;
+        if let Ok(read) = Statement::parse(frame(bytes.clone())) {
+            let passed = Statement::parse(frame(read.with_wait(7))).expect("what is passed on is well formed");
+            prop_assert_eq!(passed.wait_ms, 7);
+            prop_assert_eq!(passed.key, read.key);
+        }
+    }
+
+    #[test]
+    fn replies_of_any_bytes_do_no_harm(kinds in proptest::collection::vec((any::<u8>(), a_body()), 0..10)) {
+        let mut reply = Reply::default();
+        for (kind, body) in kinds {
+            if reply.take(&message(kind, &body), MOST).is_err() {
+                break;
+            }
+        }
+        let _ = (reply.ended(), reply.column());
+        prop_assert!(reply.row.len() <= MOST + 300);
+    }
+
+    #[test]
+    fn lines_of_a_watch_come_out_whole_however_they_are_split(
+        lines in proptest::collection::vec("[a-z{}:,\"]{0,80}", 0..8), cuts in cuts(), size in 1usize..40
+    ) {
+        let body: String = lines.iter().map(|l| format!("{l}\n")).collect();
+        let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        for chunk in body.as_bytes().chunks(size) {
+            bytes.extend(format!("{:x};x=y\r\n", chunk.len()).bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend(b"\r\n");
+        }
+        bytes.extend(b"0\r\n\r\n");
+        let mut wanted: Vec<_> = lines.iter().map(|l| Piece::Line(l.as_bytes().to_vec())).collect();
+        wanted.push(Piece::End);
+        prop_assert_eq!(http(&bytes, &cuts), Ok(wanted));
+    }
+
+    #[test]
+    fn any_http_bytes_are_read_the_same_however_they_are_split(bytes in a_body(), cuts in cuts(), good in any::<bool>()) {
+        let mut all = if good { b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec() } else { Vec::new() };
+        all.extend(bytes);
+        let (whole, split) = (http(&all, &[]), http(&all, &cuts));
+        prop_assert_eq!(whole.is_ok(), split.is_ok());
+        if whole.is_ok() {
+            prop_assert_eq!(whole, split);
+        }
+    }
+
+    #[test]
+    fn a_mutated_list_is_an_error_or_a_list(at in 0usize..600, byte in any::<u8>()) {
+        let mut bytes = three().into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        if let Ok(list) = list_from_bytes(&bytes) {
+            prop_assert!(list.members.iter().all(|m| m.size >= 0.0 && m.up_since_ms >= 0));
+        }
+    }
+}
+
+#[test]
+fn a_length_out_of_range_is_bad_before_its_bytes_have_come() {
+    let mut bytes = vec![b'Q'];
+    bytes.extend(((MOST + 1) as u32).to_be_bytes());
+    assert!(frames(Frames::typed(MOST), &bytes, &[]).1);
+    assert!(frames(Frames::typed(MOST), b"Q\0\0\0\x03", &[]).1);
+    assert!(frames(Frames::client(MOST, MOST), &[0, 0, 0, 7], &[]).1);
+    assert!(frames(Frames::client(MOST, MOST), &[0xff, 0, 0, 7], &[]).1);
+}
+
+#[test]
+fn a_body_with_a_length_is_one_document() {
+    let wanted = vec![Piece::Line(b"{}".to_vec()), Piece::End];
+    assert_eq!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", &[5, 20, 41]), Ok(wanted));
+    assert!(http(b"HTTP/1.1 503 Busy\r\n\r\n", &[]).is_err());
+    assert!(http(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", &[]).is_err());
+    assert!(http(&[b'x'; 600], &[]).is_err(), "a head without an end");
+    let mut long = b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
+    long.extend(vec![b'x'; MOST + 1]);
+    assert!(http(&long, &[]).is_err(), "a line without an end");
+}
+
+#[test]
+fn a_reply_tells_role_position_and_report() {
+    let mut reply = Reply::default();
+    let mut all = row(b"v");
+    all.extend([
+        status("node_role", "leader"),
+        status("replay_position", "1767225600123"),
+        status("server_load", "inflight=7,util=0.61,x0=1767225600.1239,x1=1,news=4"),
+        status("other", "thing"),
+    ]);
+    assert!(all.iter().all(|f| reply.take(f, MOST) == Ok(false)));
+    assert_eq!(reply.take(&ready(), MOST), Ok(true));
+    assert_eq!((reply.ended(), reply.primary), (Some(Ended::Row), Some(true)));
+    assert_eq!(reply.position, Some(1_767_225_600_123 * MS));
+    assert_eq!(reply.report.position, Some(1_767_225_600 * SECOND + 123_900_000));
+    assert_eq!((reply.report.primary, reply.report.in_flight), (Some(true), Some(7.0)));
+    let wanted: Vec<u8> = row(b"v").into_iter().flat_map(|f| f.bytes).collect();
+    assert_eq!(reply.row, wanted);
+    assert_eq!(reply.column(), Some("v"));
+}
+
+#[test]
+fn a_position_of_a_report_is_never_rounded_up() {
+    let position = |text: &str| load_report(text).and_then(|r| r.position);
+    assert_eq!(position("x0=1767225600.9999999999"), Some(1_767_225_600_999_999_999));
+    assert_eq!(position("x0=1767225600"), Some(1_767_225_600 * SECOND));
+    assert_eq!(position("x0=soon"), None);
+    assert_eq!(load_report("x0=1,x1"), None);
+}
+
+#[test]
+fn a_row_is_one_row_of_one_whole_column() {
+    let take = |frames: &[Frame]| {
+        frames.iter().try_fold(Reply::default(), |mut reply, frame| reply.take(frame, MOST).map(|_| reply))
+    };
+    let good = row(b"abc");
+    assert_eq!(take(&good).expect("a row").ended(), Some(Ended::Row));
+    assert_eq!(take(&good[..2]).expect("so far").ended(), None, "not complete");
+    assert!(take(&[good[0].clone(), good[1].clone(), good[1].clone()]).is_err(), "two rows");
+    assert!(take(&good[1..]).is_err(), "no description");
+    let short = message(b'D', &[0, 1, 0, 0, 0, 9, b'a']);
+    assert!(take(&[good[0].clone(), short]).is_err(), "shorter than it says");
+    assert_eq!(take(&[good[0].clone(), good[2].clone()]).expect("no row").ended(), Some(Ended::Nothing));
+    assert_eq!(take(&[error("25006")]).expect("an error").ended(), Some(Ended::Error(*b"25006")));
+    let long = Frame { kind: b'D', bytes: row(&[7; MOST]).remove(1).bytes };
+    assert!(take(&[good[0].clone(), long]).is_err(), "over the limit");
+}
+
+#[test]
+fn an_empty_query_is_no_statement() {
+    assert!(Statement::is_empty(&query("")) && Statement::is_empty(&query(" ;\n")));
+    assert!(!Statement::is_empty(&query("SELECT 1")));
+    let mut refusal = Vec::new();
+    write::error(&mut refusal, false, "53300", "no\0w", Some("25"));
+    assert_eq!(&refusal[5..], b"SERROR\0VERROR\0C53300\0Mnow\0D25\0\0");
+}
--- /dev/null
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -0,0 +1,505 @@
+//! The reducer driven by hand: each outcome, each limit, the list, a drain, and the end.
+
+mod common;
+
+use common::*;
+use stackgw_gateway::pg::write;
+use stackgw_gateway::reducer::{ClientId, Closed, ConnId, Effect, Input};
+use stackgw_router::api::{MS, SECOND};
+
+/// A rig with one client whose request is out on the connection that is returned.
+fn asked(frame: stackgw_gateway::pg::Frame) -> (Rig, ClientId, ConnId) {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    let effects = rig.ask(client, frame);
+    let sent = statements(&effects);
+    let conn = sent.first().map(|(conn, _)| *conn);
+    let conn = conn.or_else(|| statements(&rig.pass(400 * MS)).first().map(|(conn, _)| *conn));
+    (rig, client, conn.expect("an attempt"))
+}
+
+#[test]
+fn ready_is_said_only_once_a_list_is_known() {
+    let mut rig = Rig::new("null");
+    let (client, eager) = (rig.client(1), rig.client(2));
+    assert!(answers(&rig.ask(client, query(""))).is_empty());
+    assert_eq!(sqlstate(&answers(&rig.ask(eager, read(900)))[0]).as_deref(), Some("57P03"), "try again");
+    let effects = rig.input(Input::List(list(1, true, &[entry(1, "ready", "leader")])));
+    let answer = &answers(&effects)[0];
+    assert_eq!((answer[0], answer[5]), (b'I', b'Z'));
+    assert_eq!(answers(&rig.ask(client, query(" ; ")))[0][0], b'I');
+}
+
+#[test]
+fn a_statement_passes_as_it_came_but_for_its_time() {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    let mut effects = rig.ask(client, buy(700));
+    effects.extend(rig.pass(60 * MS));
+    let (_, text) = &statements(&effects)[0];
+    let (before, rest) = text.split_once(",d=").expect("its time");
+    let (wait, after) = rest.split_once(',').expect("more");
+    let wait: u64 = wait.parse().expect("a number");
+    assert!((600..=700).contains(&wait), "{wait}");
+    assert_eq!(before, "INSERT INTO state (uid, val) VALUES ('k1', '\\x9f03') RETURNING val /* id=a2,c=buy");
+    assert_eq!(after, "cluster=2 */");
+}
+
+#[test]
+fn a_row_is_passed_on_as_it_came_in_one_write_and_the_connection_is_used_again() {
+    let (mut rig, client, conn) = asked(read(900));
+    let effects = rig.serve(conn, b"\x01\0\xff");
+    let mut wanted: Vec<u8> = row(b"\x01\0\xff").into_iter().flat_map(|f| f.bytes).collect();
+    write::ready(&mut wanted);
+    assert_eq!(answers(&effects), [wanted]);
+    let served_by = conn;
+    // All members served once, the one that served first is asked again over its connection.
+    let mut reused = false;
+    for _ in 0..6 {
+        let mut effects = rig.ask(client, read(900));
+        effects.extend(rig.pass(20 * MS));
+        let (conn, _) = statements(&effects)[0].clone();
+        reused |= conn == served_by;
+        assert_eq!(answers(&rig.serve(conn, b"x")).len(), 1);
+    }
+    assert!(reused, "a connection that served is not used again");
+}
+
+#[test]
+fn a_miss_or_a_full_member_leads_to_another_and_the_client_sees_only_the_row() {
+    for code in ["72000", "53300"] {
+        let (mut rig, _, conn) = asked(read(900));
+        let mut effects = rig.reply(conn, vec![error(code), ready()]);
+        effects.extend(rig.pass(100 * MS));
+        assert!(answers(&effects).is_empty(), "{code} reached the client");
+        let (next, _) = statements(&effects).first().cloned().expect("another attempt");
+        assert_ne!(next, conn);
+        assert_eq!(answers(&rig.serve(next, b"x"))[0][0], b'T');
+    }
+}
+
+#[test]
+fn a_write_that_may_have_run_fails_and_one_that_never_ran_may_be_refused() {
+    let (mut rig, _, conn) = asked(buy(900));
+    let effects = rig.lose(conn);
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"), "written whole: it may have run");
+    assert_eq!(rig.reducer.counters().ended_reset, 1);
+
+    let mut rig = Rig::new(&three());
+    rig.members_stuck = true;
+    let client = rig.client(1);
+    let mut effects = rig.ask(client, buy(900));
+    effects.extend(rig.pass(20 * MS));
+    let (conn, _) = statements(&effects)[0];
+    rig.lose(conn);
+    assert_eq!(rig.reducer.counters().ended_no_connection, 1, "its last byte was not written: it never ran");
+    let effects = rig.pass(950 * MS);
+    let code = sqlstate(&answers(&effects)[0]);
+    assert_eq!(code.as_deref(), Some("53300"), "it never ran, so the client may try again");
+}
+
+#[test]
+fn an_error_of_a_member_ends_a_write_as_failed() {
+    let (mut rig, _, conn) = asked(buy(900));
+    let effects = rig.reply(conn, vec![error("XX000"), ready()]);
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"));
+    assert_eq!(rig.reducer.counters().ended_error, 1);
+}
+
+#[test]
+fn silence_ends_an_attempt_at_the_clients_deadline_and_closes_its_connection() {
+    let (mut rig, _, conn) = asked(buy(300));
+    let effects = rig.pass(301 * MS);
+    assert_eq!(closed(&effects), [conn]);
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"));
+    assert_eq!(rig.reducer.counters().ended_timed_out, 1);
+    assert_eq!(rig.reducer.counters().members_open, rig.reducer.counters().members_opened - 1);
+}
+
+#[test]
+fn a_connection_that_never_comes_up_ends_by_the_limit_of_the_settings() {
+    let mut rig = Rig::new(&three());
+    rig.connects = false;
+    let client = rig.client(1);
+    let effects = rig.ask(client, buy(900));
+    let (conn, member) = opened(&effects)[0];
+    assert_eq!(member, 1, "the listed primary");
+    assert!(!closed(&rig.pass(249 * MS)).contains(&conn));
+    assert!(closed(&rig.pass(2 * MS)).contains(&conn));
+    assert_eq!(rig.reducer.counters().ended_no_connection, 1);
+    assert_eq!(rig.reducer.counters().written, 0);
+}
+
+#[test]
+fn a_member_without_connections_to_spare_turns_the_attempt_away() {
+    let mut rig = Rig::new(&three());
+    rig.connects = false;
+    let client = rig.client(1);
+    let (conn, _) = opened(&rig.ask(client, buy(900)))[0];
+    rig.input(Input::MemberUp(conn));
+    rig.input(Input::MemberFrame(conn, error("53300")));
+    rig.lose(conn);
+    assert_eq!(rig.reducer.counters().ended_shed, 1);
+}
+
+#[test]
+fn an_idle_connection_found_closed_costs_the_attempt_nothing() {
+    let (mut rig, client, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    rig.members_stuck = true;
+    let effects = rig.ask(client, buy(900));
+    assert_eq!(statements(&effects)[0].0, conn, "the idle connection is handed out");
+    let effects = rig.lose(conn);
+    let (fresh, _) = statements(&effects)[0].clone();
+    assert_ne!(fresh, conn);
+    assert_eq!(rig.reducer.counters().members_reopened, 1);
+    rig.input(Input::MemberWritten(fresh));
+    assert_eq!(answers(&rig.serve(fresh, b"y")).len(), 1);
+    assert_eq!(rig.reducer.counters().attempts, 2, "it was one attempt all along");
+}
+
+#[test]
+fn idle_connections_are_retired_ahead_of_the_members_limit() {
+    let (mut rig, _, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    let early = closed(&rig.pass(15 * SECOND));
+    assert!(!early.contains(&conn));
+    assert!(closed(&rig.pass(4 * SECOND)).contains(&conn), "20 s are the members' limit");
+}
+
+#[test]
+fn an_idle_connection_that_ends_is_forgotten() {
+    let (mut rig, client, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    rig.lose(conn);
+    let effects = rig.ask(client, buy(900));
+    assert_ne!(statements(&effects)[0].0, conn);
+}
+
+#[test]
+fn bytes_that_are_no_reply_end_the_attempt_and_touch_no_other() {
+    let (mut rig, _, conn) = asked(buy(900));
+    let other = rig.client(2);
+    let mut effects = rig.ask(other, read(900));
+    effects.extend(rig.pass(100 * MS));
+    let (untouched, _) = statements(&effects)[0].clone();
+    let effects = rig.input(Input::MemberFrame(conn, message(b'G', b"?")));
+    assert_eq!(closed(&effects), [conn]);
+    assert_eq!(answers(&effects).len(), 1);
+    assert_eq!(rig.reducer.counters().members_bad, 1);
+    assert_eq!(answers(&rig.serve(untouched, b"x"))[0][0], b'T');
+}
+
+#[test]
+fn a_row_that_is_not_whole_never_reaches_the_client_as_one() {
+    let (mut rig, _, conn) = asked(buy(900));
+    let part = row(b"abc").remove(0);
+    rig.reply(conn, vec![part]);
+    let effects = rig.lose(conn);
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"));
+}
+
+#[test]
+fn malformed_statements_are_answered_and_never_passed_on() {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    for text in [
+        "SELECT 1",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=look,d=480 */",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=look,d=x,cluster=2 */",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=strange,d=480,cluster=2 */",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=look,d=480,cluster=77 */",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=buy,d=480,cluster=2 */",
+        "SELECT val FROM state WHERE uid = 'k'; DROP x /* id=a,c=look,d=480,cluster=2 */",
+        "SELECT val FROM state WHERE uid = 'k' /* id=a,c=look,d=480,cluster=2 */ , x",
+    ] {
+        let effects = rig.ask(client, query(text));
+        let code = sqlstate(&answers(&effects)[0]).expect("an error");
+        assert!(code != "53300" && code != "57P03", "{text}: an error, no refusal");
+        assert!(statements(&effects).is_empty(), "{text} was passed on");
+    }
+    assert_eq!(rig.reducer.counters().malformed, 8);
+    assert!(rig.reducer.takes(client));
+}
+
+#[test]
+fn tls_is_declined_and_what_is_not_spoken_gets_one_error() {
+    let mut rig = Rig::new(&three());
+    let id = ClientId(1);
+    rig.input(Input::ClientOpened(id));
+    let mut ssl = 8u32.to_be_bytes().to_vec();
+    ssl.extend(80_877_103u32.to_be_bytes());
+    let ssl = stackgw_gateway::pg::Frame { kind: 0, bytes: ssl };
+    assert_eq!(answers(&rig.input(Input::ClientFrame(id, ssl))), [b"N".to_vec()]);
+    rig.input(Input::ClientFrame(id, startup()));
+    let effects = rig.ask(id, message(b'P', b"\0SELECT 1\0\0\0"));
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("0A000"));
+    assert!(answers(&rig.ask(id, message(b'B', b""))).is_empty());
+    assert_eq!(answers(&rig.ask(id, message(b'S', b"")))[0][0], b'Z');
+    assert_eq!(answers(&rig.ask(id, query("")))[0][0], b'I');
+    let effects = rig.ask(id, message(b'?', b""));
+    assert!(effects.iter().any(|e| matches!(e, Effect::ClientWrite { close: true, .. })));
+}
+
+#[test]
+fn a_cancel_request_ends_the_query_that_its_key_names() {
+    let (mut rig, client, conn) = asked(read(900));
+    let welcome = answers(&rig.effects).remove(0);
+    let at = welcome.windows(5).position(|w| w == [b'K', 0, 0, 0, 12]).expect("a key");
+    let key = welcome[at + 5..at + 13].to_vec();
+    let cancel = |key: &[u8]| {
+        let mut bytes = 16u32.to_be_bytes().to_vec();
+        bytes.extend(80_877_102u32.to_be_bytes());
+        bytes.extend_from_slice(key);
+        stackgw_gateway::pg::Frame { kind: 0, bytes }
+    };
+    let other = ClientId(9);
+    rig.input(Input::ClientOpened(other));
+    let wrong: Vec<u8> = key.iter().map(|b| b ^ 1).collect();
+    assert!(answers(&rig.input(Input::ClientFrame(other, cancel(&wrong)))).is_empty());
+    let other = ClientId(10);
+    rig.input(Input::ClientOpened(other));
+    let effects = rig.input(Input::ClientFrame(other, cancel(&key)));
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("57014"));
+    assert_eq!(closed(&effects), [conn]);
+    assert!(rig.reducer.takes(client));
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_with_it() {
+    let (mut rig, client, conn) = asked(read(900));
+    let effects = rig.input(Input::ClientClosed(client, Closed::Lost));
+    assert_eq!(closed(&effects), [conn]);
+    let counters = rig.reducer.counters();
+    assert_eq!((counters.answered_gone, counters.held_bytes, counters.clients_open), (1, 0, 0));
+    assert!(answers(&rig.pass(2 * SECOND)).is_empty());
+}
+
+#[test]
+fn a_client_that_does_not_read_is_not_served_further_and_let_go_in_the_end() {
+    let (mut rig, client, conn) = asked(read(900));
+    rig.clients_stuck = true;
+    assert_eq!(answers(&rig.serve(conn, b"x")).len(), 1);
+    assert!(!rig.reducer.takes(client));
+    let effects = rig.pass(20 * SECOND);
+    assert!(effects.contains(&Effect::ClientClose(client)));
+    assert_eq!(rig.reducer.counters().clients_stalled, 1);
+}
+
+#[test]
+fn a_client_that_stands_still_inside_a_message_is_let_go() {
+    let mut rig = Rig::new(&three());
+    let (idle, partial) = (rig.client(1), rig.client(2));
+    rig.input(Input::ClientPartial(partial));
+    let effects = rig.pass(20 * SECOND);
+    assert!(effects.contains(&Effect::ClientClose(partial)));
+    assert!(!effects.contains(&Effect::ClientClose(idle)), "one that is merely idle stays");
+}
+
+#[test]
+fn where_all_client_places_are_taken_idle_ones_go_first_and_then_others_wait() {
+    let mut config = config(&three());
+    config.limits.clients = 3;
+    let mut rig = Rig::with(config);
+    let busy = rig.client(1);
+    rig.ask(busy, read(900));
+    let idle = rig.client(2);
+    rig.pass(MS);
+    let effects = rig.input(Input::ClientOpened(ClientId(3)));
+    assert!(effects.contains(&Effect::ClientClose(idle)));
+    rig.input(Input::ClientFrame(ClientId(3), startup()));
+    rig.ask(ClientId(3), read(900));
+    let effects = rig.input(Input::ClientOpened(ClientId(4)));
+    assert!(effects.contains(&Effect::Accept(false)), "none is idle, the rest of the line waits");
+    let effects = rig.input(Input::ClientClosed(ClientId(4), Closed::Lost));
+    assert!(effects.contains(&Effect::Accept(true)));
+}
+
+#[test]
+fn past_the_budget_of_connections_an_attempt_is_never_sent() {
+    let mut config = config(&three());
+    config.limits.member_connections = 1;
+    let mut rig = Rig::with(config);
+    let (one, two) = (rig.client(1), rig.client(2));
+    let mut effects = rig.ask(one, buy(900));
+    effects.extend(rig.ask(two, buy(900)));
+    assert_eq!(statements(&effects).len(), 1);
+    let conn = statements(&effects)[0].0;
+    assert!(rig.reducer.counters().ended_unsent > 0);
+    assert!(rig.reducer.counters().members_peak <= 1);
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    // An idle connection to one member makes room for one to another.
+    let effects = rig.ask(one, read(900));
+    let late = rig.pass(300 * MS);
+    assert!(closed(&effects).contains(&conn) || closed(&late).contains(&conn));
+    assert!(rig.reducer.counters().members_peak <= 1);
+}
+
+#[test]
+fn past_the_budget_of_bytes_statements_wait_where_they_are() {
+    let mut config = config(&three());
+    config.limits.client_bytes = 50;
+    let mut rig = Rig::with(config);
+    let (one, two) = (rig.client(1), rig.client(2));
+    rig.ask(one, read(900));
+    assert!(!rig.reducer.takes(two));
+    rig.input(Input::ClientClosed(one, Closed::Lost));
+    assert!(rig.reducer.takes(two));
+}
+
+#[test]
+fn too_many_open_requests_are_refused() {
+    let mut config = config(&three());
+    config.limits.requests = 1;
+    let mut rig = Rig::with(config);
+    let (one, two) = (rig.client(1), rig.client(2));
+    rig.ask(one, read(900));
+    let effects = rig.ask(two, read(900));
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("53300"));
+    assert!(statements(&effects).is_empty());
+}
+
+#[test]
+fn a_probe_takes_its_report_from_the_row() {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    // Nothing but probes has told a position, and a bounded read goes to a replica at once.
+    let effects = rig.ask(client, read(900));
+    assert_eq!(statements(&effects).len(), 1);
+    let counters = rig.reducer.counters();
+    assert!(counters.probes > 0 && counters.probes_failed == 0, "{counters}");
+}
+
+#[test]
+fn an_unanswered_probe_ends_by_its_limit() {
+    let mut rig = Rig::with(config("null"));
+    rig.probes = false;
+    rig.input(Input::List(list(1, true, &[entry(1, "ready", "leader"), entry(2, "ready", "follower")])));
+    let client = rig.client(1);
+    rig.ask(client, read(400));
+    rig.pass(240 * MS);
+    assert_eq!(rig.reducer.counters().probes_failed, 0);
+    rig.pass(300 * MS);
+    let counters = rig.reducer.counters();
+    assert!(counters.probes > 0 && counters.probes_failed > 0, "{counters}");
+}
+
+#[test]
+fn the_watch_starts_after_the_known_version_and_is_opened_anew_with_pauses() {
+    let mut rig = Rig::new(&three());
+    assert!(rig.effects.contains(&Effect::Watch(Some(1))));
+    let count = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Watch(_))).count();
+    let effects = rig.input(Input::WatchLost("ended".into()));
+    assert_eq!(count(&effects), 0, "not at once");
+    assert_eq!(count(&rig.pass(150 * MS)), 1);
+    rig.input(Input::WatchLost("refused".into()));
+    assert_eq!(count(&rig.pass(150 * MS)), 0, "the second pause is longer");
+    assert_eq!(count(&rig.pass(SECOND)), 1);
+    // Blank lines keep it; silence does not.
+    for _ in 0..5 {
+        rig.pass(2 * SECOND);
+        rig.input(Input::WatchAlive);
+    }
+    let lost = rig.reducer.counters().watches_lost;
+    assert_eq!(lost, 2);
+    let effects = rig.pass(8 * SECOND);
+    assert!(effects.contains(&Effect::Unwatch) && count(&effects) == 1);
+}
+
+#[test]
+fn a_drain_reaches_the_router_at_once() {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    rig.input(Input::List(list(
+        2,
+        false,
+        &[entry(1, "draining", "leader"), entry(2, "draining", "follower")],
+    )));
+    rig.pass(2 * SECOND);
+    for _ in 0..4 {
+        let mut effects = rig.ask(client, read(400));
+        effects.extend(rig.pass(500 * MS));
+        assert!(opened(&effects).iter().all(|(_, member)| *member == 3), "a draining member was sent to");
+    }
+    let text = list(1, false, &[entry(1, "ready", "leader")]);
+    rig.input(Input::List(text));
+    assert_eq!(rig.reducer.counters().lists, 1, "older word undoes no newer");
+}
+
+#[test]
+fn a_new_address_is_used_and_idle_connections_to_the_old_one_are_closed() {
+    let (mut rig, client, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    let moved = entry(1, "ready", "leader").replace(":7001", ":7041");
+    let effects = rig.input(Input::List(list(2, false, &[moved])));
+    assert_eq!(closed(&effects), [conn]);
+    let effects = rig.ask(client, buy(900));
+    assert_eq!(opened(&effects)[0].1, 41);
+}
+
+#[test]
+fn words_are_heard_from_gateways_of_the_tier_alone() {
+    let mut rig = Rig::new(&three());
+    rig.input(Input::Datagram("127.0.0.1:7901".parse().expect("an address"), vec![0, 0, 0, 0, 0]));
+    rig.input(Input::Datagram("127.0.0.1:7902".parse().expect("an address"), vec![0, 0, 0, 0, 0]));
+    rig.input(Input::Datagram("127.0.0.1:7901".parse().expect("an address"), vec![9; 11]));
+    rig.input(Input::Datagram("127.0.0.1:7901".parse().expect("an address"), vec![0; 257]));
+    let counters = rig.reducer.counters();
+    assert_eq!((counters.words_heard, counters.words_dropped), (1, 3));
+}
+
+#[test]
+fn what_answers_told_goes_to_the_other_gateway_in_small_datagrams() {
+    let (mut rig, _, conn) = asked(read(900));
+    rig.serve(conn, b"x");
+    let effects = rig.pass(3 * SECOND);
+    let sent: Vec<_> = effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Datagram(to, bytes) => Some((to.port(), bytes.len())),
+            _ => None,
+        })
+        .collect();
+    assert!(
+        !sent.is_empty() && sent.iter().all(|(port, n)| [7901, 7999].contains(port) && *n <= 256),
+        "{sent:?}"
+    );
+}
+
+#[test]
+fn sigterm_takes_new_clients_for_a_while_finishes_what_was_taken_and_ends() {
+    let (mut rig, busy, conn) = asked(buy(1500));
+    let idle = rig.client(2);
+    let effects = rig.input(Input::Terminate);
+    assert!(!effects.iter().any(|e| matches!(e, Effect::StopListening | Effect::ClientRetire(_))));
+    let late = rig.client(3);
+    let effects = rig.pass(450 * MS);
+    assert!(!effects.contains(&Effect::StopListening), "new clients come for 0.4 s");
+    let other = rig.client(4);
+    rig.ask(other, query(""));
+    let effects = rig.pass(100 * MS);
+    assert!(effects.contains(&Effect::StopListening));
+    let mut effects = rig.input(Input::ListenerClosed);
+    effects.extend(rig.pass(300 * MS));
+    for client in [idle, late, other] {
+        assert!(effects.contains(&Effect::ClientRetire(client)), "{client:?}");
+        rig.input(Input::ClientClosed(client, Closed::Lost));
+    }
+    assert!(!effects.contains(&Effect::ClientRetire(busy)), "its request is in hand");
+    assert!(!effects.contains(&Effect::Exit));
+    let effects = rig.serve(conn, b"x");
+    assert_eq!(answers(&effects)[0][0], b'T');
+    assert!(effects.contains(&Effect::ClientRetire(busy)));
+    let effects = rig.input(Input::ClientClosed(busy, Closed::Lost));
+    assert!(effects.contains(&Effect::Exit));
+    assert!(effects.iter().any(|e| matches!(e, Effect::Report(_))));
+}
+
+#[test]
+fn sigterm_ends_the_gateway_before_it_would_be_killed() {
+    let (mut rig, _, _) = asked(read(900));
+    rig.input(Input::Terminate);
+    rig.input(Input::ListenerClosed);
+    let effects = rig.pass(3 * SECOND + 600 * MS);
+    assert_eq!(effects.iter().filter(|e| **e == Effect::Exit).count(), 1);
+}
