A never-empty read buffer no longer grows; all times and counts stand in Limits

Read over: Frames gave its consumed bytes back only when it was wholly empty, so a client whose next message was always on its way made it grow without end. Pauses and paces that stood in io/ and the reducer moved to Limits; fewer than 64 descriptors are refused at start.

--- a/crates/stackgw-gateway/src/config.rs
+++ b/crates/stackgw-gateway/src/config.rs
@@ -2,7 +2,7 @@
 //! its fields. Each error is one plain line that names the variable or field.
 
 use crate::discovery::{self, ListUpdate};
-use crate::limits::{Limits, Platform};
+use crate::limits::{Limits, Platform, LEAST_DESCRIPTORS};
 use serde_json::Value;
 use stackgw_settings::HostSettings;
 use std::net::SocketAddr;
@@ -71,6 +71,9 @@
             n.map(|n| n as usize).ok_or_else(|| format!("limits.{key} is no positive number"))
         };
         let platform = Platform { memory_mb: count("memory_mb")?, sockets: count("sockets")? };
+        if platform.sockets < LEAST_DESCRIPTORS {
+            return Err(format!("limits.sockets: {} are fewer than {LEAST_DESCRIPTORS}", platform.sockets));
+        }
         let settings = doc.get("settings").ok_or("settings is missing")?;
         let settings = HostSettings::from_json(settings).map_err(|e| format!("settings: {e}"))?;
         let known = match doc.get("known") {
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -92,8 +92,6 @@
     members_reopened,
     /// Lists taken, whole or changes.
     lists,
-    /// Lists or answers of the agent that could not be read.
-    lists_bad,
     /// Watches opened.
     watches,
     /// Watches that ended, broke or fell silent.
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -13,6 +13,7 @@
 /// Takes connections while the reducer has room, until it has the listener closed.
 pub(super) async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
     let mut next = 0;
+    let pause = Duration::from_nanos(shell.limits.error_pause as u64);
     loop {
         let stopped = async {
             shell.stops_listening.wait(true).await;
@@ -25,7 +26,7 @@
         match future::or(stopped, taken).await {
             Some(Ok((socket, _))) => open(&shell, &mut next, socket),
             // Out of descriptors, or the client has gone already: neither may end the listener.
-            Some(Err(_)) => drop(Timer::after(Duration::from_millis(5)).await),
+            Some(Err(_)) => drop(Timer::after(pause).await),
             None => break,
         }
     }
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -61,12 +61,20 @@
     pub watch_pause: Span,
     /// Longest such pause.
     pub watch_pause_most: Span,
+    /// Pause before the listener or the datagrams' socket is tried again after an error.
+    pub error_pause: Span,
     /// After SIGTERM new connections are taken for this long.
     pub drain_accept: Span,
+    /// A client that came so shortly before the end of that has a moment for the request it came with.
+    pub drain_fresh: Span,
+    /// Pace at which clients are then looked at, and closed between requests.
+    pub drain_pace: Span,
     /// After SIGTERM the gateway ends by then, whatever is left.
     pub drain_end: Span,
 }
 
+/// With fewer descriptors a gateway is of no use.
+pub const LEAST_DESCRIPTORS: usize = 2 * OWN_DESCRIPTORS;
 /// Descriptors for the gateway itself: standard streams, listener, reactor, signals, datagrams, discovery.
 const OWN_DESCRIPTORS: usize = 32;
 /// Share of the others that connections to members may take; clients have the rest.
@@ -79,13 +87,13 @@
 impl Limits {
     /// The limits that this platform and these settings allow.
     pub fn new(platform: Platform, settings: &HostSettings) -> Self {
-        let usable = platform.sockets.saturating_sub(OWN_DESCRIPTORS).max(2);
-        let member_connections = ((usable as f64 * MEMBER_SHARE) as usize).max(1);
+        let usable = platform.sockets.saturating_sub(OWN_DESCRIPTORS).max(OWN_DESCRIPTORS);
+        let member_connections = (usable as f64 * MEMBER_SHARE) as usize;
         let memory = platform.memory_mb << 20;
         let longest = settings.router.classes.iter().map(|c| c.deadline).max().unwrap_or(SECOND);
         let idle = if settings.conn_idle > 0 { settings.conn_idle } else { 30 * SECOND };
         Limits {
-            clients: usable - member_connections.min(usable - 1),
+            clients: usable - member_connections,
             member_connections,
             requests: settings.max_open,
             members: 16 << 10,
@@ -108,7 +116,10 @@
             watch_silence: 5 * SECOND,
             watch_pause: 100 * MS,
             watch_pause_most: SECOND,
+            error_pause: 5 * MS,
             drain_accept: 500 * MS,
+            drain_fresh: 250 * MS,
+            drain_pace: 100 * MS,
             drain_end: longest.min(3 * SECOND) + 550 * MS,
         }
     }
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -64,8 +64,9 @@
 
     /// Takes bytes as they come.
     pub fn feed(&mut self, bytes: &[u8]) {
-        if self.start == self.buffer.len() {
-            self.buffer.clear();
+        // Danger: a client that always has the next message on its way would never see the buffer emptied.
+        if self.start >= self.buffer.len() - self.start {
+            self.buffer.drain(..self.start);
             self.start = 0;
         }
         self.buffer.extend_from_slice(bytes);
@@ -76,9 +77,9 @@
         self.buffer.len() - self.start
     }
 
-    /// As much is held as one message may have: reading on can wait.
-    pub fn full(&self) -> bool {
-        self.held() > self.most
+    /// Bytes that the buffer takes, those of messages already handed out included.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
     }
 
     /// The next whole message.
@@ -98,11 +99,7 @@
         if self.start == self.buffer.len() {
             self.start = 0;
             // What one large message took is not kept for the connection's life.
-            if self.buffer.capacity() > 16 << 10 {
-                self.buffer = Vec::new();
-            } else {
-                self.buffer.clear();
-            }
+            self.buffer = Vec::new();
         }
         let frame = Frame { kind, bytes };
         if self.untyped && frame.code().is_some_and(|code| code >> 16 == super::code::VERSION_3 >> 16) {
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -1169,11 +1169,11 @@
     /// Closes clients between requests, again and again until none is left. Those that have only just come get a
     /// moment for the request that they came with.
     fn retire_clients(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let fresh = |c: &Client| now - c.opened < self.limits.drain_accept / 2;
+        let fresh = |c: &Client| now - c.opened < self.limits.drain_fresh;
         let idle = self.clients.iter().filter(|(_, c)| c.idle() && !fresh(c) || c.awaits_ready);
         out.extend(idle.map(|(id, _)| Effect::ClientRetire(*id)));
         if !self.clients.is_empty() {
-            self.set_timer(now + self.limits.drain_accept / 5, Due::Retire);
+            self.set_timer(now + self.limits.drain_pace, Due::Retire);
         }
     }
 
--- /dev/null
+++ b/crates/stackgw-gateway/tests/config.rs
@@ -0,0 +1,65 @@
+//! The configuration and the limits that come of it.
+
+mod common;
+
+use common::*;
+use stackgw_gateway::config::Config;
+use stackgw_gateway::limits::{Limits, Platform};
+use stackgw_router::api::{MS, SECOND};
+
+#[test]
+fn the_document_is_read_and_variables_override_it() {
+    let config = config(&three());
+    assert_eq!((config.name.as_str(), config.seed), ("g0", 0x8c1f));
+    assert_eq!(config.settings.names.classes, ["look", "mine", "buy"]);
+    assert_eq!(config.settings.names.zones, ["room"]);
+    assert_eq!((config.peers.len(), config.peer_listen), (2, None));
+    assert_eq!(config.peers_all.map(|a| a.port()), Some(7999));
+    assert_eq!(config.known.map(|k| (k.revision, k.complete, k.members.len())), Some((1, true, 3)));
+    assert_eq!(config.limits.connect, 250 * MS);
+    let var = |name: &str| (name == "ROUTER_NAME").then(|| "other".to_owned());
+    let config = Config::from_text(&config_text("null"), var).expect("a configuration");
+    assert_eq!((config.name.as_str(), config.known), ("other", None));
+}
+
+#[test]
+fn each_malformed_field_is_named() {
+    let whole = config_text(&three());
+    for (from, to, says) in [
+        ("\"g0\"", "7", "name"),
+        ("\"127.0.0.1:8500\"", "\"agent\"", "discovery: 'agent'"),
+        ("\"memory_mb\":64", "\"memory_mb\":\"x\"", "limits.memory_mb"),
+        ("\"sockets\":128", "\"sockets\":8", "limits.sockets"),
+        ("\"peers\":[", "\"peers\":[3,", "peers"),
+        ("\"127.0.0.1:7999\"", "\"all\"", "peers_all: 'all'"),
+        ("\"AimNs\"", "\"Aim\"", "settings: AimNs"),
+        ("\"look\"", "7", "settings: Classes"),
+        ("\"phase\":\"ready\"", "\"phase\":\"odd\"", "known: members: phase is 'odd'"),
+        ("127.0.0.1:7001", "here", "known: members: host_port is 'here'"),
+    ] {
+        assert!(whole.contains(from), "{from}");
+        let problem = Config::from_text(&whole.replace(from, to), |_| None).expect_err(from);
+        assert!(problem.contains(says) && !problem.contains('\n'), "{from}: {problem}");
+    }
+}
+
+#[test]
+fn budgets_stay_within_what_the_platform_gives() {
+    let settings = config("null").settings;
+    for sockets in [64, 128, 1024, 65_536] {
+        for memory_mb in [32, 192, 2048] {
+            let limits = Limits::new(Platform { memory_mb, sockets }, &settings);
+            assert!(limits.clients + limits.member_connections + 32 <= sockets);
+            assert!(limits.clients > 0 && limits.member_connections > 0);
+            // Statements in hand, bytes not yet handed over, and partial answers.
+            assert!(2 * limits.client_bytes + limits.member_bytes <= (memory_mb << 20) / 2);
+        }
+    }
+    let limits = Limits::new(Platform { memory_mb: 192, sockets: 1024 }, &settings);
+    // An answer that each client leaves unread comes on top.
+    let unread = limits.clients * limits.answer_bytes;
+    assert!(2 * limits.client_bytes + limits.member_bytes + unread < 150 << 20, "{unread}");
+    assert!(limits.idle < 20 * SECOND && limits.drain_accept > 400 * MS);
+    // Killed no sooner than the longest deadline (2 s here) and 0.7 s after SIGTERM.
+    assert!(limits.drain_end > 2 * SECOND + 500 * MS && limits.drain_end < 2 * SECOND + 700 * MS);
+}
--- a/crates/stackgw-gateway/tests/parsers.rs
+++ b/crates/stackgw-gateway/tests/parsers.rs
@@ -172,6 +172,18 @@
     assert!(frames(Frames::client(MOST, MOST), &[0xff, 0, 0, 7], &[]).1);
 }
 
+#[test]
+fn a_buffer_that_is_never_empty_does_not_grow() {
+    let (mut parser, bytes) = (Frames::typed(MOST), message(b'Q', &[7; 100]).bytes);
+    parser.feed(&bytes[..50]);
+    for _ in 0..1000 {
+        parser.feed(&bytes[50..]);
+        parser.feed(&bytes[..50]);
+        assert!(parser.next_frame().is_some_and(|f| f.is_ok()) && parser.next_frame().is_none());
+        assert!(parser.buffered() < 400, "{}", parser.buffered());
+    }
+}
+
 #[test]
 fn a_body_with_a_length_is_one_document() {
     let wanted = vec![Piece::Line(b"{}".to_vec()), Piece::End];
