Random inputs against the reducer; values and times that cannot be read do no harm

New test: random clients, replies, losses, lists and a SIGTERM; each statement gets one answer, no connection carries two requests, counters add up, all is forgotten in the end.

Read over: start times and positions far in the future overflowed nanoseconds; now out of range. A parameter whose value cannot be read made a served row a broken connection; now it tells nothing, and the row passes.

--- a/crates/stackgw-gateway/src/discovery.rs
+++ b/crates/stackgw-gateway/src/discovery.rs
@@ -6,6 +6,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+/// No moment is later than this (some 200 years on); as nanoseconds it still fits.
+const MOST_UNIX_MS: f64 = 8e12;
+
 /// Bytes that are not of the protocol, or too many of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Malformed(pub String);
@@ -85,7 +88,7 @@
     let cell = value.get("cell").and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
     let size = value.get("size").map_or(Some(1.0), Value::as_f64).filter(|s| s.is_finite() && *s >= 0.0);
     let started =
-        value.get("up_since_ms").map_or(Some(0.0), Value::as_f64).filter(|t| *t >= 0.0 && *t < 1e15);
+        value.get("up_since_ms").map_or(Some(0.0), Value::as_f64).filter(|t| (0.0..MOST_UNIX_MS).contains(t));
     let (Some(cell), Some(size), Some(started)) = (cell, size, started) else {
         return wrong("members: cell, size or up_since_ms is no number in range");
     };
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -65,7 +65,7 @@
             b'E' if !self.complete && self.failed.is_none() => {
                 self.failed = Some(sqlstate(body).ok_or(OutOfPlace)?)
             }
-            b'S' => self.status(body).ok_or(OutOfPlace)?,
+            b'S' => self.status(body),
             b'N' | b'K' | b'A' => {}
             b'R' if body == [0; 4] => {}
             b'Z' => return Ok(true),
@@ -96,20 +96,19 @@
         std::str::from_utf8(row.get(11..)?.get(..length)?).ok()
     }
 
-    fn status(&mut self, body: &[u8]) -> Option<()> {
-        let text = std::str::from_utf8(body).ok()?;
-        let mut parts = text.split('\0');
-        match (parts.next()?, parts.next()?) {
+    /// A value that cannot be read tells nothing; it is no reason to drop the row beside it.
+    fn status(&mut self, body: &[u8]) {
+        let mut parts = body.split(|b| *b == 0).map(|part| std::str::from_utf8(part).unwrap_or_default());
+        match (parts.next().unwrap_or_default(), parts.next().unwrap_or_default()) {
             ("node_role", "leader") => self.primary = Some(true),
             ("node_role", "follower") => self.primary = Some(false),
             ("replay_position", at) => {
-                let ms = at.parse::<i64>().ok().filter(|ms| (0..1 << 43).contains(ms))?;
-                self.position = Some(ms * MS).filter(|at| *at > 0);
+                let ms = at.parse::<i64>().ok().filter(|ms| (1..1 << 43).contains(ms));
+                self.position = ms.map(|ms| ms * MS);
             }
-            ("server_load", load) => self.report = load_report(load)?,
+            ("server_load", load) => self.report = load_report(load).unwrap_or_default(),
             _ => {}
         }
-        Some(())
     }
 }
 
@@ -148,13 +147,10 @@
 fn nanoseconds(text: &str) -> Option<Time> {
     let (whole, part) = text.split_once('.').unwrap_or((text, ""));
     let plain = |digits: &str| digits.bytes().all(|b| b.is_ascii_digit());
-    if !plain(whole) || !plain(part) || whole.is_empty() || whole.len() > 10 {
-        return text
-            .parse::<f64>()
-            .ok()
-            .filter(|s| *s >= 0.0 && *s < 1e10)
-            .map(|s| (s * 1e9).floor() as Time);
+    if !plain(whole) || !plain(part) || whole.is_empty() {
+        return text.parse::<f64>().ok().filter(|s| *s >= 0.0 && *s < 8e9).map(|s| (s * 1e9).floor() as Time);
     }
     let digits = format!("{:0<9}", part.get(..part.len().min(9))?);
-    Some(whole.parse::<Time>().ok()? * 1_000_000_000 + digits.parse::<Time>().ok()?)
+    let whole = whole.parse::<Time>().ok().filter(|s| *s < 8_000_000_000)?;
+    Some(whole * 1_000_000_000 + digits.parse::<Time>().ok()?)
 }
--- /dev/null
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -0,0 +1,238 @@
+//! Random inputs: whatever happens outside, each statement gets one answer, no connection carries two requests, budgets
+//! hold, and all is forgotten in the end.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use stackgw_gateway::pg::Frame;
+use stackgw_gateway::reducer::{ClientId, Closed, ConnId, Effect, Input};
+use stackgw_router::api::{MS, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What may happen next; numbers choose among what is there.
+#[derive(Debug, Clone)]
+enum Step {
+    Open,
+    Leave(usize),
+    BadClient(usize),
+    Ask(usize, u64, u8),
+    Reply(usize, u8),
+    Lose(usize, bool),
+    Pass(i64),
+    List(u8, bool),
+    WatchLost,
+    Datagram(Vec<u8>),
+    Stick(bool, bool),
+    Terminate,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0usize..1000;
+    prop_oneof![
+        3 => Just(Step::Open),
+        1 => at.clone().prop_map(Step::Leave),
+        1 => at.clone().prop_map(Step::BadClient),
+        12 => (at.clone(), 0u64..2000, any::<u8>()).prop_map(|(n, d, kind)| Step::Ask(n, d, kind)),
+        12 => (at.clone(), any::<u8>()).prop_map(|(n, kind)| Step::Reply(n, kind)),
+        3 => (at, any::<bool>()).prop_map(|(n, bad)| Step::Lose(n, bad)),
+        6 => (0i64..400).prop_map(Step::Pass),
+        2 => (any::<u8>(), any::<bool>()).prop_map(|(bits, full)| Step::List(bits, full)),
+        1 => Just(Step::WatchLost),
+        1 => proptest::collection::vec(any::<u8>(), 0..40).prop_map(Step::Datagram),
+        1 => (any::<bool>(), any::<bool>()).prop_map(|(clients, members)| Step::Stick(clients, members)),
+    ]
+}
+
+/// The outside as the effects leave it.
+#[derive(Default)]
+struct World {
+    clients: BTreeSet<ClientId>,
+    next_client: u64,
+    /// Connections to members, with whether a request is on them.
+    conns: BTreeMap<ConnId, bool>,
+    /// Statements of each client that have no answer yet.
+    owed: BTreeMap<ClientId, u32>,
+    revision: u64,
+    ended: bool,
+}
+
+impl World {
+    fn see(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::ClientWrite { client, close, .. } => {
+                    if let Some(owed) = self.owed.get_mut(client).filter(|_| !close) {
+                        assert!(*owed > 0, "an answer that nobody asked for");
+                        *owed -= 1;
+                    }
+                    if *close {
+                        self.owed.remove(client);
+                    }
+                }
+                Effect::ClientClose(client) => {
+                    assert!(self.clients.remove(client), "a client closed twice");
+                    self.owed.remove(client);
+                }
+                Effect::MemberOpen(conn, _) => assert!(self.conns.insert(*conn, false).is_none()),
+                Effect::MemberClose(conn) => assert!(self.conns.remove(conn).is_some(), "closed twice"),
+                Effect::MemberWrite(conn, bytes) if bytes[0] == b'Q' => {
+                    let busy = self.conns.get_mut(conn).expect("an open connection");
+                    assert!(!std::mem::replace(busy, true), "two requests on one connection");
+                }
+                Effect::Exit => self.ended = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn nth<T: Copy>(all: impl ExactSizeIterator<Item = T>, n: usize) -> Option<T> {
+        let count = all.len().max(1);
+        let mut all = all;
+        all.nth(n % count)
+    }
+}
+
+fn frames(kind: u8) -> Vec<Frame> {
+    match kind % 8 {
+        0 => vec![error("25006"), ready()],
+        1 => vec![error("72000"), ready()],
+        2 => vec![error("53300"), ready()],
+        3 => vec![error("XX000"), ready()],
+        4 => vec![message(b'I', b""), ready()],
+        5 => vec![row(b"cut").remove(0)],
+        _ => {
+            let role = if kind & 16 > 0 { "leader" } else { "follower" };
+            [row(b"v"), vec![status("node_role", role), status("replay_position", "1800000000000"), ready()]]
+                .concat()
+        }
+    }
+}
+
+fn play(steps: Vec<Step>) {
+    let mut config = config(&three());
+    (config.limits.clients, config.limits.member_connections) = (6, 4);
+    let mut rig = Rig::with(config);
+    rig.probes = false;
+    let mut world = World { revision: 1, ..World::default() };
+    world.see(&rig.effects.drain(..).collect::<Vec<_>>());
+    // The probes of the start have been answered.
+    world.conns.values_mut().for_each(|busy| *busy = false);
+    for step in steps {
+        let before = rig.effects.len();
+        match step {
+            Step::Open => {
+                let id = ClientId(world.next_client);
+                world.next_client += 1;
+                world.clients.insert(id);
+                world.see(&rig.input(Input::ClientOpened(id)));
+                // The welcome is no answer to a statement.
+                rig.input(Input::ClientFrame(id, startup()));
+            }
+            Step::Leave(n) => {
+                if let Some(id) = World::nth(world.clients.iter().copied(), n) {
+                    world.clients.remove(&id);
+                    world.owed.remove(&id);
+                    world.see(&rig.input(Input::ClientClosed(id, Closed::Lost)));
+                }
+            }
+            Step::BadClient(n) => {
+                if let Some(id) = World::nth(world.clients.iter().copied(), n) {
+                    world.see(&rig.input(Input::ClientClosed(id, Closed::Bad)));
+                    world.clients.remove(&id);
+                    world.owed.remove(&id);
+                    world.see(&rig.input(Input::ClientClosed(id, Closed::Lost)));
+                }
+            }
+            Step::Ask(n, d, kind) => {
+                let id = World::nth(world.clients.iter().copied(), n).filter(|id| rig.reducer.takes(*id));
+                if let Some(id) = id {
+                    *world.owed.entry(id).or_insert(0) += 1;
+                    let frame = match kind % 5 {
+                        0 => query("SELECT 1"),
+                        1 | 2 => buy(d),
+                        _ => read(d),
+                    };
+                    world.see(&rig.input(Input::ClientFrame(id, frame)));
+                }
+            }
+            Step::Reply(n, kind) => {
+                let busy: Vec<_> = world.conns.iter().filter(|(_, busy)| **busy).map(|(id, _)| *id).collect();
+                if let Some(id) = World::nth(busy.iter().copied(), n) {
+                    let whole = frames(kind);
+                    let over = whole.last().is_some_and(|f| f.kind == b'Z');
+                    for frame in whole {
+                        if frame.kind == b'Z' && over {
+                            world.conns.insert(id, false);
+                        }
+                        world.see(&rig.input(Input::MemberFrame(id, frame)));
+                        if !world.conns.contains_key(&id) {
+                            break;
+                        }
+                    }
+                }
+            }
+            Step::Lose(n, bad) => {
+                if let Some(id) = World::nth(world.conns.keys().copied(), n) {
+                    world.conns.remove(&id);
+                    let why = if bad { Closed::Bad } else { Closed::Lost };
+                    world.see(&rig.input(Input::MemberClosed(id, why)));
+                }
+            }
+            Step::Pass(ms) => world.see(&rig.pass(ms * MS)),
+            Step::List(bits, full) => {
+                world.revision += 1;
+                let phase = |n: u32| ["ready", "ready", "draining", "gone"][usize::from(bits >> (2 * n)) & 3];
+                let entries: Vec<_> = (0..3).map(|n| entry(n + 1, phase(n), "follower")).collect();
+                world.see(&rig.input(Input::List(list(world.revision, full, &entries))));
+            }
+            Step::WatchLost => world.see(&rig.input(Input::WatchLost("ended".into()))),
+            Step::Datagram(bytes) => {
+                let from = "127.0.0.1:7901".parse().expect("an address");
+                world.see(&rig.input(Input::Datagram(from, bytes)));
+            }
+            Step::Stick(clients, members) => {
+                // What was stuck moves on before anything else is.
+                (rig.clients_stuck, rig.members_stuck) = (false, false);
+                for id in world.clients.clone() {
+                    world.see(&rig.input(Input::ClientFlushed(id)));
+                }
+                for id in world.conns.keys().copied().collect::<Vec<_>>() {
+                    world.see(&rig.input(Input::MemberWritten(id)));
+                }
+                (rig.clients_stuck, rig.members_stuck) = (clients, members);
+            }
+            Step::Terminate => world.see(&rig.input(Input::Terminate)),
+        }
+        rig.effects.truncate(before);
+        let counters = rig.reducer.counters();
+        assert_eq!(counters.clients_open, world.clients.len() as u64);
+        assert_eq!(counters.members_open, world.conns.len() as u64);
+        assert!(counters.members_open <= 4);
+    }
+    // In the end nothing is owed and nothing is kept.
+    world.see(&rig.pass(3 * SECOND));
+    assert!(world.owed.values().all(|owed| *owed == 0), "no answer: {:?}", world.owed);
+    let c = rig.reducer.counters();
+    let answered = c.answered_served + c.answered_refused + c.answered_failed + c.answered_gone;
+    assert_eq!(c.taken, c.malformed + c.turned_away + answered, "{c}");
+    let ended = c.ended_served + c.ended_error + c.ended_shed + c.ended_miss + c.ended_timed_out;
+    let ended = ended + c.ended_no_connection + c.ended_reset + c.ended_cancelled + c.ended_unsent;
+    assert_eq!((c.attempts, c.held_bytes), (ended, 0), "{c}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn each_statement_gets_one_answer_whatever_happens(
+        steps in proptest::collection::vec(step(), 1..120), end in any::<bool>()
+    ) {
+        let mut steps = steps;
+        if end {
+            steps.insert(steps.len() / 2, Step::Terminate);
+        }
+        play(steps);
+    }
+}
--- a/crates/stackgw-gateway/tests/parsers.rs
+++ b/crates/stackgw-gateway/tests/parsers.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use stackgw_gateway::discovery::{list_from_bytes, HttpLines, Piece};
 use stackgw_gateway::pg::{load_report, write, Ended, Frame, Frames, Reply, Statement};
 use stackgw_router::api::{MS, SECOND};
@@ -62,6 +63,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
     #[test]
     fn frames_come_out_whole_however_they_are_split(
         bodies in proptest::collection::vec((any::<u8>(), a_body()), 0..8), cuts in cuts()
@@ -223,9 +226,26 @@
     assert_eq!(position("x0=1767225600.9999999999"), Some(1_767_225_600_999_999_999));
     assert_eq!(position("x0=1767225600"), Some(1_767_225_600 * SECOND));
     assert_eq!(position("x0=soon"), None);
+    assert_eq!(position("x0=9999999999.9"), None, "later than a clock can tell");
+    assert_eq!(position("x0=1e300"), None);
     assert_eq!(load_report("x0=1,x1"), None);
 }
 
+#[test]
+fn a_value_that_cannot_be_read_costs_no_row() {
+    let mut reply = Reply::default();
+    let spoilt = [status("node_role", "?"), status("replay_position", "-"), status("server_load", "x0=,x1")];
+    let all = [row(b"v"), spoilt.to_vec(), vec![message(b'S', &[0xff, 0, 0xfe])]].concat();
+    assert!(all.iter().all(|f| reply.take(f, MOST) == Ok(false)));
+    assert_eq!((reply.ended(), reply.primary, reply.position), (Some(Ended::Row), None, None));
+}
+
+#[test]
+fn a_start_that_no_clock_can_tell_is_no_list() {
+    let text = three().replacen("\"up_since_ms\":0", "\"up_since_ms\":1e14", 1);
+    assert!(list_from_bytes(text.as_bytes()).is_err());
+}
+
 #[test]
 fn a_row_is_one_row_of_one_whole_column() {
     let take = |frames: &[Frame]| {
