--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -907,6 +907,11 @@
         let most = self.limits.answer_bytes;
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match (conn.phase, conn.reply.take(frame, most)) {
+            // A member that closes an idle connection may say why.
+            (Phase::Idle, _) if frame.kind == b'E' => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Lost, out);
+            }
             (Phase::Connecting, _) | (_, Err(_)) => {
                 out.push(Effect::MemberClose(id));
                 self.member_closed(now, id, Closed::Bad, out);
@@ -1096,7 +1101,7 @@
         self.list_failed();
     }
 
-    /// Told only where the router asks for the list itself; elsewhere the old list simply holds.
+    /// The old list holds; a router that asks for the list itself will ask again.
     fn list_failed(&mut self) {
         self.events.push_back(Event::List { scope: ListScope::Failed, members: Vec::new() });
     }
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -176,6 +176,16 @@
     assert_ne!(statements(&effects)[0].0, conn);
 }
 
+#[test]
+fn a_member_may_say_why_it_closes_an_idle_connection() {
+    let (mut rig, _, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    let effects = rig.reply(conn, vec![error("57P05")]);
+    assert_eq!(closed(&effects), [conn]);
+    let counters = rig.reducer.counters();
+    assert_eq!((counters.members_bad, counters.members_closed), (0, 1));
+}
+
 #[test]
 fn bytes_that_are_no_reply_end_the_attempt_and_touch_no_other() {
     let (mut rig, _, conn) = asked(buy(900));
