Where all client places are taken an idle one is freed as soon as there is one

Read over: room was made only at the moment a client connected. Had all been busy then, the rest of the line waited until somebody left, even when others fell idle a moment later. Now one place is kept free whenever a client has been idle for 0.1 s, and that client is closed only if nothing of it has come meanwhile, so no request crosses the close unread.

--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -19,6 +19,8 @@
     pub clients: usize,
     /// Connections to members held together, idle ones included.
     pub member_connections: usize,
+    /// Where all places are taken, a client idle for this long may be closed for another.
+    pub evict_after: Span,
     /// Requests held open together.
     pub requests: usize,
     /// Members that lists may name, over the gateway's life.
@@ -95,6 +97,7 @@
         Limits {
             clients: usable - member_connections,
             member_connections,
+            evict_after: 100 * MS,
             requests: settings.max_open,
             members: 16 << 10,
             startup_bytes: 10_000,
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -249,6 +249,8 @@
     clients: BTreeMap<ClientId, Client>,
     idle_clients: BTreeSet<(Time, ClientId)>,
     accepting: bool,
+    /// The client last asked to make room.
+    evicting: Option<ClientId>,
     requests: HashMap<RequestId, Open>,
     next_request: u64,
     conns: HashMap<ConnId, Conn>,
@@ -293,6 +295,7 @@
             clients: BTreeMap::new(),
             idle_clients: BTreeSet::new(),
             accepting: false,
+            evicting: None,
             requests: HashMap::new(),
             next_request: 0,
             conns: HashMap::new(),
@@ -330,7 +333,7 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::Start => self.start(now, out),
-            Input::ClientOpened(id) => self.client_opened(now, id, out),
+            Input::ClientOpened(id) => self.client_opened(now, id),
             Input::ClientFrame(id, frame) => self.client_frame(now, id, frame, out),
             Input::ClientPartial(id) => {
                 if let Some(client) = self.clients.get_mut(&id) {
@@ -358,7 +361,7 @@
             Input::Report => out.push(Effect::Report(Box::new(self.counters.clone()))),
         }
         self.route(now, out);
-        self.admit(out);
+        self.admit(now, out);
         self.counters.peaks();
         if self.listener_closed && self.clients.is_empty() {
             self.exit(out);
@@ -503,7 +506,7 @@
 
     // Clients.
 
-    fn client_opened(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+    fn client_opened(&mut self, now: Time, id: ClientId) {
         self.counters.clients_opened += 1;
         self.counters.clients_open += 1;
         let client = Client {
@@ -519,19 +522,19 @@
         };
         self.clients.insert(id, client);
         self.idle_clients.insert((now, id));
+    }
+
+    /// Takes new clients while there is room for one more. Where there is none somebody may be waiting: the client
+    /// idle longest makes room, unless it has just sent something.
+    fn admit(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.clients.len() >= self.limits.clients {
-            // One more may be waiting: the client that has been idle longest makes room.
-            let oldest = self.idle_clients.iter().find(|(_, other)| *other != id).copied();
+            let oldest =
+                self.idle_clients.first().filter(|(since, _)| now - since >= self.limits.evict_after);
             if let Some((_, oldest)) = oldest {
-                self.counters.clients_evicted += 1;
-                out.push(Effect::ClientClose(oldest));
-                self.client_gone(oldest);
+                self.evicting = Some(*oldest);
+                out.push(Effect::ClientRetire(*oldest));
             }
         }
-    }
-
-    /// Takes new clients while there is room for one more.
-    fn admit(&mut self, out: &mut Vec<Effect>) {
         let wanted = self.clients.len() < self.limits.clients && !self.listener_closed;
         if wanted != self.accepting {
             self.accepting = wanted;
@@ -586,6 +589,10 @@
         let Some(client) = self.clients.remove(&id) else { return };
         self.idle_clients.remove(&(client.idle_since, id));
         self.counters.clients_open -= 1;
+        if self.evicting == Some(id) {
+            self.counters.clients_evicted += 1;
+            self.evicting = None;
+        }
         if let Some(request) = client.request {
             self.abandon(request);
         }
--- a/crates/stackgw-gateway/tests/invariants.rs
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -56,6 +56,8 @@
     owed: BTreeMap<ClientId, u32>,
     revision: u64,
     ended: bool,
+    /// Clients to be closed unless they have sent something.
+    retired: Vec<ClientId>,
 }
 
 impl World {
@@ -81,6 +83,7 @@
                     let busy = self.conns.get_mut(conn).expect("an open connection");
                     assert!(!std::mem::replace(busy, true), "two requests on one connection");
                 }
+                Effect::ClientRetire(client) => self.retired.push(*client),
                 Effect::Exit => self.ended = true,
                 _ => {}
             }
@@ -208,6 +211,12 @@
             }
             Step::Terminate => world.see(&rig.input(Input::Terminate)),
         }
+        for id in std::mem::take(&mut world.retired) {
+            if world.clients.remove(&id) {
+                assert_eq!(world.owed.remove(&id).unwrap_or(0), 0, "closed inside a request");
+                world.see(&rig.input(Input::ClientClosed(id, Closed::Lost)));
+            }
+        }
         rig.effects.truncate(before);
         let counters = rig.reducer.counters();
         assert_eq!(counters.clients_open, world.clients.len() as u64);
