A newcomer that has asked nothing yet is spared when idle clients make room

The one idle longest was now and then a newcomer whose first statement was on its way. Ruled out: answers cut by the close after a refusal (nothing is unread there), idle clients that had been served (the bench counts none sent again).

At fault: the order of idle clients in reducer.rs counted a newcomer as idle from its connect. It counts from 1 s later now.

--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -23,6 +23,8 @@
     pub member_connections: usize,
     /// Where all places are taken, a client idle for this long may be closed for another.
     pub evict_after: Span,
+    /// One that has not asked anything yet is about to: it is spared for this long.
+    pub evict_fresh: Span,
     /// Requests held open together.
     pub requests: usize,
     /// Members that lists may name, over the gateway's life.
@@ -104,6 +106,7 @@
             client_reserve,
             member_connections,
             evict_after: 100 * MS,
+            evict_fresh: SECOND,
             requests: settings.max_open,
             members: 16 << 10,
             startup_bytes: 10_000,
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -171,6 +171,9 @@
     /// Used the extended protocol, which is not spoken: skip to its Sync.
     skips: bool,
     closing: bool,
+    /// It has asked something.
+    used: bool,
+    /// Since when it has been idle; for one that has asked nothing yet, from when on it counts as idle.
     idle_since: Time,
 }
 
@@ -521,13 +524,14 @@
             awaits_ready: false,
             skips: false,
             closing: false,
-            idle_since: now,
+            used: false,
+            idle_since: now + self.limits.evict_fresh,
         };
         self.clients.insert(id, client);
         if self.clients.len() > self.limits.clients {
             self.evict(now, out);
         }
-        self.idle_clients.insert((now, id));
+        self.idle_clients.insert((now + self.limits.evict_fresh, id));
     }
 
     /// The client idle longest makes room, unless it has just sent something.
@@ -557,8 +561,9 @@
         if let Some(client) = self.clients.get_mut(&id) {
             self.idle_clients.remove(&(client.idle_since, id));
             if client.idle() {
-                client.idle_since = now;
-                self.idle_clients.insert((now, id));
+                // Danger: a newcomer's first request is on its way; closed then, it would be lost.
+                client.idle_since = if client.used { now } else { client.opened + self.limits.evict_fresh };
+                self.idle_clients.insert((client.idle_since, id));
             }
         }
     }
@@ -623,6 +628,7 @@
         if client.started.is_none() {
             return self.startup(now, id, &frame, out);
         }
+        client.used |= frame.kind == b'Q';
         let mut reply = Vec::new();
         match frame.kind {
             b'Q' if client.skips => {}
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -313,21 +313,27 @@
     let mut rig = Rig::with(config);
     let busy = rig.client(1);
     rig.ask(busy, buy(1900));
-    let idle = rig.client(2);
+    let (idle, fresh) = (rig.client(2), rig.client(3));
+    rig.ask(idle, query(""));
     rig.pass(200 * MS);
-    let effects = rig.input(Input::ClientOpened(ClientId(3)));
+    let effects = rig.input(Input::ClientOpened(ClientId(9)));
     assert!(effects.contains(&Effect::ClientRetire(idle)), "closed unless it has just sent something");
+    // Found on sockets: a newcomer closed before its first request had come lost it.
+    assert!(
+        !effects.contains(&Effect::ClientRetire(fresh))
+            && !effects.contains(&Effect::ClientRetire(ClientId(9)))
+    );
+    rig.input(Input::ClientClosed(ClientId(9), Closed::Lost));
     rig.input(Input::ClientClosed(idle, Closed::Lost));
     assert_eq!(rig.reducer.counters().clients_evicted, 1);
     // A place is freed as soon as one falls idle, not only when somebody connects.
-    rig.input(Input::ClientFrame(ClientId(3), startup()));
-    let (conn, _) = statements(&rig.ask(ClientId(3), read(900)))[0].clone();
+    let (conn, _) = statements(&rig.ask(fresh, read(900)))[0].clone();
     rig.client(4);
     rig.ask(ClientId(4), buy(1900));
     let retired = |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::ClientRetire(_)));
     assert!(!retired(&rig.pass(150 * MS)), "none is idle");
     rig.serve(conn, b"x");
-    assert!(rig.pass(150 * MS).contains(&Effect::ClientRetire(ClientId(3))));
+    assert!(rig.pass(150 * MS).contains(&Effect::ClientRetire(fresh)));
 }
 
 /// Found on sockets with few descriptors: requests of clients that were left in line were lost, 0 attempts made.
