--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -4,7 +4,7 @@
 use futures_lite::stream::Stream;
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -140,10 +140,15 @@
         }
     }
 
-    /// Nothing has come that was not handed over.
-    pub(super) fn is_quiet(&self) -> bool {
+    /// Ends the connection unless something has come that was not handed over. Danger: what comes between the look and
+    /// the end is lost, so the end is not left to the moment when the connection's task is dropped.
+    pub(super) fn end_if_quiet(&self) -> bool {
         let waits = self.socket.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0);
-        self.held.get() == 0 && !waits
+        let quiet = self.held.get() == 0 && !waits;
+        if quiet {
+            let _ = self.socket.get_ref().shutdown(Shutdown::Both);
+        }
+        quiet
     }
 
     fn push(&self) -> Written {
@@ -219,3 +224,38 @@
         Poll::Pending
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::{Ipv4Addr, TcpListener};
+
+    /// A connection, and its other end.
+    fn pair() -> (Rc<Link>, TcpStream) {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let other = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let (socket, _) = listener.accept().expect("a connection");
+        (Link::new(Async::new(socket).expect("non-blocking"), 100, &Budget::new(1000)), other)
+    }
+
+    #[test]
+    fn a_quiet_connection_is_over_at_once_though_its_task_still_has_it() {
+        let (link, mut other) = pair();
+        assert!(link.end_if_quiet());
+        assert_eq!(other.read(&mut [0; 8]).expect("the end"), 0);
+    }
+
+    #[test]
+    fn a_connection_is_not_ended_under_what_has_come() {
+        let (link, mut other) = pair();
+        other.write_all(b"x").expect("written");
+        // Loopback delivers before the write returns, but that is nowhere promised.
+        while link.socket.get_ref().peek(&mut [0]).is_err() {
+            std::thread::yield_now();
+        }
+        assert!(!link.end_if_quiet());
+        let (link, _other) = pair();
+        link.hold(3);
+        assert!(!link.end_if_quiet(), "what its task holds counts too");
+    }
+}
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -171,8 +171,8 @@
             }
             Effect::ClientClose(client) => self.close_client(client, false),
             Effect::ClientRetire(client) => {
-                let quiet = self.clients.borrow().get(&client).is_some_and(|c| c.link.is_quiet());
-                if quiet {
+                let ended = self.clients.borrow().get(&client).is_some_and(|c| c.link.end_if_quiet());
+                if ended {
                     self.close_client(client, true);
                 }
             }
