Only a client idle for a while makes room for others

Ruled out: line and reserve (none with 0 attempts), the stall limits (first at 5.9 s), descriptors (107 of 128).

At fault: on each connect beyond the places the reducer closed the client idle longest however short that was; one just answered often asks again, and its request crossed the close, once more on its second try.

--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -338,7 +338,7 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::Start => self.start(now, out),
-            Input::ClientOpened(id) => self.client_opened(now, id, out),
+            Input::ClientOpened(id) => self.client_opened(now, id),
             Input::ClientFrame(id, frame) => self.client_frame(now, id, frame, out),
             Input::ClientPartial(id) => {
                 if let Some(client) = self.clients.get_mut(&id) {
@@ -511,7 +511,7 @@
 
     // Clients.
 
-    fn client_opened(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+    fn client_opened(&mut self, now: Time, id: ClientId) {
         self.counters.clients_opened += 1;
         self.counters.clients_open += 1;
         let client = Client {
@@ -528,25 +528,19 @@
             idle_since: now + self.limits.evict_fresh,
         };
         self.clients.insert(id, client);
-        if self.clients.len() > self.limits.clients {
-            self.evict(now, out);
-        }
         self.idle_clients.insert((now + self.limits.evict_fresh, id));
     }
 
-    /// The client idle longest makes room, unless it has just sent something.
-    fn evict(&mut self, before: Time, out: &mut Vec<Effect>) {
-        if let Some((_, oldest)) = self.idle_clients.first().filter(|(since, _)| *since <= before) {
-            self.evicting = Some(*oldest);
-            out.push(Effect::ClientRetire(*oldest));
-        }
-    }
-
-    /// Takes new clients while there is room for one more. Where all places are taken one is kept free as soon as
-    /// somebody has been idle for a while.
+    /// Takes new clients while there is room for one more. Where all places are taken one is kept free: the client
+    /// idle longest makes room, if that is a while (one just answered often asks again), unless it has sent something.
     fn admit(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.clients.len() >= self.limits.clients {
-            self.evict(now - self.limits.evict_after, out);
+            let oldest =
+                self.idle_clients.first().filter(|(since, _)| now - since >= self.limits.evict_after);
+            if let Some((_, oldest)) = oldest {
+                self.evicting = Some(*oldest);
+                out.push(Effect::ClientRetire(*oldest));
+            }
         }
         let places = self.limits.clients + self.limits.client_reserve;
         let wanted = self.clients.len() < places && !self.listener_closed;
