--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -226,7 +226,7 @@
 
 /// A member that some list has named.
 #[derive(Debug)]
-struct Peer {
+struct Listed {
     address: SocketAddr,
     /// Since when the list has had it draining or gone, in a way that binds.
     told: Option<Time>,
@@ -243,7 +243,7 @@
     peers_all: Option<SocketAddr>,
     me: usize,
     known: Option<ListUpdate>,
-    members: Vec<Peer>,
+    members: Vec<Listed>,
     member_ids: HashMap<String, MemberId>,
     groups: BTreeSet<u32>,
     digests: Digests,
@@ -267,8 +267,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counters: Counters,
-    /// Since SIGTERM; whether the listener is closed.
-    ending: Option<Time>,
+    /// SIGTERM has come; then the listener is closed; then the program is to end.
+    ending: bool,
     listener_closed: bool,
     exited: bool,
     secret: u64,
@@ -311,7 +311,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counters: Counters::default(),
-            ending: None,
+            ending: false,
             listener_closed: false,
             exited: false,
             secret: config.seed,
@@ -405,7 +405,7 @@
                 let open = self.requests.get(&request);
                 let conn = open.and_then(|o| o.out.iter().find(|(n, _)| *n == attempt)).map(|(_, c)| *c);
                 if let Some(conn) = conn {
-                    self.close_conn(conn, out);
+                    out.push(Effect::MemberClose(conn));
                     self.end_job(now, conn, Outcome::Cancelled, out);
                 }
             }
@@ -428,7 +428,7 @@
             }
             Action::CloseIdle(member) => {
                 for conn in self.pool.drain(member) {
-                    self.close_conn(conn, out);
+                    out.push(Effect::MemberClose(conn));
                     self.forget(conn);
                 }
             }
@@ -490,7 +490,7 @@
     fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
         for conn in self.pool.expired(now - self.limits.idle) {
             self.counters.members_retired += 1;
-            self.close_conn(conn, out);
+            out.push(Effect::MemberClose(conn));
             self.forget(conn);
         }
         if self.watching && now - self.watch_heard > self.limits.watch_silence {
@@ -850,7 +850,7 @@
             match self.pool.oldest() {
                 Some(idle) => {
                     self.counters.members_evicted += 1;
-                    self.close_conn(idle, out);
+                    out.push(Effect::MemberClose(idle));
                     self.forget(idle);
                 }
                 None => return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out),
@@ -894,7 +894,7 @@
         if told.is_some_and(|told| now - told > self.limits.drain_grace) {
             // Danger: a slow connect would carry what was asked for inside the drain's grace past it.
             conn.phase = Phase::Writing;
-            self.close_conn(id, out);
+            out.push(Effect::MemberClose(id));
             return self.end_job(now, id, Outcome::Unsent, out);
         }
         let old = conn.timer.take();
@@ -957,7 +957,7 @@
                 let outcome = outcome(&conn.reply).unwrap_or(Outcome::Broken);
                 if conn.phase == Phase::Writing || outcome == Outcome::Broken {
                     // It is out of step: what is still to be written would be taken for the next request.
-                    self.close_conn(id, out);
+                    out.push(Effect::MemberClose(id));
                     return self.end_job(now, id, outcome, out);
                 }
                 if let Some(timer) = conn.timer.take() {
@@ -1015,13 +1015,8 @@
             Phase::Waiting => Outcome::TimedOut,
             Phase::Idle => return,
         };
-        self.close_conn(id, out);
-        self.end_job(now, id, outcome, out);
-    }
-
-    /// Asks for a connection to be closed; it has no job from here on but the one that is being ended.
-    fn close_conn(&mut self, id: ConnId, out: &mut Vec<Effect>) {
         out.push(Effect::MemberClose(id));
+        self.end_job(now, id, outcome, out);
     }
 
     fn unbind(&mut self, id: ConnId) -> Option<Job> {
@@ -1065,13 +1060,14 @@
         mut reply: Reply,
         out: &mut Vec<Effect>,
     ) {
-        let Job::Attempt { request, number, sent, .. } = job else {
-            let Job::Probe { sent } = job else { return };
-            let told =
-                if outcome == Outcome::Served { reply.column().and_then(pg::load_report) } else { None };
-            self.counters.probes_failed += u64::from(told.is_none());
-            let (answered, report) = (told.is_some(), told.unwrap_or_default());
-            return self.events.push_back(Event::Probed { member, answered, took: now - sent, report });
+        let (request, attempt, sent) = match job {
+            Job::Attempt { request, number, sent, .. } => (request, number, sent),
+            Job::Probe { sent } => {
+                let told = reply.column().filter(|_| outcome == Outcome::Served).and_then(pg::load_report);
+                self.counters.probes_failed += u64::from(told.is_none());
+                let (answered, report) = (told.is_some(), told.unwrap_or_default());
+                return self.events.push_back(Event::Probed { member, answered, took: now - sent, report });
+            }
         };
         self.count(outcome);
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
@@ -1084,7 +1080,6 @@
         }
         let Reply { primary, position, report, .. } = reply;
         let took = now - sent;
-        let attempt = number;
         let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
         self.events.push_back(Event::Answer(answer));
         self.forget_request(request);
@@ -1143,7 +1138,7 @@
         if list.complete && !self.limits.only_drains_bind {
             let named: BTreeSet<_> = members.iter().map(|m| m.id.0 as usize).collect();
             let missing = self.members.iter_mut().enumerate().filter(|(n, _)| !named.contains(n));
-            missing.for_each(|(_, peer)| peer.told = peer.told.or(Some(now)));
+            missing.for_each(|(_, known)| known.told = known.told.or(Some(now)));
         }
         let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
         self.events.push_back(Event::List { scope, members });
@@ -1168,25 +1163,25 @@
             None if self.members.len() >= self.limits.members => return None,
             None => {
                 self.member_ids.insert(entry.id.clone(), next);
-                self.members.push(Peer { address: entry.address, told: None });
+                self.members.push(Listed { address: entry.address, told: None });
                 self.digests.add(&entry.id);
                 next
             }
         };
-        if let Some(peer) = self.members.get_mut(id.0 as usize).filter(|p| p.address != entry.address) {
-            peer.address = entry.address;
+        if let Some(known) = self.members.get_mut(id.0 as usize).filter(|m| m.address != entry.address) {
+            known.address = entry.address;
             for conn in self.pool.drain(id) {
-                self.close_conn(conn, out);
+                out.push(Effect::MemberClose(conn));
                 self.forget(conn);
             }
         }
-        if let Some(peer) = self.members.get_mut(id.0 as usize) {
+        if let Some(known) = self.members.get_mut(id.0 as usize) {
             let binds = match entry.phase {
                 Standing::Serving => false,
                 Standing::Draining => true,
-                Standing::Gone => !self.limits.only_drains_bind || peer.told.is_some(),
+                Standing::Gone => !self.limits.only_drains_bind || known.told.is_some(),
             };
-            peer.told = if binds { peer.told.or(Some(now)) } else { None };
+            known.told = if binds { known.told.or(Some(now)) } else { None };
         }
         self.groups.insert(entry.cell);
         Some(Member {
@@ -1217,8 +1212,7 @@
     // The end.
 
     fn terminate(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.ending.is_none() {
-            self.ending = Some(now);
+        if !std::mem::replace(&mut self.ending, true) {
             self.set_timer(now + self.limits.drain_accept, Due::StopListening);
             self.set_timer(now + self.limits.drain_end, Due::End);
             out.push(Effect::Log(format!("ending, {} requests in hand", self.requests.len())));
