Read over: one place each for errors to clients, rare log lines and frames out of place

The error reply to a client was built in six places, the rule for log lines that may come often in three, the close of a connection whose frame has no place in three arms of one match, and the test for a startup packet in two files. Effect is Clone now, so the tests' copy by hand is gone; tasks are spawned before they are kept, so no Option is needed round them. Two comments that no longer told what stood below them are put right.

--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -44,12 +44,9 @@
     let link = Link::new(socket, shell.limits.statement_bytes, &shell.client_budget);
     let id = ClientId(*next);
     *next += 1;
-    shell.clients.borrow_mut().insert(id, Client { link: link.clone(), _task: None });
+    let task = shell.executor.spawn(serve(shell.clone(), id, link.clone()));
+    shell.clients.borrow_mut().insert(id, Client { link, _task: task });
     shell.input(Input::ClientOpened(id));
-    let task = shell.executor.spawn(serve(shell.clone(), id, link));
-    if let Some(client) = shell.clients.borrow_mut().get_mut(&id) {
-        client._task = Some(task);
-    }
 }
 
 async fn serve(shell: Rc<Shell>, id: ClientId, link: Rc<Link>) {
--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -132,7 +132,7 @@
         self.close_when_written.set(true);
     }
 
-    /// The other side has closed, or something has come that is no answer to what is about to be written.
+    /// The other side has closed or broken the connection.
     pub(super) fn is_over(&self) -> bool {
         match self.socket.get_ref().peek(&mut [0]) {
             Ok(n) => n == 0,
--- a/crates/stackgw-gateway/src/io/members.rs
+++ b/crates/stackgw-gateway/src/io/members.rs
@@ -12,7 +12,7 @@
 /// Opens a connection; the reducer ends it where that takes too long.
 pub(super) fn open(shell: &Rc<Shell>, id: ConnId, address: SocketAddr) {
     let task = shell.executor.spawn(serve(shell.clone(), id, address));
-    shell.members.borrow_mut().insert(id, Member { link: None, _task: Some(task) });
+    shell.members.borrow_mut().insert(id, Member { link: None, _task: task });
 }
 
 async fn serve(shell: Rc<Shell>, id: ConnId, address: SocketAddr) {
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -78,13 +78,13 @@
 /// A connection to a member: its task, and its socket once it is up. Dropped, it is closed.
 struct Member {
     link: Option<Rc<Link>>,
-    _task: Option<Task<()>>,
+    _task: Task<()>,
 }
 
 /// A client's connection. Dropped, it is closed.
 struct Client {
     link: Rc<Link>,
-    _task: Option<Task<()>>,
+    _task: Task<()>,
 }
 
 /// Everything the tasks share.
--- a/crates/stackgw-gateway/src/io/peers.rs
+++ b/crates/stackgw-gateway/src/io/peers.rs
@@ -9,8 +9,8 @@
 
 /// Hands over each datagram.
 pub(super) async fn run(shell: Rc<Shell>, socket: Rc<Async<UdpSocket>>) {
-    // One byte more than allowed shows that one is too long.
     let pause = Duration::from_nanos(shell.limits.error_pause as u64);
+    // One byte more than allowed shows that one is too long.
     let mut buffer = vec![0; shell.limits.datagram_bytes + 1];
     loop {
         match socket.recv_from(&mut buffer).await {
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -63,7 +63,7 @@
     pub client_stall: Span,
     /// A watch without a line for this long is opened anew.
     pub watch_silence: Span,
-    /// Shortest and longest pause before the list's agent is asked again.
+    /// Shortest pause before the list's agent is asked again.
     pub watch_pause: Span,
     /// Longest such pause.
     pub watch_pause_most: Span,
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -21,6 +21,11 @@
     pub fn code(&self) -> Option<u32> {
         self.body().first_chunk().map(|code| u32::from_be_bytes(*code))
     }
+
+    /// Whether this is a startup packet of version 3, of any minor version.
+    pub fn is_startup(&self) -> bool {
+        self.kind == 0 && self.code().is_some_and(|code| code >> 16 == super::code::VERSION_3 >> 16)
+    }
 }
 
 /// A length that no message of this protocol has here.
@@ -102,9 +107,7 @@
             self.buffer = Vec::new();
         }
         let frame = Frame { kind, bytes };
-        if self.untyped && frame.code().is_some_and(|code| code >> 16 == super::code::VERSION_3 >> 16) {
-            self.untyped = false;
-        }
+        self.untyped &= !frame.is_startup();
         Some(Ok(frame))
     }
 }
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -47,9 +47,9 @@
     /// Takes the next message. `Ok(true)`: the member is ready again, the reply is over. `Err`: the message has no
     /// place here.
     pub fn take(&mut self, frame: &Frame, most: usize) -> Result<bool, OutOfPlace> {
-        let body = frame.body();
+        let (body, open) = (frame.body(), self.ended().is_none());
         match frame.kind {
-            b'T' if !self.described && !self.complete && self.failed.is_none() => {
+            b'T' if open && !self.described => {
                 self.described = true;
                 self.row.extend_from_slice(&frame.bytes);
             }
@@ -57,14 +57,12 @@
                 self.rows = 1;
                 self.row.extend_from_slice(&frame.bytes);
             }
-            b'C' if !self.complete && self.failed.is_none() => {
+            b'C' if open => {
                 self.complete = true;
                 self.row.extend_from_slice(&frame.bytes);
             }
-            b'I' if !self.complete && self.failed.is_none() => self.complete = true,
-            b'E' if !self.complete && self.failed.is_none() => {
-                self.failed = Some(sqlstate(body).ok_or(OutOfPlace)?)
-            }
+            b'I' if open => self.complete = true,
+            b'E' if open => self.failed = Some(sqlstate(body).ok_or(OutOfPlace)?),
             b'S' => self.status(body),
             b'N' | b'K' | b'A' => {}
             b'R' if body == [0; 4] => {}
--- a/crates/stackgw-gateway/src/pool.rs
+++ b/crates/stackgw-gateway/src/pool.rs
@@ -17,7 +17,6 @@
 impl Pool {
     /// A connection falls idle.
     pub fn put(&mut self, member: MemberId, id: ConnId, now: Time) {
-        self.remove(id);
         self.members.entry(member).or_default().insert((now, id));
         self.all.insert((now, id));
         self.since.insert(id, (now, member));
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -73,7 +73,7 @@
 }
 
 /// What is to be done outside.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
     /// Take new clients, or leave them waiting.
     Accept(bool),
@@ -570,6 +570,32 @@
         out.push(Effect::ClientWrite { client: id, bytes, close });
     }
 
+    /// Tells a client of an error; a fatal one ends its connection.
+    fn client_error(
+        &mut self,
+        now: Time,
+        id: ClientId,
+        fatal: bool,
+        code: &str,
+        why: &str,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut reply = Vec::new();
+        write::error(&mut reply, fatal, code, why, None);
+        if !fatal {
+            write::ready(&mut reply);
+        }
+        self.client_write(now, id, reply, fatal, out);
+    }
+
+    /// Answers an empty query: the gateway can serve.
+    fn client_ready(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        let mut reply = Vec::new();
+        write::empty(&mut reply);
+        write::ready(&mut reply);
+        self.client_write(now, id, reply, false, out);
+    }
+
     fn client_flushed(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.unsent = None;
@@ -583,15 +609,11 @@
     fn client_bad(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         self.counters.clients_bad += 1;
-        if self.counters.clients_bad.is_power_of_two() {
-            out.push(Effect::Log(format!("bad bytes from clients: {}", self.counters.clients_bad)));
-        }
+        log_rarely(self.counters.clients_bad, "bad bytes from clients:", out);
         if let Some(request) = client.request.take() {
             self.abandon(request);
         }
-        let mut reply = Vec::new();
-        write::error(&mut reply, true, "08P01", "these bytes are no message of the protocol", None);
-        self.client_write(now, id, reply, true, out);
+        self.client_error(now, id, true, "08P01", "these bytes are no message of the protocol", out);
     }
 
     fn client_gone(&mut self, id: ClientId) {
@@ -631,9 +653,7 @@
                     client.awaits_ready = true;
                     return self.note_idle(now, id);
                 }
-                write::empty(&mut reply);
-                write::ready(&mut reply);
-                self.client_write(now, id, reply, false, out);
+                self.client_ready(now, id, out);
             }
             b'Q' => self.query(now, id, frame, out),
             b'X' => {
@@ -670,7 +690,7 @@
                 out.push(Effect::ClientClose(id));
                 self.client_gone(id);
             }
-            _ if version >> 16 == code::VERSION_3 >> 16 => {
+            _ if frame.is_startup() => {
                 self.secret = self.secret.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(id.0 | 1);
                 let secret = (self.secret >> 32) as u32;
                 if version != code::VERSION_3 {
@@ -684,8 +704,7 @@
             }
             _ => {
                 self.counters.clients_bad += 1;
-                write::error(&mut reply, true, "0A000", "this version of the protocol is not spoken", None);
-                self.client_write(now, id, reply, true, out);
+                self.client_error(now, id, true, "0A000", "this version of the protocol is not spoken", out);
             }
         }
     }
@@ -698,10 +717,7 @@
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.started == Some(secret)) else { return };
         if let Some(request) = client.request.take() {
             self.abandon(request);
-            let mut reply = Vec::new();
-            write::error(&mut reply, false, "57014", "cancelled on the client's request", None);
-            write::ready(&mut reply);
-            self.client_write(now, id, reply, false, out);
+            self.client_error(now, id, false, "57014", "cancelled on the client's request", out);
         }
     }
 
@@ -712,9 +728,7 @@
         if surplus && full {
             // Danger: waiting for a place, in line or here, would cost its time; it has not run, so it may go elsewhere.
             self.counters.turned_away += 1;
-            let mut reply = Vec::new();
-            write::error(&mut reply, true, "53300", "too many connections", None);
-            return self.client_write(now, id, reply, true, out);
+            return self.client_error(now, id, true, "53300", "too many connections", out);
         }
         let statement = match Statement::parse(frame) {
             Ok(statement) => statement,
@@ -760,19 +774,13 @@
 
     fn reject(&mut self, now: Time, id: ClientId, why: &str, out: &mut Vec<Effect>) {
         self.counters.malformed += 1;
-        let mut reply = Vec::new();
-        write::error(&mut reply, false, "42601", why, None);
-        write::ready(&mut reply);
-        self.client_write(now, id, reply, false, out);
+        self.client_error(now, id, false, "42601", why, out);
     }
 
     /// Turned away before the router has seen it.
     fn refuse(&mut self, now: Time, id: ClientId, code: &str, why: &str, out: &mut Vec<Effect>) {
         self.counters.turned_away += 1;
-        let mut reply = Vec::new();
-        write::error(&mut reply, false, code, why, None);
-        write::ready(&mut reply);
-        self.client_write(now, id, reply, false, out);
+        self.client_error(now, id, false, code, why, out);
     }
 
     /// The final answer where no member gave one.
@@ -933,20 +941,13 @@
         let most = self.limits.answer_bytes;
         let Some(conn) = self.conns.get_mut(&id) else { return };
         match (conn.phase, conn.reply.take(frame, most)) {
-            // A member that closes an idle connection may say why.
-            (Phase::Idle, _) if frame.kind == b'E' => {
-                out.push(Effect::MemberClose(id));
-                self.member_closed(now, id, Closed::Lost, out);
-            }
-            (Phase::Connecting, _) | (_, Err(_)) => {
+            // Notices and parameters may come at any time; anything else between requests is out of place, but a
+            // member that closes an idle connection may say why.
+            (Phase::Idle, Ok(_)) if matches!(frame.kind, b'S' | b'N') => conn.reply = Reply::default(),
+            (Phase::Connecting | Phase::Idle, _) | (_, Err(_)) => {
+                let parting = conn.phase == Phase::Idle && frame.kind == b'E';
                 out.push(Effect::MemberClose(id));
-                self.member_closed(now, id, Closed::Bad, out);
-            }
-            // Notices and parameters may come at any time; anything else between requests is out of place.
-            (Phase::Idle, _) if matches!(frame.kind, b'S' | b'N') => conn.reply = Reply::default(),
-            (Phase::Idle, _) => {
-                out.push(Effect::MemberClose(id));
-                self.member_closed(now, id, Closed::Bad, out);
+                self.member_closed(now, id, if parting { Closed::Lost } else { Closed::Bad }, out);
             }
             (_, Ok(false)) => {}
             (Phase::Starting, Ok(true)) => {
@@ -976,9 +977,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         if why == Closed::Bad {
             self.counters.members_bad += 1;
-            if self.counters.members_bad.is_power_of_two() {
-                out.push(Effect::Log(format!("bad bytes from members: {}", self.counters.members_bad)));
-            }
+            log_rarely(self.counters.members_bad, "bad bytes from members:", out);
         }
         let (member, job) = (conn.member, conn.job);
         let ended = outcome(&conn.reply);
@@ -1113,9 +1112,7 @@
             return;
         }
         self.counters.watches_lost += 1;
-        if self.counters.watches_lost.is_power_of_two() {
-            out.push(Effect::Log(format!("watch of the list lost ({why}), {}", self.counters.watches_lost)));
-        }
+        log_rarely(self.counters.watches_lost, &format!("watch of the list lost ({why}),"), out);
         self.watch_pause =
             (self.watch_pause * 2).clamp(self.limits.watch_pause, self.limits.watch_pause_most);
         self.set_timer(now + self.watch_pause, Due::Watch);
@@ -1148,10 +1145,7 @@
                 if let Some(client) = self.clients.get_mut(&id) {
                     client.awaits_ready = false;
                 }
-                let mut reply = Vec::new();
-                write::empty(&mut reply);
-                write::ready(&mut reply);
-                self.client_write(now, id, reply, false, out);
+                self.client_ready(now, id, out);
             }
         }
     }
@@ -1249,6 +1243,13 @@
     }
 }
 
+/// A line for what may come often: at the first, second, fourth, eighth time and so on.
+fn log_rarely(count: u64, what: &str, out: &mut Vec<Effect>) {
+    if count.is_power_of_two() {
+        out.push(Effect::Log(format!("{what} {count}")));
+    }
+}
+
 /// What a reply that is over means for its attempt; `None`: it is not over.
 fn outcome(reply: &Reply) -> Option<Outcome> {
     Some(match reply.ended()? {
--- a/crates/stackgw-gateway/tests/common/mod.rs
+++ b/crates/stackgw-gateway/tests/common/mod.rs
@@ -211,7 +211,7 @@
             }
             self.effects.append(&mut effects);
         }
-        self.effects[from..].iter().map(clone).collect()
+        self.effects[from..].to_vec()
     }
 
     /// Moves the clock on, timer by timer.
@@ -258,28 +258,6 @@
     }
 }
 
-fn clone(effect: &Effect) -> Effect {
-    match effect {
-        Effect::Accept(on) => Effect::Accept(*on),
-        Effect::ClientWrite { client, bytes, close } => {
-            Effect::ClientWrite { client: *client, bytes: bytes.clone(), close: *close }
-        }
-        Effect::ClientClose(id) => Effect::ClientClose(*id),
-        Effect::ClientRetire(id) => Effect::ClientRetire(*id),
-        Effect::MemberOpen(id, address) => Effect::MemberOpen(*id, *address),
-        Effect::MemberWrite(id, bytes) => Effect::MemberWrite(*id, bytes.clone()),
-        Effect::MemberClose(id) => Effect::MemberClose(*id),
-        Effect::Watch(after) => Effect::Watch(*after),
-        Effect::Unwatch => Effect::Unwatch,
-        Effect::Fetch => Effect::Fetch,
-        Effect::Datagram(to, bytes) => Effect::Datagram(*to, bytes.clone()),
-        Effect::StopListening => Effect::StopListening,
-        Effect::Log(text) => Effect::Log(text.clone()),
-        Effect::Report(counters) => Effect::Report(counters.clone()),
-        Effect::Exit => Effect::Exit,
-    }
-}
-
 /// What was written to a client.
 pub fn answers(effects: &[Effect]) -> Vec<Vec<u8>> {
     let written = effects.iter().filter_map(|e| match e {
