--- a/crates/stackgw-adapter/src/host.rs
+++ b/crates/stackgw-adapter/src/host.rs
@@ -3,7 +3,7 @@
 use crate::wire::{Line, Malformed};
 use base64::{engine::general_purpose::STANDARD, Engine};
 use stackgw_router::{api::*, Router};
-use stackgw_settings::{Digests, HostSettings};
+use stackgw_settings::{note_load, Digests, HostSettings};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -190,11 +190,7 @@
         for (name, value) in line.pairs("Stats")? {
             match name {
                 "x0" => report.position = Some(self.position_zero + (value * 1e9).floor() as Time),
-                "x1" => report.primary = Some(value > 0.5),
-                "inflight" => report.in_flight = Some(value),
-                "queue" => report.queued = Some(value),
-                "util" => report.utilisation = Some(value),
-                _ => {}
+                _ => note_load(&mut report, name, value),
             }
         }
         Ok(report)
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -2,6 +2,7 @@
 
 use super::Frame;
 use stackgw_router::api::{Report, Time, MS};
+use stackgw_settings::note_load;
 
 /// A message that has no place in a reply, or too many of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,11 +132,7 @@
         let number = value.parse::<f64>().ok().filter(|n| n.is_finite())?;
         match name {
             "x0" => report.position = Some(nanoseconds(value)?),
-            "x1" => report.primary = Some(number > 0.5),
-            "inflight" => report.in_flight = Some(number),
-            "queue" => report.queued = Some(number),
-            "util" => report.utilisation = Some(number),
-            _ => {}
+            _ => note_load(&mut report, name, number),
         }
     }
     Some(report)
--- a/crates/stackgw-settings/src/document.rs
+++ b/crates/stackgw-settings/src/document.rs
@@ -55,6 +55,18 @@
     }
 }
 
+/// Notes one field of a load report under the settings' name for it. The position (`x0`) is not among them: its zero
+/// and its precision are the wire's. Names without a meaning here are skipped.
+pub fn note_load(report: &mut Report, name: &str, value: f64) {
+    match name {
+        "x1" => report.primary = Some(value > 0.5),
+        "inflight" => report.in_flight = Some(value),
+        "queue" => report.queued = Some(value),
+        "util" => report.utilisation = Some(value),
+        _ => {}
+    }
+}
+
 fn settings(conf: &Value) -> Result<Settings, String> {
     let domain = part(conf, "Domain")?;
     let limits = part(conf, "Limits")?;
--- a/crates/stackgw-settings/src/lib.rs
+++ b/crates/stackgw-settings/src/lib.rs
@@ -4,5 +4,5 @@
 mod document;
 mod words;
 
-pub use document::{HostSettings, Names};
+pub use document::{note_load, HostSettings, Names};
 pub use words::{Digests, MOST_BYTES};
