Members' bytes are judged: only whole answers count, no connection with more is reused

A message was judged by its length alone and by its type only when whole; a reply's description, completion and error were not checked; role, position and load of broken answers went to the router.

Now: type and length are judged at once on both sides; a row is served only behind a whole, well-formed reply; what is spoilt is an outcome of its own (may have run, no strike, nothing it said counts); an answer that stands still inside is spoilt after 150 ms; positions in the future and loads that cannot be are not believed; anything unasked-for ends a connection, looked at again before each write.

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -52,6 +52,8 @@
     ended_no_connection,
     /// Attempts whose connection broke.
     ended_reset,
+    /// Attempts whose answer was spoilt.
+    ended_spoilt,
     /// Attempts called off.
     ended_cancelled,
     /// Attempts never sent.
@@ -88,6 +90,10 @@
     members_evicted,
     /// Connections closed for bytes that are no protocol.
     members_bad,
+    /// Idle connections closed because something was on them that nobody had asked for.
+    members_unasked,
+    /// Positions that cannot be, and were not believed.
+    members_disbelieved,
     /// Attempts moved to a new connection because the idle one had closed.
     members_reopened,
     /// Lists taken, whole or changes.
--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -1,5 +1,6 @@
 //! One TCP connection: what is to be written to it, and the stream of what happens on it.
 
+use crate::reducer::Closed;
 use async_io::Async;
 use futures_lite::stream::Stream;
 use std::cell::{Cell, RefCell};
@@ -132,11 +133,15 @@
         self.close_when_written.set(true);
     }
 
-    /// The other side has closed or broken the connection.
-    pub(super) fn is_over(&self) -> bool {
+    /// Why nothing may be written to a connection on which nothing is due: the other side has closed or broken it, or
+    /// something has come, whether its task has read it yet or not.
+    pub(super) fn unusable(&self) -> Option<Closed> {
         match self.socket.get_ref().peek(&mut [0]) {
-            Ok(n) => n == 0,
-            Err(e) => e.kind() != ErrorKind::WouldBlock && e.kind() != ErrorKind::Interrupted,
+            _ if self.held.get() > 0 => Some(Closed::Unasked),
+            Ok(0) => Some(Closed::Lost),
+            Ok(_) => Some(Closed::Unasked),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
+            Err(_) => Some(Closed::Lost),
         }
     }
 
--- a/crates/stackgw-gateway/src/io/members.rs
+++ b/crates/stackgw-gateway/src/io/members.rs
@@ -43,13 +43,23 @@
             Turn::Woken => {}
             Turn::Closed => return Closed::Lost,
         }
+        let mut whole = true;
         while let Some(frame) = frames.next_frame() {
+            // Danger: the answer's last message may bring the next request onto this connection at once. What is left
+            // here must be seen by then.
+            link.hold(frames.held());
             match frame {
-                Ok(frame) => shell.input(Input::MemberFrame(id, frame)),
+                Ok(frame) => {
+                    whole = frame.kind == b'Z';
+                    shell.input(Input::MemberFrame(id, frame));
+                }
                 Err(_) => return Closed::Bad,
             }
         }
         link.hold(frames.held());
+        if !whole || frames.held() > 0 {
+            shell.input(Input::MemberPartial(id));
+        }
     }
     Closed::Lost
 }
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -180,15 +180,19 @@
             Effect::MemberWrite(conn, bytes) => {
                 let link = self.members.borrow().get(&conn).and_then(|m| m.link.clone());
                 let Some(link) = link else { return };
-                // Danger: a write into a connection that the member has closed would count as sent.
-                let written = if link.is_over() { Written::Broken } else { link.write(bytes) };
-                match written {
-                    Written::All => self.later(Input::MemberWritten(conn)),
-                    Written::Part => {}
-                    Written::Broken => {
-                        self.members.borrow_mut().remove(&conn);
-                        self.later(Input::MemberClosed(conn, Closed::Lost));
-                    }
+                // Danger: a write into a connection that the member has closed would count as sent, and what waits on
+                // one would be taken for the answer.
+                let closed = match link.unusable() {
+                    Some(why) => Some(why),
+                    None => match link.write(bytes) {
+                        Written::All => return self.later(Input::MemberWritten(conn)),
+                        Written::Part => None,
+                        Written::Broken => Some(Closed::Lost),
+                    },
+                };
+                if let Some(why) = closed {
+                    self.members.borrow_mut().remove(&conn);
+                    self.later(Input::MemberClosed(conn, why));
                 }
             }
             Effect::MemberClose(conn) => drop(self.members.borrow_mut().remove(&conn)),
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -55,6 +55,10 @@
     pub connect: Span,
     /// A probe without an answer by then has failed.
     pub probe: Span,
+    /// An answer that has begun and then stands still for this long is spoilt.
+    pub answer_stall: Span,
+    /// A member's clock may be ahead of this one's by so much; a position later than that cannot be.
+    pub clock_slack: Span,
     /// Idle connections to members are retired after this, ahead of the members' own limit.
     pub idle: Span,
     /// Pace of the look at idle connections.
@@ -122,6 +126,8 @@
             only_drains_bind: settings.router.obligations.only_drains_bind,
             connect: settings.router.limits.connect_timeout,
             probe: settings.router.limits.connect_timeout,
+            answer_stall: 150 * MS,
+            clock_slack: 20 * MS,
             idle: idle / 5 * 4,
             sweep: SECOND / 2,
             client_stall: 15 * SECOND,
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -54,17 +54,39 @@
     untyped: bool,
     most: usize,
     startup_most: usize,
+    /// The types that the other side may send.
+    kinds: &'static [u8],
 }
 
+/// What a server sends to one that asks simple queries.
+const OF_SERVERS: &[u8] = b"RSKZTDCIENAv";
+/// What a client sends, the copy protocol's included.
+const OF_CLIENTS: &[u8] = b"QXSPBDECHFdcfp";
+
 impl Frames {
     /// A server's stream: every message has a type.
     pub fn typed(most: usize) -> Self {
-        Frames { buffer: Vec::new(), start: 0, untyped: false, most, startup_most: 0 }
+        Frames { buffer: Vec::new(), start: 0, untyped: false, most, startup_most: 0, kinds: OF_SERVERS }
     }
 
     /// A client's stream: packets without a type until the startup is done.
     pub fn client(startup_most: usize, most: usize) -> Self {
-        Frames { buffer: Vec::new(), start: 0, untyped: true, most, startup_most }
+        Frames { buffer: Vec::new(), start: 0, untyped: true, most, startup_most, kinds: OF_CLIENTS }
+    }
+
+    /// Whether a message of this type can have this length, as far as its first bytes tell.
+    fn fits(&self, kind: u8, length: u32, message: &[u8]) -> bool {
+        let server = self.kinds == OF_SERVERS;
+        match kind {
+            b'Z' => length == 5,
+            b'I' | b'X' | b'S' | b'H' | b'c' if !server || kind == b'I' => length == 4,
+            // One column, and its length is that of the row: its four bytes are header enough.
+            b'D' if server => message.get(7..11).and_then(|b| b.first_chunk()).is_none_or(|column| {
+                let column = i32::from_be_bytes(*column);
+                message[5..7] == [0, 1] && i64::from(length) == 10 + i64::from(column.max(0)) && column >= -1
+            }),
+            _ => true,
+        }
     }
 
     /// Takes bytes as they come.
@@ -93,9 +115,13 @@
         let most = if self.untyped { self.startup_most } else { self.most };
         let rest = &self.buffer[self.start..];
         let kind = if self.untyped { 0 } else { *rest.first()? };
+        if !self.untyped && !self.kinds.contains(&kind) {
+            return Some(Err(BadFrame { kind, length: 0 }));
+        }
         let length = u32::from_be_bytes(*rest.get(head..)?.first_chunk()?);
         let least = if self.untyped { 8 } else { 4 };
-        if length < least || length as usize > most {
+        // Danger: what is judged only once it is whole may never be, and its sender waits or sends on for nothing.
+        if length < least || length as usize > most || !(self.untyped || self.fits(kind, length, rest)) {
             return Some(Err(BadFrame { kind, length }));
         }
         let whole = head + length as usize;
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -35,6 +35,7 @@
     rows: usize,
     described: bool,
     complete: bool,
+    ready: bool,
     failed: Option<[u8; 5]>,
     /// The member says that it is the primary, or that it is not.
     pub primary: Option<bool>,
@@ -50,15 +51,15 @@
     pub fn take(&mut self, frame: &Frame, most: usize) -> Result<bool, OutOfPlace> {
         let (body, open) = (frame.body(), self.ended().is_none());
         match frame.kind {
-            b'T' if open && !self.described => {
+            b'T' if open && !self.described && one_field(body) => {
                 self.described = true;
                 self.row.extend_from_slice(&frame.bytes);
             }
-            b'D' if self.described && !self.complete && self.rows == 0 && one_column(body) => {
+            b'D' if open && self.described && self.rows == 0 && one_column(body) => {
                 self.rows = 1;
                 self.row.extend_from_slice(&frame.bytes);
             }
-            b'C' if open => {
+            b'C' if open && is_text(body) => {
                 self.complete = true;
                 self.row.extend_from_slice(&frame.bytes);
             }
@@ -67,7 +68,10 @@
             b'S' => self.status(body),
             b'N' | b'K' | b'A' => {}
             b'R' if body == [0; 4] => {}
-            b'Z' => return Ok(true),
+            b'Z' if matches!(body, b"I" | b"T" | b"E") => {
+                self.ready = true;
+                return Ok(true);
+            }
             _ => return Err(OutOfPlace),
         }
         if self.row.len() > most {
@@ -76,6 +80,16 @@
         Ok(false)
     }
 
+    /// The member is ready again behind it: the reply is whole.
+    pub fn is_whole(&self) -> bool {
+        self.ready
+    }
+
+    /// Whether any of it has come.
+    pub fn has_begun(&self) -> bool {
+        self.described || self.complete || self.failed.is_some()
+    }
+
     /// How it ended, once the member is ready again or has closed; `None`: it had not come so far.
     pub fn ended(&self) -> Option<Ended> {
         match (self.failed, self.complete) {
@@ -120,24 +134,62 @@
     }
 }
 
+/// The row's description names one column.
+fn one_field(body: &[u8]) -> bool {
+    let Some(fields) = body.strip_prefix(&[0, 1]) else { return false };
+    fields.iter().position(|b| *b == 0).is_some_and(|name| fields.len() == name + 1 + FIELD_TAIL)
+}
+
+/// Table, column, type, its size, its modifier and its format, behind a field's name.
+const FIELD_TAIL: usize = 18;
+
+/// One text with its end.
+fn is_text(body: &[u8]) -> bool {
+    body.split_last().is_some_and(|(end, text)| {
+        *end == 0 && !text.is_empty() && text.iter().all(|b| b.is_ascii_graphic() || *b == b' ')
+    })
+}
+
+/// The code of an error whose fields are whole: each a letter and a text with its end, then one more end.
 fn sqlstate(body: &[u8]) -> Option<[u8; 5]> {
-    body.split(|b| *b == 0).find_map(|field| field.strip_prefix(b"C")).and_then(|code| code.try_into().ok())
+    let fields = body.strip_suffix(&[0, 0])?;
+    let whole = |f: &[u8]| f.split_first().is_some_and(|(kind, _)| kind.is_ascii_alphabetic());
+    let mut code = None;
+    for field in fields.split(|b| *b == 0) {
+        if !whole(field) {
+            return None;
+        }
+        code = code.or(field.strip_prefix(b"C"));
+    }
+    let code: [u8; 5] = code?.try_into().ok()?;
+    code.iter().all(|b| b.is_ascii_uppercase() || b.is_ascii_digit()).then_some(code)
 }
 
-/// Reads `name=value` pairs; names without a meaning here are skipped.
+/// Reads `name=value` pairs; names without a meaning here are skipped. One that cannot be read spoils them all, and so
+/// does one named twice or one that no member can have.
 pub fn load_report(text: &str) -> Option<Report> {
     let mut report = Report::default();
+    let mut named = Vec::new();
     for pair in text.split(',').filter(|p| !p.is_empty()) {
         let (name, value) = pair.split_once('=')?;
         let number = value.parse::<f64>().ok().filter(|n| n.is_finite())?;
+        if named.contains(&name) {
+            return None;
+        }
+        named.push(name);
         match name {
             "x0" => report.position = Some(nanoseconds(value)?),
+            "x1" if number != 0.0 && number != 1.0 => return None,
+            "inflight" | "queue" | "util" if !(0.0..LOAD_MOST).contains(&number) => return None,
             _ => note_load(&mut report, name, number),
         }
     }
     Some(report)
 }
 
+/// No member holds as many requests.
+const LOAD_MOST: f64 = 1e6;
+
 /// Seconds as a decimal number, cut (never rounded up) to whole nanoseconds; a float of Unix times is too coarse.
 fn nanoseconds(text: &str) -> Option<Time> {
     let (whole, part) = text.split_once('.').unwrap_or((text, ""));
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -27,6 +27,8 @@
     Lost,
     /// Its bytes are no protocol.
     Bad,
+    /// Something was on it that nobody had asked for.
+    Unasked,
 }
 
 /// What happened outside.
@@ -50,6 +52,8 @@
     MemberWritten(ConnId),
     /// A member's whole message.
     MemberFrame(ConnId, Frame),
+    /// What a member has sent so far ends inside an answer or a message.
+    MemberPartial(ConnId),
     /// A connection to a member is over, or never came up.
     MemberClosed(ConnId, Closed),
     /// The watch brought a list, or the whole list that was asked for came.
@@ -221,6 +225,10 @@
     /// It had stood idle before this job.
     reused: bool,
     reply: Reply,
+    /// Its answer has begun and is not whole.
+    partial: bool,
+    /// When its attempt or probe is given up.
+    until: Time,
     timer: Option<TimerKey>,
 }
 
@@ -346,11 +354,12 @@
                 }
             }
             Input::ClientFlushed(id) => self.client_flushed(now, id, out),
-            Input::ClientClosed(id, Closed::Lost) => self.client_gone(id),
             Input::ClientClosed(id, Closed::Bad) => self.client_bad(now, id, out),
+            Input::ClientClosed(id, _) => self.client_gone(id),
             Input::MemberUp(id) => self.member_up(id, out),
             Input::MemberWritten(id) => self.member_written(id),
             Input::MemberFrame(id, frame) => self.member_frame(now, id, &frame, out),
+            Input::MemberPartial(id) => self.member_partial(now, id, out),
             Input::MemberClosed(id, why) => self.member_closed(now, id, why, out),
             Input::List(list) => self.list(now, list, out),
             Input::WatchAlive => self.watch_heard = now,
@@ -870,7 +879,8 @@
         self.counters.members_open += 1;
         let timer = Some(self.set_timer(now + self.limits.connect, Due::Conn(id)));
         let phase = Phase::Connecting;
-        let conn = Conn { member, phase, job: None, reused: false, reply: Reply::default(), timer };
+        let reply = Reply::default();
+        let conn = Conn { member, phase, job: None, reused: false, reply, partial: false, until: 0, timer };
         self.conns.insert(id, conn);
         self.bind(id, job);
         out.push(Effect::MemberOpen(id, self.members[member.0 as usize].address));
@@ -905,7 +915,6 @@
             out.push(Effect::MemberClose(id));
             return self.end_job(now, id, Outcome::Unsent, out);
         }
-        let old = conn.timer.take();
         let (bytes, until) = match conn.job {
             Some(Job::Attempt { request, give_up, .. }) => {
                 let Some(open) = self.requests.get(&request) else { return };
@@ -918,15 +927,19 @@
             }
             None => return,
         };
-        (conn.phase, conn.reply) = (Phase::Writing, Reply::default());
+        (conn.phase, conn.reply, conn.partial) = (Phase::Writing, Reply::default(), false);
+        conn.until = until;
+        self.set_conn_timer(id, until);
+        out.push(Effect::MemberWrite(id, bytes));
+    }
+
+    /// Sets a connection's one timer.
+    fn set_conn_timer(&mut self, id: ConnId, at: Time) {
+        let timer = self.set_timer(at, Due::Conn(id));
+        let old = self.conns.get_mut(&id).and_then(|conn| conn.timer.replace(timer));
         if let Some(old) = old {
             self.timers.remove(&old);
         }
-        let timer = self.set_timer(until, Due::Conn(id));
-        if let Some(conn) = self.conns.get_mut(&id) {
-            conn.timer = Some(timer);
-        }
-        out.push(Effect::MemberWrite(id, bytes));
     }
 
     fn member_written(&mut self, id: ConnId) {
@@ -940,14 +953,22 @@
     fn member_frame(&mut self, now: Time, id: ConnId, frame: &Frame, out: &mut Vec<Effect>) {
         let most = self.limits.answer_bytes;
         let Some(conn) = self.conns.get_mut(&id) else { return };
+        let greeting = |kind| matches!(kind, b'R' | b'S' | b'K' | b'N' | b'v' | b'E' | b'Z');
         match (conn.phase, conn.reply.take(frame, most)) {
-            // Notices and parameters may come at any time; anything else between requests is out of place, but a
-            // member that closes an idle connection may say why.
-            (Phase::Idle, Ok(_)) if matches!(frame.kind, b'S' | b'N') => conn.reply = Reply::default(),
-            (Phase::Connecting | Phase::Idle, _) | (_, Err(_)) => {
-                let parting = conn.phase == Phase::Idle && frame.kind == b'E';
+            // Danger: a second copy or noise behind an answer would be taken for the next request's answer. Nothing
+            // is in place between requests, but a member that closes an idle connection may say why.
+            (Phase::Idle, _) => {
+                let why = if frame.kind == b'E' { Closed::Lost } else { Closed::Unasked };
                 out.push(Effect::MemberClose(id));
-                self.member_closed(now, id, if parting { Closed::Lost } else { Closed::Bad }, out);
+                self.member_closed(now, id, why, out);
+            }
+            (Phase::Starting, Ok(_)) if !greeting(frame.kind) => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Bad, out);
+            }
+            (Phase::Connecting, _) | (_, Err(_)) => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Bad, out);
             }
             (_, Ok(false)) => {}
             (Phase::Starting, Ok(true)) => {
@@ -955,8 +976,8 @@
                 self.write_job(now, id, out);
             }
             (Phase::Writing | Phase::Waiting, Ok(true)) => {
-                let outcome = outcome(&conn.reply).unwrap_or(Outcome::Broken);
-                if conn.phase == Phase::Writing || outcome == Outcome::Broken {
+                let outcome = outcome(&conn.reply).unwrap_or(Outcome::Spoilt);
+                if conn.phase == Phase::Writing || outcome == Outcome::Spoilt {
                     // It is out of step: what is still to be written would be taken for the next request.
                     out.push(Effect::MemberClose(id));
                     return self.end_job(now, id, outcome, out);
@@ -972,6 +993,24 @@
         }
     }
 
+    /// Part of a message is no answer yet. On an idle connection nobody asked for it; an answer that has begun goes on.
+    fn member_partial(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        match conn.phase {
+            Phase::Idle => {
+                out.push(Effect::MemberClose(id));
+                self.member_closed(now, id, Closed::Unasked, out);
+            }
+            Phase::Waiting => {
+                // Danger: a length beyond what follows would hold its request until the client's time is over.
+                conn.partial = true;
+                let until = conn.until.min(now + self.limits.answer_stall);
+                self.set_conn_timer(id, until);
+            }
+            _ => {}
+        }
+    }
+
     /// A connection is over. Whether its request's last byte was written tells what that means.
     fn member_closed(&mut self, now: Time, id: ConnId, why: Closed, out: &mut Vec<Effect>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
@@ -980,14 +1019,19 @@
             log_rarely(self.counters.members_bad, "bad bytes from members:", out);
         }
         let (member, job) = (conn.member, conn.job);
-        let ended = outcome(&conn.reply);
+        if why == Closed::Unasked {
+            self.counters.members_unasked += 1;
+            log_rarely(self.counters.members_unasked, "connections with more than was asked for:", out);
+        }
+        // An error may be a member's last word; a row counts only once the member is ready again behind it.
+        let ended = outcome(&conn.reply).filter(|ended| *ended != Outcome::Served || conn.reply.is_whole());
         let outcome = match conn.phase {
             Phase::Idle => {
-                self.counters.members_closed += 1;
+                self.counters.members_closed += u64::from(why == Closed::Lost);
                 self.pool.remove(id);
                 return self.forget(id);
             }
-            Phase::Writing if conn.reused && why == Closed::Lost && ended.is_none() => {
+            Phase::Writing if conn.reused && why != Closed::Bad && ended.is_none() => {
                 // It had closed while idle, so this request has not been sent at all yet.
                 self.counters.members_reopened += 1;
                 self.unbind(id);
@@ -1000,7 +1044,8 @@
             Phase::Connecting => Outcome::NoConnection,
             Phase::Starting | Phase::Writing if ended == Some(Outcome::Shed) => Outcome::Shed,
             Phase::Starting | Phase::Writing => Outcome::NoConnection,
-            Phase::Waiting => ended.filter(|_| why == Closed::Lost).unwrap_or(Outcome::Broken),
+            Phase::Waiting if why == Closed::Bad => Outcome::Spoilt,
+            Phase::Waiting => ended.unwrap_or(Outcome::Broken),
         };
         self.end_job(now, id, outcome, out);
     }
@@ -1011,6 +1056,7 @@
         conn.timer = None;
         let outcome = match conn.phase {
             Phase::Connecting | Phase::Starting | Phase::Writing => Outcome::NoConnection,
+            Phase::Waiting if conn.partial && now < conn.until => Outcome::Spoilt,
             Phase::Waiting => Outcome::TimedOut,
             Phase::Idle => return,
         };
@@ -1041,7 +1087,10 @@
     fn end_job(&mut self, now: Time, id: ConnId, outcome: Outcome, out: &mut Vec<Effect>) {
         let job = self.unbind(id);
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        let (member, reply) = (conn.member, std::mem::take(&mut conn.reply));
+        let (member, mut reply) = (conn.member, std::mem::take(&mut conn.reply));
+        if !reply.is_whole() || outcome == Outcome::Spoilt {
+            reply = Reply::default(); // What is not whole tells nothing of its member.
+        }
         if conn.phase != Phase::Idle {
             self.forget(id);
         }
@@ -1063,6 +1112,7 @@
             Job::Attempt { request, number, sent, .. } => (request, number, sent),
             Job::Probe { sent } => {
                 let told = reply.column().filter(|_| outcome == Outcome::Served).and_then(pg::load_report);
+                let told = told.filter(|report| self.can_be(now, report.position));
                 self.counters.probes_failed += u64::from(told.is_none());
                 let (answered, report) = (told.is_some(), told.unwrap_or_default());
                 return self.events.push_back(Event::Probed { member, answered, took: now - sent, report });
@@ -1077,13 +1127,26 @@
             let answered = self.answer(now, request, row, out);
             self.counters.answered_served += u64::from(answered);
         }
-        let Reply { primary, position, report, .. } = reply;
+        let Reply { mut primary, mut position, mut report, .. } = reply;
+        if !self.can_be(now, position) {
+            (primary, position) = (None, None);
+        }
+        if !self.can_be(now, report.position) {
+            report = Report::default();
+        }
         let took = now - sent;
         let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
         self.events.push_back(Event::Answer(answer));
         self.forget_request(request);
     }
 
+    /// Danger: a position in the future would make its member the freshest for as long as it lasts.
+    fn can_be(&mut self, now: Time, position: Option<Time>) -> bool {
+        let can = position.is_none_or(|at| at <= now + self.limits.clock_slack);
+        self.counters.members_disbelieved += u64::from(!can);
+        can
+    }
+
     fn count(&mut self, outcome: Outcome) {
         let counters = &mut self.counters;
         *match outcome {
@@ -1094,6 +1157,7 @@
             Outcome::TimedOut => &mut counters.ended_timed_out,
             Outcome::NoConnection => &mut counters.ended_no_connection,
             Outcome::Broken => &mut counters.ended_reset,
+            Outcome::Spoilt => &mut counters.ended_spoilt,
             Outcome::Cancelled => &mut counters.ended_cancelled,
             Outcome::Unsent => &mut counters.ended_unsent,
         } += 1;
@@ -1259,6 +1323,6 @@
             b"53300" => Outcome::Shed,
             _ => Outcome::Error,
         },
-        Ended::Nothing => Outcome::Error,
+        Ended::Nothing => Outcome::Spoilt,
     })
 }
--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use stackgw_gateway::pg::{code, Frame, Frames};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -96,10 +97,30 @@
         let role = status("node_role", if primary { "leader" } else { "follower" });
         let tail = vec![role, status("replay_position", &now.to_string()), ready()];
         let head = if write && !primary { vec![error("25006")] } else { row(key.as_bytes()) };
-        wire.write(&[head, tail].concat());
+        match key.split_once('-') {
+            // Good, but another copy comes right behind it.
+            Some(("twice", _)) => wire.write(&[head.clone(), tail.clone(), head, tail].concat()),
+            // Spoilt the first time that this key is asked for.
+            Some(("spoilt", kind)) if SPOILT.lock().expect("no panic").insert(key.clone()) => {
+                let mut bytes: Vec<u8> = row(key.as_bytes()).into_iter().flat_map(|f| f.bytes).collect();
+                match kind {
+                    "noise" => bytes = (0..2000u32).map(|n| (n * 7 + 200) as u8).collect(),
+                    "huge" => {
+                        bytes = [&bytes[..40], &b"D\xb2\xd0\x5e\x00\0\x01\xb2\xd0\x5d\xf6"[..]].concat()
+                    }
+                    "short" => bytes.truncate(bytes.len() - 3),
+                    _ => bytes.extend_from_slice(b"C\0\0\0\x06\xff\0"),
+                }
+                let _ = wire.socket.write_all(&bytes);
+            }
+            _ => wire.write(&[head, tail].concat()),
+        }
     }
 }
 
+/// Keys whose answer has been spoilt once.
+static SPOILT: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 /// An agent whose watch sends one list and then stays open.
 fn agent(list: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -423,3 +444,39 @@
         assert!(said.contains(says), "{name}: {said}");
     }
 }
+
+/// A second copy behind an answer belongs to nobody; the next request is not served with it.
+#[test]
+fn a_second_copy_behind_an_answer_is_never_the_next_ones_answer() {
+    let World { gateway, .. } = world("copies");
+    let mut client = gateway.client();
+    for n in 0..40 {
+        let key = format!("twice-{n}");
+        client.write(&[if n % 2 == 0 { select(&key) } else { insert(&key) }]);
+        assert_eq!(client.answer()[1], row(key.as_bytes())[1]);
+    }
+    gateway.signal("USR1");
+    let counters = gateway.line("counters ");
+    assert!(!counters.contains(" members_unasked=0 "), "{counters}");
+}
+
+/// Whatever is spoilt reaches no client: a read is asked for again, a write that may have run fails at once.
+#[test]
+fn spoilt_answers_reach_no_client_and_no_write_is_sent_twice() {
+    let World { gateway, seen, .. } = world("spoilt");
+    let mut client = gateway.client();
+    for kind in ["noise", "huge", "short", "tag"] {
+        let key = format!("spoilt-{kind}");
+        client.write(&[select(&key)]);
+        assert_eq!(client.answer()[1], row(key.as_bytes())[1]);
+        SPOILT.lock().expect("no panic").remove(&key);
+        while seen.try_recv().is_ok() {}
+        client.write(&[insert(&key)]);
+        let answer = client.answer();
+        assert_eq!(kinds(&answer), "EZ");
+        assert_eq!(sqlstate(&answer[0].bytes).as_deref(), Some("58000"), "it may have run");
+        assert_eq!(seen.try_iter().count(), 1, "sent once");
+        client.write(&[insert("fine")]);
+        assert_eq!(client.answer()[1], row(b"fine")[1], "its member serves on");
+    }
+}
--- a/crates/stackgw-gateway/tests/invariants.rs
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -235,7 +235,8 @@
         return; // What was out then is nobody's any more.
     }
     let ended = c.ended_served + c.ended_error + c.ended_shed + c.ended_miss + c.ended_timed_out;
-    let ended = ended + c.ended_no_connection + c.ended_reset + c.ended_cancelled + c.ended_unsent;
+    let ended =
+        ended + c.ended_no_connection + c.ended_reset + c.ended_spoilt + c.ended_cancelled + c.ended_unsent;
     assert_eq!((c.attempts, c.held_bytes), (ended, 0), "{c}");
 }
 
--- a/crates/stackgw-gateway/tests/parsers.rs
+++ b/crates/stackgw-gateway/tests/parsers.rs
@@ -67,13 +67,17 @@
 
     #[test]
     fn frames_come_out_whole_however_they_are_split(
-        bodies in proptest::collection::vec((any::<u8>(), a_body()), 0..8), cuts in cuts()
+        bodies in proptest::collection::vec((any::<usize>(), a_body()), 0..8), cuts in cuts()
     ) {
-        let wanted: Vec<_> = bodies.iter().map(|(kind, body)| message(*kind, body)).collect();
-        let mut bytes = startup().bytes;
-        let typed: Vec<u8> = wanted.iter().flat_map(|f| f.bytes.clone()).collect();
-        bytes.extend_from_slice(&typed);
-        prop_assert_eq!(&frames(Frames::typed(MOST), &typed, &cuts).0, &wanted);
+        // Of the types that each side may send, those whose bodies differ in length.
+        let of = |kinds: &[u8]| -> Vec<Frame> {
+            bodies.iter().map(|(n, body)| message(kinds[n % kinds.len()], body)).collect()
+        };
+        let joined = |frames: &[Frame]| -> Vec<u8> { frames.iter().flat_map(|f| f.bytes.clone()).collect() };
+        let wanted = of(b"RSKTCENAv");
+        prop_assert_eq!(&frames(Frames::typed(MOST), &joined(&wanted), &cuts).0, &wanted);
+        let wanted = of(b"QPBDECFdfp");
+        let bytes = [startup().bytes, joined(&wanted)].concat();
         let (got, bad) = frames(Frames::client(MOST, MOST), &bytes, &cuts);
         prop_assert!(!bad);
         prop_assert_eq!(&got[0], &startup());
@@ -177,7 +181,7 @@
 
 #[test]
 fn a_buffer_that_is_never_empty_does_not_grow() {
-    let (mut parser, bytes) = (Frames::typed(MOST), message(b'Q', &[7; 100]).bytes);
+    let (mut parser, bytes) = (Frames::typed(MOST), message(b'C', &[7; 100]).bytes);
     parser.feed(&bytes[..50]);
     for _ in 0..1000 {
         parser.feed(&bytes[50..]);
@@ -272,3 +276,42 @@
     write::error(&mut refusal, false, "53300", "no\0w", Some("25"));
     assert_eq!(&refusal[5..], b"SERROR\0VERROR\0C53300\0Mnow\0D25\0\0");
 }
+
+/// Judged before its bytes have come: one that waits for them waits for as long as the other side likes.
+#[test]
+fn a_message_is_judged_by_its_type_and_length_at_once() {
+    let bad = |mut parser: Frames, bytes: &[u8]| {
+        parser.feed(bytes);
+        parser.next_frame().is_some_and(|frame| frame.is_err())
+    };
+    let server = || Frames::typed(1 << 16);
+    assert!(bad(server(), b"?"), "a type that no server sends");
+    assert!(bad(server(), b"Q"), "a client's message");
+    assert!(bad(server(), b"Z\0\0\0\x09"));
+    assert!(bad(server(), b"I\0\0\0\x05"));
+    assert!(bad(server(), b"D\xb2\xd0\x5e\x04"), "3 GB");
+    assert!(bad(server(), b"D\0\0\0\x0c\0\x01\0\0\0\x09"), "a column longer than its row");
+    assert!(bad(server(), b"D\0\0\0\x0c\0\x02\0\0\0\x02"), "two columns");
+    assert!(bad(server(), b"D\0\0\0\x0c\0\x01\xff\xff\xff\xfe"), "a negative length");
+    assert!(!bad(server(), b"D\0\0\0\x0c\0\x01\0\0\0\x02"));
+    assert!(!bad(server(), b"D\0\0\0\x0a\0\x01\xff\xff\xff\xff"), "no value");
+    let client = || {
+        let mut parser = Frames::client(100, 1 << 16);
+        parser.feed(&startup().bytes);
+        assert!(parser.next_frame().is_some_and(|frame| frame.is_ok()));
+        parser
+    };
+    assert!(bad(client(), b"\xff"));
+    assert!(bad(client(), b"Z"), "a server's message");
+    assert!(bad(client(), b"X\0\0\0\x05"));
+    assert!(bad(client(), b"Q\xff\xff\xff\xff"));
+    assert!(!bad(client(), b"Q\0\0\xff\xff"));
+}
+
+#[test]
+fn a_load_that_cannot_be_spoils_its_report() {
+    for text in ["x0=1,x0=2", "x1=7", "inflight=-1", "util=1e9", "queue=inf", "x0=1,x1=", "x0=-5"] {
+        assert_eq!(load_report(text), None, "{text}");
+    }
+    assert!(load_report("x0=1767225600.1,x1=0,inflight=7,util=0.61").is_some());
+}
--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -317,6 +317,9 @@
     NoConnection,
     /// The connection broke; it may have run.
     Broken,
+    /// What came back was spoilt: it may have run, and nothing that it said counts. All members' answers may be spoilt
+    /// on their way, so it speaks neither for nor against this one.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// It was never sent.
