SIGHUP reads the configuration anew: the watch moves to the new address at once

Beside that Shell::discovery was fixed at start, Config let ROUTER_DISCOVERY override the file, and Reducer::revision would have dropped a new source's lower versions.

Now the file wins over what the environment said at start; the watch moves at once, asks for the whole list, and the old versions do not bind. A file that cannot be used is one log line and changes nothing; what a running gateway cannot change is named. Signals are taken before anything else is started.

--- a/crates/stackgw-gateway/src/config.rs
+++ b/crates/stackgw-gateway/src/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use stackgw_settings::HostSettings;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// A gateway's configuration.
 #[derive(Debug, Clone)]
@@ -30,22 +31,73 @@
     pub settings: HostSettings,
     /// Every size, count and time.
     pub limits: Limits,
+    /// The file that it was read from.
+    pub file: Option<PathBuf>,
+}
+
+/// Reads the file of a running gateway anew. What the environment said holds for the start alone: where both name
+/// something the file now wins, and the environment only stands in for what it leaves out.
+#[derive(Debug, Clone)]
+pub struct Reread {
+    file: Option<PathBuf>,
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+}
+
+impl Reread {
+    /// The configuration as the file has it now.
+    pub fn read(&self) -> Result<Config, String> {
+        let file = self.file.as_deref().ok_or("no file was named at start")?;
+        let started = |env: &str| match env {
+            "ROUTER_NAME" => Some(self.name.clone()),
+            "ROUTER_LISTEN" => Some(self.listen.to_string()),
+            "ROUTER_DISCOVERY" => Some(self.discovery.to_string()),
+            _ => None,
+        };
+        Config::read(&text_of(file)?, started, true)
+    }
+}
+
+/// A configuration is smaller than this.
+const FILE_MOST: u64 = 16 << 20;
+
+/// The text of a file. Danger: a pipe in its place would hold up the whole gateway.
+fn text_of(file: &Path) -> Result<String, String> {
+    let wrong = |e: &dyn std::fmt::Display| format!("ROUTER_CONFIG: {}: {e}", file.display());
+    let about = std::fs::metadata(file).map_err(|e| wrong(&e))?;
+    if !about.is_file() || about.len() > FILE_MOST {
+        return Err(wrong(&"no plain file, or too large a one"));
+    }
+    std::fs::read_to_string(file).map_err(|e| wrong(&e))
 }
 
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("ROUTER_CONFIG: {path}: {e}"))?;
-        Self::from_text(&text, var)
+        let file = PathBuf::from(path);
+        let config = Self::from_text(&text_of(&file)?, var)?;
+        Ok(Config { file: Some(file), ..config })
     }
 
     /// Reads the document's text; variables override its fields.
     pub fn from_text(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        Self::read(text, var, false)
+    }
+
+    /// What reads this configuration's file anew.
+    pub fn reread(&self) -> Reread {
+        let Config { file, name, listen, discovery, .. } = self;
+        Reread { file: file.clone(), name: name.clone(), listen: *listen, discovery: *discovery }
+    }
+
+    fn read(text: &str, var: impl Fn(&str) -> Option<String>, file_wins: bool) -> Result<Self, String> {
         let doc: Value = serde_json::from_str(text).map_err(|e| format!("ROUTER_CONFIG: no JSON: {e}"))?;
         let word = |key: &str, env: &str| -> Result<String, String> {
             let held = || doc.get(key).and_then(Value::as_str).map(str::to_owned);
-            var(env).or_else(held).ok_or_else(|| format!("{key} is no text and {env} is not set"))
+            let word = if file_wins { held().or_else(|| var(env)) } else { var(env).or_else(held) };
+            word.ok_or_else(|| format!("{key} is no text and {env} is not set"))
         };
         let address = |key: &str, text: &str| -> Result<SocketAddr, String> {
             text.parse().map_err(|_| format!("{key}: '{text}' is no address and port"))
@@ -91,6 +143,7 @@
             known,
             limits: Limits::new(platform, &settings),
             settings,
+            file: None,
         })
     }
 }
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -98,6 +98,10 @@
     members_reopened,
     /// Lists taken, whole or changes.
     lists,
+    /// Times that the configuration was to be read anew.
+    reloads,
+    /// Of these, the ones whose file could not be used.
+    reloads_failed,
     /// Watches opened.
     watches,
     /// Watches that ended, broke or fell silent.
--- a/crates/stackgw-gateway/src/io/discovery.rs
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -6,13 +6,17 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, stream, AsyncReadExt, AsyncWriteExt, Stream, StreamExt};
 use std::collections::VecDeque;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Asks, and gives the answer's pieces as they come.
-fn answer(shell: Rc<Shell>, watch_after: Option<Option<u64>>) -> impl Stream<Item = Result<Piece, String>> {
+fn answer(
+    shell: Rc<Shell>,
+    at: SocketAddr,
+    watch_after: Option<Option<u64>>,
+) -> impl Stream<Item = Result<Piece, String>> {
     let limits = &shell.limits;
     let http = HttpLines::new(limits.head_bytes, limits.list_bytes);
     let state = (shell, None::<Async<TcpStream>>, http, VecDeque::new());
@@ -21,8 +25,8 @@
             Some(socket) => socket,
             None => {
                 let io = |e: std::io::Error| e.to_string();
-                let mut socket = Async::<TcpStream>::connect(shell.discovery).await.map_err(io)?;
-                socket.write_all(&request(shell.discovery, watch_after)).await.map_err(io)?;
+                let mut socket = Async::<TcpStream>::connect(at).await.map_err(io)?;
+                socket.write_all(&request(at, watch_after)).await.map_err(io)?;
                 socket
             }
         };
@@ -43,8 +47,8 @@
 }
 
 /// Hands over each line of a watch until it ends.
-pub(super) async fn watch(shell: Rc<Shell>, after: Option<u64>) {
-    let mut pieces = pin!(answer(shell.clone(), Some(after)));
+pub(super) async fn watch(shell: Rc<Shell>, at: SocketAddr, after: Option<u64>) {
+    let mut pieces = pin!(answer(shell.clone(), at, Some(after)));
     let why = loop {
         match pieces.next().await {
             Some(Ok(Piece::Line(line))) if line.is_empty() => shell.input(Input::WatchAlive),
@@ -60,9 +64,9 @@
 }
 
 /// Asks for the whole list once.
-pub(super) async fn fetch(shell: Rc<Shell>) {
+pub(super) async fn fetch(shell: Rc<Shell>, at: SocketAddr) {
     let whole = async {
-        let mut pieces = pin!(answer(shell.clone(), None));
+        let mut pieces = pin!(answer(shell.clone(), at, None));
         let mut body = Vec::new();
         loop {
             match pieces.next().await? {
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -9,7 +9,7 @@
 mod signals;
 mod timers;
 
-use crate::config::Config;
+use crate::config::{Config, Reread};
 use crate::limits::Limits;
 use crate::reducer::{ClientId, Closed, ConnId, Effect, Input, Reducer};
 use async_executor::{LocalExecutor, Task};
@@ -94,7 +94,7 @@
     clock: Clock,
     log: Logger,
     executor: Rc<LocalExecutor<'static>>,
-    discovery: SocketAddr,
+    reread: Reread,
     queue: RefCell<VecDeque<Input>>,
     handling: Cell<bool>,
     clients: RefCell<HashMap<ClientId, Client>>,
@@ -196,13 +196,13 @@
                 }
             }
             Effect::MemberClose(conn) => drop(self.members.borrow_mut().remove(&conn)),
-            Effect::Watch(after) => {
-                let task = self.executor.spawn(discovery::watch(self.clone(), after));
+            Effect::Watch(at, after) => {
+                let task = self.executor.spawn(discovery::watch(self.clone(), at, after));
                 *self.watch.borrow_mut() = Some(task);
             }
             Effect::Unwatch => drop(self.watch.borrow_mut().take()),
-            Effect::Fetch => {
-                *self.fetch.borrow_mut() = Some(self.executor.spawn(discovery::fetch(self.clone())));
+            Effect::Fetch(at) => {
+                *self.fetch.borrow_mut() = Some(self.executor.spawn(discovery::fetch(self.clone(), at)));
             }
             Effect::Datagram(to, bytes) => {
                 if let Some(socket) = &self.datagrams {
@@ -227,6 +227,8 @@
 
 /// Serves until told to end.
 pub(crate) fn serve(config: Config, log: Logger) -> Result<(), String> {
+    // First of all: a signal that came before would end the program.
+    let signals = signals::listen().map_err(|e| format!("signals: {e}"))?;
     let bind = |what: &str, address: SocketAddr, e: std::io::Error| format!("{what}: {address}: {e}");
     let listener = Async::<TcpListener>::bind(config.listen).map_err(|e| bind("listen", config.listen, e))?;
     let at = listener.get_ref().local_addr().map_err(|e| bind("listen", config.listen, e))?;
@@ -244,7 +246,7 @@
         clock: Clock::new(),
         log,
         executor: executor.clone(),
-        discovery: config.discovery,
+        reread: config.reread(),
         queue: RefCell::default(),
         handling: Cell::new(false),
         clients: RefCell::default(),
@@ -263,7 +265,6 @@
         reducer: RefCell::new(Reducer::new(config)),
         limits,
     });
-    let signals = signals::listen().map_err(|e| format!("signals: {e}"))?;
     executor.spawn(signals::run(shell.clone(), signals)).detach();
     executor.spawn(timers::run(shell.clone())).detach();
     if let Some(socket) = shell.datagrams.clone() {
--- a/crates/stackgw-gateway/src/io/signals.rs
+++ b/crates/stackgw-gateway/src/io/signals.rs
@@ -1,4 +1,4 @@
-//! Signals: SIGTERM and SIGINT end the gateway, SIGUSR1 prints the counters.
+//! Signals: SIGTERM and SIGINT end the gateway, SIGHUP reads its configuration anew, SIGUSR1 prints the counters.
 
 use super::Shell;
 use crate::reducer::Input;
@@ -7,13 +7,14 @@
 use std::rc::Rc;
 
 pub(super) fn listen() -> std::io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
 }
 
 /// Hands over each signal.
 pub(super) async fn run(shell: Rc<Shell>, mut signals: Signals) {
     while let Some(signal) = signals.next().await {
         match signal {
+            Ok(Signal::Hup) => shell.input(Input::Reload(shell.reread.read().map(Box::new))),
             Ok(Signal::Usr1) => shell.input(Input::Report),
             Ok(_) => shell.input(Input::Terminate),
             Err(_) => {}
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -9,7 +9,7 @@
 use crate::pg::{self, code, write, Ended, Frame, Reply, Statement};
 use crate::pool::Pool;
 use stackgw_router::{api::*, Router};
-use stackgw_settings::{Digests, Names};
+use stackgw_settings::{Digests, HostSettings, Names};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
@@ -68,6 +68,8 @@
     Datagram(SocketAddr, Vec<u8>),
     /// The time that [`Reducer::next_due`] named has come.
     Due,
+    /// The configuration as it stands now, or why it cannot be used.
+    Reload(Result<Box<Config>, String>),
     /// Finish what was taken and end.
     Terminate,
     /// New connections are no longer taken; all that waited have been handed over.
@@ -100,12 +102,12 @@
     MemberWrite(ConnId, Vec<u8>),
     /// Close a connection to a member.
     MemberClose(ConnId),
-    /// Open a watch of what changes after this version, in place of any other.
-    Watch(Option<u64>),
+    /// Open a watch, at this address, of what changes after this version, in place of any other.
+    Watch(SocketAddr, Option<u64>),
     /// Close the watch.
     Unwatch,
-    /// Ask for the whole list.
-    Fetch,
+    /// Ask for the whole list at this address, in place of any other such question.
+    Fetch(SocketAddr),
     /// Send a datagram.
     Datagram(SocketAddr, Vec<u8>),
     /// Take what waits in line, then close the listener.
@@ -255,6 +257,9 @@
     member_ids: HashMap<String, MemberId>,
     groups: BTreeSet<u32>,
     digests: Digests,
+    /// Who has the list, and whether it has been asked for and not come.
+    discovery: SocketAddr,
+    fetching: bool,
     revision: Option<u64>,
     watching: bool,
     watch_heard: Time,
@@ -280,13 +285,53 @@
     listener_closed: bool,
     exited: bool,
     secret: u64,
+    /// What holds until a restart.
+    fixed: Fixed,
+}
+
+/// The parts of a configuration that a running gateway cannot change.
+#[derive(Debug, PartialEq)]
+struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    peer_listen: Option<SocketAddr>,
+    settings: HostSettings,
+    limits: Limits,
+}
+
+impl Fixed {
+    fn of(config: &Config) -> Self {
+        Fixed {
+            name: config.name.clone(),
+            listen: config.listen,
+            peer_listen: config.peer_listen,
+            settings: config.settings.clone(),
+            limits: config.limits.clone(),
+        }
+    }
+
+    /// The names of the parts in which another differs.
+    fn differs(&self, other: &Fixed) -> Vec<&'static str> {
+        let parts = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("peer_listen", self.peer_listen != other.peer_listen),
+            ("settings", self.settings != other.settings),
+            ("limits", self.settings == other.settings && self.limits != other.limits),
+        ];
+        parts.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
 }
 
 impl Reducer {
     /// A gateway that has not started yet.
     pub fn new(config: Config) -> Self {
+        let fixed = Fixed::of(&config);
         let settings = config.settings.router;
         Reducer {
+            fixed,
+            discovery: config.discovery,
+            fetching: false,
             limits: config.limits,
             names: config.settings.names,
             classes: settings.classes.clone(),
@@ -364,9 +409,13 @@
             Input::List(list) => self.list(now, list, out),
             Input::WatchAlive => self.watch_heard = now,
             Input::WatchLost(why) => self.watch_lost(now, why, out),
-            Input::FetchFailed => self.list_failed(),
+            Input::FetchFailed => {
+                self.fetching = false;
+                self.list_failed();
+            }
             Input::Datagram(from, bytes) => self.datagram(now, from, &bytes),
             Input::Due => self.due(now, out),
+            Input::Reload(config) => self.reload(now, config, out),
             Input::Terminate => self.terminate(now, out),
             Input::ListenerClosed => {
                 self.listener_closed = true;
@@ -460,7 +509,10 @@
                 (self.subscribed, self.watching) = (false, false);
                 out.push(Effect::Unwatch);
             }
-            Action::FetchList => out.push(Effect::Fetch),
+            Action::FetchList => {
+                self.fetching = true;
+                out.push(Effect::Fetch(self.discovery));
+            }
             Action::Note(text) => out.push(Effect::Log(text)),
         }
     }
@@ -1168,7 +1220,39 @@
     fn watch(&mut self, now: Time, out: &mut Vec<Effect>) {
         (self.watching, self.watch_heard) = (true, now);
         self.counters.watches += 1;
-        out.push(Effect::Watch(self.revision));
+        out.push(Effect::Watch(self.discovery, self.revision));
+    }
+
+    /// Takes what a running gateway can change; what it cannot is said. A configuration that cannot be used changes
+    /// nothing.
+    fn reload(&mut self, now: Time, config: Result<Box<Config>, String>, out: &mut Vec<Effect>) {
+        self.counters.reloads += 1;
+        let config = match config {
+            Ok(config) => config,
+            Err(why) => {
+                self.counters.reloads_failed += 1;
+                return out.push(Effect::Log(format!("the old configuration stays in force: {why}")));
+            }
+        };
+        let mut said = format!("configuration read anew, the list is at {}", config.discovery);
+        let fixed = self.fixed.differs(&Fixed::of(&config));
+        if !fixed.is_empty() {
+            said += &format!("; unchanged until a restart: {}", fixed.join(", "));
+        }
+        out.push(Effect::Log(said));
+        (self.peers, self.peers_all) = (config.peers, config.peers_all);
+        if std::mem::replace(&mut self.discovery, config.discovery) == config.discovery {
+            return;
+        }
+        // Danger: another source counts its versions anew. Held to the old one's, its word would be taken for old.
+        (self.revision, self.watch_pause, self.watching) = (None, 0, false);
+        out.push(Effect::Unwatch);
+        if self.subscribed {
+            self.watch(now, out);
+        }
+        if self.fetching {
+            out.push(Effect::Fetch(self.discovery));
+        }
     }
 
     fn watch_lost(&mut self, now: Time, why: String, out: &mut Vec<Effect>) {
@@ -1194,6 +1278,7 @@
             return; // Word that newer word has overtaken.
         }
         self.counters.lists += 1;
+        self.fetching &= !list.complete;
         self.revision = Some(list.revision);
         let members: Vec<_> = list.members.iter().filter_map(|e| self.listed(now, e, out)).collect();
         if list.complete && !self.limits.only_drains_bind {
--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -123,11 +123,20 @@
 
 /// An agent whose watch sends one list and then stays open.
 fn agent(list: String) -> SocketAddr {
+    let (told, _) = channel();
+    agent_that_tells(list, told)
+}
+
+/// One that passes on the first line of each request that it gets.
+fn agent_that_tells(list: String, told: Sender<String>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         let mut open = Vec::new();
         for mut socket in listener.incoming().flatten() {
+            let mut line = String::new();
+            let _ = BufReader::new(&socket).read_line(&mut line);
+            let _ = told.send(line);
             let body = format!("{list}\n");
             let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
             let _ = socket.write_all(format!("{head}{:x}\r\n{body}\r\n", body.len()).as_bytes());
@@ -176,6 +185,12 @@
         }
     }
 
+    /// Writes the configuration anew, with this address for the list.
+    fn write_config(&self, agent: SocketAddr) {
+        let text = config_text("null").replace("127.0.0.1:8500", &agent.to_string());
+        std::fs::write(&self.config, text).expect("a file");
+    }
+
     fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
@@ -219,6 +234,8 @@
     gateway: Gateway,
     seen: Receiver<String>,
     go: Vec<Sender<()>>,
+    /// The list's entries, the primary first.
+    entries: Vec<String>,
 }
 
 /// A primary and two replicas, their agent, and a gateway before them.
@@ -232,7 +249,7 @@
         let role = if n == 1 { "leader" } else { "follower" };
         entries.push(entry(n, "ready", role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\"")));
     }
-    World { gateway: Gateway::start(name, agent(list_text(1, true, &entries))), seen, go }
+    World { gateway: Gateway::start(name, agent(list_text(1, true, &entries))), seen, go, entries }
 }
 
 fn insert(key: &str) -> Frame {
@@ -393,7 +410,7 @@
 
 #[test]
 fn sigterm_loses_nothing_that_was_taken() {
-    let World { mut gateway, seen, go } = world("term");
+    let World { mut gateway, seen, go, .. } = world("term");
     let mut busy = gateway.client();
     let mut idle = gateway.client();
     busy.write(&[insert("slow")]);
@@ -480,3 +497,52 @@
         assert_eq!(client.answer()[1], row(b"fine")[1], "its member serves on");
     }
 }
+
+/// SIGHUP under load, twice: the list comes from the new address, the old one's versions do not bind, none is lost.
+#[test]
+fn sighup_moves_to_the_new_list_and_loses_nothing() {
+    let World { mut gateway, seen, go, entries } = world("reload");
+    let (mut busy, mut client) = (gateway.client(), gateway.client());
+    busy.write(&[insert("slow")]);
+    assert!(seen.recv_timeout(WAIT).expect("the statement").contains("'slow'"));
+    // What cannot be used changes nothing: no file, half a file, a wrong field.
+    let whole = std::fs::read_to_string(&gateway.config).expect("the file");
+    std::fs::remove_file(&gateway.config).expect("gone");
+    gateway.signal("HUP");
+    gateway.line("the old configuration stays in force: ROUTER_CONFIG");
+    for (text, says) in [(&whole[..whole.len() / 2], "no JSON"), (&whole.replace("8c1f", "zz"), "seed: 'zz'")]
+    {
+        std::fs::write(&gateway.config, text).expect("a file");
+        gateway.signal("HUP");
+        gateway.line(says);
+        client.write(&[select("k1")]);
+        assert_eq!(kinds(&client.answer()), "TDCZ");
+    }
+    // Two new ones: the first knows the primary and one replica, the second, in other versions, the other replica.
+    let mut watched = Vec::new();
+    for n in [1, 2] {
+        let (told, asked) = channel();
+        let list = list_text(n as u64, true, &[entries[0].clone(), entries[n].clone()]);
+        gateway.write_config(agent_that_tells(list, told));
+        gateway.signal("HUP");
+        gateway.line("configuration read anew");
+        let line = asked.recv_timeout(WAIT).expect("a watch");
+        assert!(line.contains("watch=1 "), "the whole list is asked for: {line}");
+        watched.push(asked);
+        client.write(&[insert("k2")]);
+        assert_eq!(kinds(&client.answer()), "TDCZ");
+    }
+    // Beside SIGTERM too: what was taken is answered, and it ends in order.
+    gateway.signal("HUP");
+    gateway.signal("TERM");
+    gateway.signal("HUP");
+    gateway.line("ending, 1 requests in hand");
+    go[0].send(()).expect("the member waits");
+    assert_eq!(kinds(&busy.answer()), "TDCZ");
+    let line = gateway.line("counters ");
+    assert!(
+        line.contains(" answered_failed=0 answered_gone=0") && line.contains(" reloads_failed=3"),
+        "{line}"
+    );
+    assert!(gateway.ended().success());
+}
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -433,8 +433,8 @@
 #[test]
 fn the_watch_starts_after_the_known_version_and_is_opened_anew_with_pauses() {
     let mut rig = Rig::new(&three());
-    assert!(rig.effects.contains(&Effect::Watch(Some(1))));
-    let count = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Watch(_))).count();
+    assert!(rig.effects.contains(&Effect::Watch("127.0.0.1:8500".parse().expect("an address"), Some(1))));
+    let count = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Watch(..))).count();
     let effects = rig.input(Input::WatchLost("ended".into()));
     assert_eq!(count(&effects), 0, "not at once");
     assert_eq!(count(&rig.pass(150 * MS)), 1);
@@ -728,3 +728,38 @@
     let effects = rig.lose(conn);
     assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"));
 }
+
+/// What SIGHUP brings: the list comes from the new address at once and whole, whatever versions the old one had.
+#[test]
+fn a_new_configuration_moves_the_watch_and_old_versions_do_not_bind() {
+    let known = list_text(41, true, &[entry(1, "ready", "leader"), entry(2, "ready", "follower")]);
+    let mut rig = Rig::new(&known);
+    let client = rig.client(1);
+    let config =
+        |text: String| Box::new(stackgw_gateway::config::Config::from_text(&text, |_| None).expect("one"));
+    let moved = || config_text("null").replace("127.0.0.1:8500", "127.0.0.1:8600");
+    let effects = rig.input(Input::Reload(Ok(config(moved()))));
+    let new = "127.0.0.1:8600".parse().expect("an address");
+    assert!(effects.contains(&Effect::Unwatch) && effects.contains(&Effect::Watch(new, None)), "{effects:?}");
+    // Its versions are lower, and count all the same.
+    rig.input(Input::List(list(3, true, &[entry(2, "draining", "follower"), entry(3, "ready", "leader")])));
+    rig.input(Input::List(list(4, false, &[entry(2, "gone", "follower")])));
+    assert_eq!(rig.reducer.counters().lists, 2);
+    rig.pass(2 * SECOND);
+    let effects = rig.ask(client, read(400));
+    assert!(opened(&effects).iter().all(|(_, member)| *member == 3), "what it tells binds");
+    // Lost, it is asked for at the new address after the new versions.
+    rig.input(Input::WatchLost("ended".into()));
+    assert!(rig.pass(SECOND).contains(&Effect::Watch(new, Some(4))));
+    // The same once more changes nothing; one that cannot be used neither, and is one line.
+    let effects = rig.input(Input::Reload(Ok(config(moved()))));
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Watch(..) | Effect::Unwatch)));
+    let effects = rig.input(Input::Reload(Err("ROUTER_CONFIG: no JSON".into())));
+    assert!(matches!(&effects[..], [Effect::Log(line)] if line.contains("no JSON")), "{effects:?}");
+    // What cannot change while running is said.
+    let other = moved().replace("\"sockets\":128", "\"sockets\":256").replace("\"g0\"", "\"g7\"");
+    let effects = rig.input(Input::Reload(Ok(config(other))));
+    let said = |e: &Effect| matches!(e, Effect::Log(line) if line.contains("until a restart: name, limits"));
+    assert!(effects.iter().any(said), "{effects:?}");
+    assert_eq!((rig.reducer.counters().reloads, rig.reducer.counters().reloads_failed), (4, 1));
+}
