After SIGTERM clients keep their connections and are served until shortly before the kill

The gateway's log shows an orderly end 0.9 s after SIGTERM and the next start 3.5 s after that: whoever was closed between requests (Reducer::retire_clients, as soon as the listener was closed) had nobody to go to where this gateway is the only one. The platform kills no sooner than the longest deadline and 0.7 s more, and clients use what stays open. Ruled out: the list (new addresses taken at once, 3 watches, none lost) and members (no refusal or reset in those seconds).

Now clients are closed between requests from 0.35 s before the end on, and what was never sent by then is refused rather than failed.

--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -75,8 +75,8 @@
     pub error_pause: Span,
     /// After SIGTERM new connections are taken for this long.
     pub drain_accept: Span,
-    /// A client that came so shortly before the end of that has a moment for the request it came with.
-    pub drain_fresh: Span,
+    /// After SIGTERM clients keep the connections that they have for this long, and are served.
+    pub drain_serve: Span,
     /// Pace at which clients are then looked at, and closed between requests.
     pub drain_pace: Span,
     /// After SIGTERM the gateway ends by then, whatever is left.
@@ -136,7 +136,7 @@
             watch_pause_most: SECOND,
             error_pause: 5 * MS,
             drain_accept: 500 * MS,
-            drain_fresh: 250 * MS,
+            drain_serve: longest.min(3 * SECOND) + 200 * MS,
             drain_pace: 100 * MS,
             drain_end: longest.min(3 * SECOND) + 550 * MS,
         }
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -283,6 +283,8 @@
     /// SIGTERM has come; then the listener is closed; then the program is to end.
     ending: bool,
     listener_closed: bool,
+    /// From when on clients are then closed between requests.
+    retire_at: Time,
     exited: bool,
     secret: u64,
     /// What holds until a restart.
@@ -366,6 +368,7 @@
             counters: Counters::default(),
             ending: false,
             listener_closed: false,
+            retire_at: 0,
             exited: false,
             secret: config.seed,
         }
@@ -417,10 +420,7 @@
             Input::Due => self.due(now, out),
             Input::Reload(config) => self.reload(now, config, out),
             Input::Terminate => self.terminate(now, out),
-            Input::ListenerClosed => {
-                self.listener_closed = true;
-                self.retire_clients(now, out);
-            }
+            Input::ListenerClosed => self.listener_closed = true,
             Input::Report => out.push(Effect::Report(Box::new(self.counters.clone()))),
         }
         self.route(now, out);
@@ -661,7 +661,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.unsent = None;
         self.note_idle(now, id);
-        if self.listener_closed && self.takes(id) {
+        if self.ending && now >= self.retire_at && self.takes(id) {
             out.push(Effect::ClientRetire(id));
         }
     }
@@ -1357,16 +1357,20 @@
     fn terminate(&mut self, now: Time, out: &mut Vec<Effect>) {
         if !std::mem::replace(&mut self.ending, true) {
             self.set_timer(now + self.limits.drain_accept, Due::StopListening);
+            self.retire_at = now + self.limits.drain_serve;
+            self.set_timer(self.retire_at, Due::Retire);
             self.set_timer(now + self.limits.drain_end, Due::End);
             out.push(Effect::Log(format!("ending, {} requests in hand", self.requests.len())));
         }
     }
 
-    /// Closes clients between requests, again and again until none is left. Those that have only just come get a
-    /// moment for the request that they came with.
+    /// Closes clients between requests, again and again until none is left. Danger: done as soon as the listener is
+    /// closed, it would send them where nobody serves until this gateway is back.
     fn retire_clients(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let fresh = |c: &Client| now - c.opened < self.limits.drain_fresh;
-        let idle = self.clients.iter().filter(|(_, c)| c.idle() && !fresh(c) || c.awaits_ready);
+        if now < self.retire_at {
+            return;
+        }
+        let idle = self.clients.iter().filter(|(_, c)| c.idle() || c.awaits_ready);
         out.extend(idle.map(|(id, _)| Effect::ClientRetire(*id)));
         if !self.clients.is_empty() {
             self.set_timer(now + self.limits.drain_pace, Due::Retire);
@@ -1377,8 +1381,12 @@
     fn end(&mut self, now: Time, out: &mut Vec<Effect>) {
         let open = self.requests.iter().filter(|(_, open)| open.client.is_some()).map(|(id, _)| *id);
         for request in open.collect::<BTreeSet<_>>() {
-            let answered = self.answer_error(now, request, "58000", "the gateway ends", None, out);
-            self.counters.answered_failed += u64::from(answered);
+            // What was never sent may be asked for elsewhere.
+            let sent = self.requests.get(&request).is_some_and(|open| open.sent > 0);
+            let code = if sent { "58000" } else { "57P03" };
+            let answered = self.answer_error(now, request, code, "the gateway ends", None, out);
+            self.counters.answered_failed += u64::from(answered && sent);
+            self.counters.answered_refused += u64::from(answered && !sent);
         }
         self.exit(out);
     }
