Bad clients are judged at once, give way first, and each gets an error or a close in time

Now: nothing asked within 1.5 s of connecting ends it, half a message is told so after 2 s; those that have asked nothing make room first and at once for one that asks; what clients send ahead has a shared bound past which the greediest goes; an open id is an error for the newcomer; four messages a turn, one read a turn; a bounded half-close and drain behind every fatal error; ten malformed statements in a row are the last; a line of 4096.

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -74,6 +74,12 @@
     clients_bad,
     /// Client connections closed because they stood still inside a message or an answer.
     clients_stalled,
+    /// Client connections closed because they asked nothing in time.
+    clients_silent,
+    /// Client connections closed for sending much ahead while there was no room.
+    clients_greedy,
+    /// Statements whose id is that of an open request.
+    ids_taken,
     /// Connections to members opened.
     members_opened,
     /// Connections to members that came up.
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -12,7 +12,9 @@
 
 /// Takes connections while the reducer has room, until it has the listener closed.
 pub(super) async fn accept(shell: Rc<Shell>, listener: Async<TcpListener>) {
-    let mut next = 0;
+    // Danger: hundreds may connect at once; past the line's end the kernel lets the usual ones wait for seconds.
+    let _ = rustix::net::listen(listener.get_ref(), shell.limits.backlog);
+    let (mut next, mut turn) = (0, 0);
     let pause = Duration::from_nanos(shell.limits.error_pause as u64);
     loop {
         let stopped = async {
@@ -24,7 +26,13 @@
             Some(listener.accept().await)
         };
         match future::or(stopped, taken).await {
-            Some(Ok((socket, _))) => open(&shell, &mut next, socket),
+            Some(Ok((socket, _))) => {
+                open(&shell, &mut next, socket);
+                turn += 1;
+                if turn % shell.limits.accept_turn == 0 {
+                    future::yield_now().await;
+                }
+            }
             // Out of descriptors, or the client has gone already: neither may end the listener.
             Some(Err(_)) => drop(Timer::after(pause).await),
             None => break,
@@ -41,7 +49,8 @@
 }
 
 fn open(shell: &Rc<Shell>, next: &mut u64, socket: Async<TcpStream>) {
-    let link = Link::new(socket, shell.limits.statement_bytes, &shell.client_budget);
+    let limits = &shell.limits;
+    let link = Link::new(socket, limits.statement_bytes, limits.linger_bytes, &shell.client_budget);
     let id = ClientId(*next);
     *next += 1;
     let task = shell.executor.spawn(serve(shell.clone(), id, link.clone()));
@@ -63,7 +72,15 @@
                 return shell.input(Input::ClientClosed(id, Closed::Lost));
             }
         }
+        let mut taken = 0;
         while shell.takes(id) {
+            if taken == limits.client_turn {
+                // Danger: one that sends hundreds of messages at once would keep all others waiting.
+                taken = 0;
+                future::yield_now().await;
+                continue;
+            }
+            taken += 1;
             match frames.next_frame() {
                 Some(Ok(frame)) => shell.input(Input::ClientFrame(id, frame)),
                 // The stream ends once the reducer's last word to this client is written.
@@ -74,12 +91,18 @@
         if !shell.clients.borrow().contains_key(&id) {
             return;
         }
+        if link.is_closing() {
+            frames.clear();
+        }
         let held = frames.held();
         link.hold(held);
-        if held > 0 && shell.takes(id) {
-            shell.input(Input::ClientPartial(id));
-        } else if held > 0 {
-            shell.waiting.borrow_mut().insert(id);
+        if held > 0 {
+            shell.input(Input::ClientHolds(id, held));
+            if !shell.takes(id) {
+                shell.waiting.borrow_mut().insert(id);
+            }
         }
+        // Nor would one that sends without a pause.
+        future::yield_now().await;
     }
 }
--- a/crates/stackgw-gateway/src/io/members.rs
+++ b/crates/stackgw-gateway/src/io/members.rs
@@ -18,7 +18,7 @@
 async fn serve(shell: Rc<Shell>, id: ConnId, address: SocketAddr) {
     let why = match Async::<TcpStream>::connect(address).await {
         Ok(socket) => {
-            talk(&shell, id, Link::new(socket, shell.limits.answer_bytes, &shell.member_budget)).await
+            talk(&shell, id, Link::new(socket, shell.limits.answer_bytes, 0, &shell.member_budget)).await
         }
         Err(_) => Closed::Lost,
     };
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -23,7 +23,8 @@
     pub member_connections: usize,
     /// Where all places are taken, a client idle for this long may be closed for another.
     pub evict_after: Span,
-    /// One that has not asked anything yet is about to: it is spared for this long.
+    /// One that has not asked anything yet goes before all others, but what it came with may be on its way: it is spared
+    /// for this long.
     pub evict_fresh: Span,
     /// Requests held open together.
     pub requests: usize,
@@ -63,8 +64,26 @@
     pub idle: Span,
     /// Pace of the look at idle connections.
     pub sweep: Span,
-    /// A client that has not finished its startup, a message or the reading of an answer by then is let go.
+    /// A client that has asked nothing by then, counted from its connecting, is let go.
+    pub client_first: Span,
+    /// A message that has begun must be whole by then.
+    pub client_partial: Span,
+    /// A client that has not read an answer by then is let go.
     pub client_stall: Span,
+    /// So long may a client that has been told why its connection ends go on sending ...
+    pub linger: Span,
+    /// ... and so much; it is read and dropped, as unread bytes would take the error with them.
+    pub linger_bytes: usize,
+    /// Malformed statements in a row, at most, before the connection ends.
+    pub client_malformed: u32,
+    /// Messages of one client taken before all others have had their turn.
+    pub client_turn: usize,
+    /// New connections taken before others have had their turn.
+    pub accept_turn: usize,
+    /// Connections that may stand in line before they are taken.
+    pub backlog: i32,
+    /// No request waits longer for its answer, whatever its `d` says.
+    pub wait_most: Span,
     /// A watch without a line for this long is opened anew.
     pub watch_silence: Span,
     /// Shortest pause before the list's agent is asked again.
@@ -110,7 +129,7 @@
             client_reserve,
             member_connections,
             evict_after: 100 * MS,
-            evict_fresh: SECOND,
+            evict_fresh: 50 * MS,
             requests: settings.max_open,
             members: 16 << 10,
             startup_bytes: 10_000,
@@ -130,7 +149,16 @@
             clock_slack: 20 * MS,
             idle: idle / 5 * 4,
             sweep: SECOND / 2,
-            client_stall: 15 * SECOND,
+            client_first: SECOND + SECOND / 2,
+            client_partial: 2 * SECOND,
+            client_stall: 5 * SECOND,
+            linger: SECOND,
+            linger_bytes: 1 << 20,
+            client_malformed: 10,
+            client_turn: 4,
+            accept_turn: 8,
+            backlog: 4096,
+            wait_most: longest.max(30 * SECOND),
             watch_silence: 5 * SECOND,
             watch_pause: 100 * MS,
             watch_pause_most: SECOND,
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -22,6 +22,12 @@
         self.body().first_chunk().map(|code| u32::from_be_bytes(*code))
     }
 
+    /// Whether the parameters of a startup packet are whole.
+    pub fn has_parameters(&self) -> bool {
+        // Behind the code, names and values each with their end, and one more end.
+        self.body().get(4..).is_some_and(|text| text == [0] || text.ends_with(&[0, 0]))
+    }
+
     /// Whether this is a startup packet of version 3, of any minor version.
     pub fn is_startup(&self) -> bool {
         self.kind == 0 && self.code().is_some_and(|code| code >> 16 == super::code::VERSION_3 >> 16)
@@ -99,6 +105,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Drops all that is held.
+    pub fn clear(&mut self) {
+        (self.buffer, self.start) = (Vec::new(), 0);
+    }
+
     /// Bytes held.
     pub fn held(&self) -> usize {
         self.buffer.len() - self.start
--- a/crates/stackgw-gateway/src/pg/statement.rs
+++ b/crates/stackgw-gateway/src/pg/statement.rs
@@ -22,6 +22,8 @@
     bytes: Vec<u8>,
     /// Where the digits of `d` stand.
     d: Range<usize>,
+    /// The request's id.
+    pub id: String,
     /// The quoted key.
     pub key: String,
     /// The class's name.
@@ -79,7 +81,7 @@
             }
             at += part.len() + 1;
         }
-        id.filter(|id| !id.is_empty()).ok_or(Malformed("the comment has no id"))?;
+        let id = id.filter(|id| !id.is_empty()).ok_or(Malformed("the comment has no id"))?;
         let (wait, d) = d.ok_or(Malformed("the comment has no d"))?;
         let wait_ms =
             digits(wait).filter(|d| *d < 1 << 32).ok_or(Malformed("d is no number of milliseconds"))?;
@@ -92,6 +94,7 @@
             }
         };
         Ok(Statement {
+            id: id.to_owned(),
             key: key.to_owned(),
             class: class.ok_or(Malformed("the comment has no c"))?.to_owned(),
             wait_ms,
@@ -104,9 +107,9 @@
         })
     }
 
-    /// Bytes held.
+    /// Bytes held, those of the names that are kept beside the message included.
     pub fn held(&self) -> usize {
-        self.bytes.len()
+        self.bytes.len() + 2 * self.id.len() + self.key.len() + self.class.len()
     }
 
     /// The message as it came, `d` set to the time that this attempt may take.
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -10,7 +10,7 @@
 use crate::pool::Pool;
 use stackgw_router::{api::*, Router};
 use stackgw_settings::{Digests, HostSettings, Names};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// A client's connection, numbered by the I/O side.
@@ -40,8 +40,8 @@
     ClientOpened(ClientId),
     /// A client's whole message; handed over only where [`Reducer::takes`] says so.
     ClientFrame(ClientId, Frame),
-    /// A client's message has begun and is not whole.
-    ClientPartial(ClientId),
+    /// A client has sent so much that has not been taken yet, be it half a message or more than one.
+    ClientHolds(ClientId, usize),
     /// All that was to be written to a client is written.
     ClientFlushed(ClientId),
     /// A client's connection is over.
@@ -129,6 +129,8 @@
     /// A look at what stands idle or still.
     Sweep,
     Watch,
+    /// Another look at whether some client may make room.
+    Admit,
     StopListening,
     Retire,
     End,
@@ -170,22 +172,32 @@
     unsent: Option<Time>,
     /// Since when a message has been incomplete.
     partial: Option<Time>,
+    /// Bytes that it has sent and that are not taken yet.
+    ahead: usize,
+    /// Malformed statements since its last good one.
+    malformed: u32,
     /// Came when all places were taken: turned away with its first statement unless there is room by then.
     surplus: bool,
     /// Sent an empty query before the gateway could serve.
     awaits_ready: bool,
     /// Used the extended protocol, which is not spoken: skip to its Sync.
     skips: bool,
-    closing: bool,
+    /// Since when nothing more is taken from it: it is told why, and ends.
+    closing: Option<Time>,
     /// It has asked something.
     used: bool,
-    /// Since when it has been idle; for one that has asked nothing yet, from when on it counts as idle.
+    /// Since when it has been idle.
     idle_since: Time,
 }
 
 impl Client {
     fn idle(&self) -> bool {
-        self.request.is_none() && self.unsent.is_none() && !self.awaits_ready && !self.closing
+        self.request.is_none() && self.unsent.is_none() && !self.awaits_ready && self.closing.is_none()
+    }
+
+    /// Its place among those that make room: whoever has asked nothing goes first.
+    fn place(&self, id: ClientId) -> (bool, Time, ClientId) {
+        (self.used, self.idle_since, id)
     }
 }
 
@@ -265,11 +277,18 @@
     watch_heard: Time,
     watch_pause: Span,
     clients: BTreeMap<ClientId, Client>,
-    idle_clients: BTreeSet<(Time, ClientId)>,
+    /// Clients between requests, in the order in which they make room.
+    idle_clients: BTreeSet<(bool, Time, ClientId)>,
+    /// Bytes that clients have sent and that are not taken yet.
+    ahead: usize,
+    /// A look at who may make room is due.
+    admits: bool,
     accepting: bool,
     /// The client last asked to make room.
     evicting: Option<ClientId>,
     requests: HashMap<RequestId, Open>,
+    /// The ids of these requests.
+    open_ids: HashSet<String>,
     next_request: u64,
     conns: HashMap<ConnId, Conn>,
     next_conn: u64,
@@ -354,9 +373,12 @@
             watch_pause: 0,
             clients: BTreeMap::new(),
             idle_clients: BTreeSet::new(),
+            ahead: 0,
+            admits: false,
             accepting: false,
             evicting: None,
             requests: HashMap::new(),
+            open_ids: HashSet::new(),
             next_request: 0,
             conns: HashMap::new(),
             next_conn: 0,
@@ -396,11 +418,7 @@
             Input::Start => self.start(now, out),
             Input::ClientOpened(id) => self.client_opened(now, id),
             Input::ClientFrame(id, frame) => self.client_frame(now, id, frame, out),
-            Input::ClientPartial(id) => {
-                if let Some(client) = self.clients.get_mut(&id) {
-                    client.partial.get_or_insert(now);
-                }
-            }
+            Input::ClientHolds(id, bytes) => self.client_holds(now, id, bytes, out),
             Input::ClientFlushed(id) => self.client_flushed(now, id, out),
             Input::ClientClosed(id, Closed::Bad) => self.client_bad(now, id, out),
             Input::ClientClosed(id, _) => self.client_gone(id),
@@ -540,6 +558,7 @@
                         self.watch(now, out);
                     }
                 }
+                Due::Admit => self.admits = false,
                 Due::StopListening => out.push(Effect::StopListening),
                 Due::Retire => self.retire_clients(now, out),
                 Due::End => self.end(now, out),
@@ -558,16 +577,37 @@
             out.push(Effect::Unwatch);
             self.watch_lost(now, "silent".to_owned(), out);
         }
-        let late = |since: Option<Time>| since.is_some_and(|t| now - t > self.limits.client_stall);
-        let stalled = |c: &Client| {
-            late(c.unsent) || late(c.partial) || late(Some(c.opened).filter(|_| c.started.is_none()))
+        let limits = &self.limits;
+        let late = |since: Option<Time>, most| since.is_some_and(|t| now - t > most);
+        let stuck = |c: &Client| late(c.unsent, limits.client_stall) || late(c.closing, limits.linger);
+        let half = |c: &Client| late(c.partial, limits.client_partial);
+        let silent = |c: &Client| !c.used && c.idle() && now - c.opened > limits.client_first;
+        let which = |which: &dyn Fn(&Client) -> bool| -> Vec<ClientId> {
+            self.clients.iter().filter(|(_, c)| which(c)).map(|(id, _)| *id).collect()
         };
-        let stalled: Vec<_> = self.clients.iter().filter(|(_, c)| stalled(c)).map(|(id, _)| *id).collect();
-        for id in stalled {
-            self.counters.clients_stalled += 1;
+        let (stuck, silent) = (which(&stuck), which(&|c| c.closing.is_none() && (half(c) || silent(c))));
+        for id in stuck {
+            let closing = self.clients.get(&id).is_some_and(|c| c.closing.is_some());
+            self.counters.clients_stalled += u64::from(!closing);
             out.push(Effect::ClientClose(id));
             self.client_gone(id);
         }
+        for id in silent {
+            self.client_silent(now, id, out);
+        }
+    }
+
+    /// Half a message, or nothing at all, holds a place for nothing. Who has sent something is told why; for who has sent
+    /// nothing a request may be on its way, which must not be met by words that are not its answer.
+    fn client_silent(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        if self.clients.get(&id).is_some_and(|c| c.partial.is_some()) {
+            self.counters.clients_stalled += 1;
+            log_rarely(self.counters.clients_stalled, "clients that stood still inside a message:", out);
+            return self.client_error(now, id, true, "08P01", "the message was not finished in time", out);
+        }
+        self.counters.clients_silent += 1;
+        log_rarely(self.counters.clients_silent, "clients that asked nothing:", out);
+        out.push(Effect::ClientRetire(id));
     }
 
     // Clients.
@@ -582,25 +622,62 @@
             request: None,
             unsent: None,
             partial: None,
+            ahead: 0,
+            malformed: 0,
             awaits_ready: false,
             skips: false,
-            closing: false,
+            closing: None,
             used: false,
-            idle_since: now + self.limits.evict_fresh,
+            idle_since: now,
         };
+        self.idle_clients.insert(client.place(id));
         self.clients.insert(id, client);
-        self.idle_clients.insert((now + self.limits.evict_fresh, id));
     }
 
-    /// Takes new clients while there is room for one more. Where all places are taken one is kept free: the client
-    /// idle longest makes room, if that is a while (one just answered often asks again), unless it has sent something.
+    /// What a client has sent ahead takes room from all: past its share whoever holds most of it, those first that have
+    /// asked nothing yet, is told so and ends. One with a request in hand keeps its connection for the answer.
+    fn client_holds(&mut self, now: Time, id: ClientId, bytes: usize, out: &mut Vec<Effect>) {
+        let takes = self.takes(id);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        self.ahead = self.ahead - client.ahead + bytes;
+        client.ahead = bytes;
+        if takes && bytes > 0 {
+            client.partial.get_or_insert(now);
+        }
+        if self.ahead > self.limits.client_bytes / 4 * 3 {
+            let idle = self.clients.iter().filter(|(_, c)| c.ahead > 0 && c.idle());
+            let Some((most, _)) = idle.max_by_key(|(_, c)| (!c.used, c.ahead)) else { return };
+            let most = *most;
+            self.counters.clients_greedy += 1;
+            log_rarely(self.counters.clients_greedy, "clients that sent too much ahead:", out);
+            self.client_error(now, most, true, "53400", "too much was sent ahead", out);
+        }
+    }
+
+    /// Takes new clients while there is room for one more. Where all places are taken one is kept free. Who has asked
+    /// nothing makes room first, as hundreds may connect and say nothing; then the client idle longest, if that is a
+    /// while (one just answered often asks again). None does that has sent something by then.
     fn admit(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let spared = |used| if used { self.limits.evict_after } else { self.limits.evict_fresh };
         if self.clients.len() >= self.limits.clients {
-            let oldest =
-                self.idle_clients.first().filter(|(since, _)| now - since >= self.limits.evict_after);
-            if let Some((_, oldest)) = oldest {
-                self.evicting = Some(*oldest);
-                out.push(Effect::ClientRetire(*oldest));
+            let first = |used| self.idle_clients.range((used, Time::MIN, ClientId(0))..).next().copied();
+            let due = [first(false).filter(|(used, ..)| !used), first(true)];
+            let due = due.into_iter().flatten();
+            let (ripe, green): (Vec<_>, Vec<_>) =
+                due.partition(|(used, since, _)| now - since >= spared(*used));
+            if let Some(&(used, since, oldest)) = ripe.first() {
+                self.evicting = Some(oldest);
+                // Danger: one that has sent something stays, and would keep all others from making room.
+                self.idle_clients.remove(&(used, since, oldest));
+                if let Some(client) = self.clients.get_mut(&oldest) {
+                    client.idle_since = now;
+                    self.idle_clients.insert(client.place(oldest));
+                }
+                out.push(Effect::ClientRetire(oldest));
+            } else if let Some(at) = green.iter().map(|(used, since, _)| since + spared(*used)).min() {
+                if !std::mem::replace(&mut self.admits, true) {
+                    self.set_timer(at, Due::Admit);
+                }
             }
         }
         let places = self.limits.clients + self.limits.client_reserve;
@@ -614,11 +691,10 @@
     /// Keeps the order of idle clients after a client's state has changed.
     fn note_idle(&mut self, now: Time, id: ClientId) {
         if let Some(client) = self.clients.get_mut(&id) {
-            self.idle_clients.remove(&(client.idle_since, id));
+            self.idle_clients.remove(&client.place(id));
             if client.idle() {
-                // Danger: a newcomer's first request is on its way; closed then, it would be lost.
-                client.idle_since = if client.used { now } else { client.opened + self.limits.evict_fresh };
-                self.idle_clients.insert((client.idle_since, id));
+                client.idle_since = now;
+                self.idle_clients.insert(client.place(id));
             }
         }
     }
@@ -626,7 +702,10 @@
     fn client_write(&mut self, now: Time, id: ClientId, bytes: Vec<u8>, close: bool, out: &mut Vec<Effect>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.unsent = Some(now);
-        client.closing |= close;
+        if close {
+            client.closing.get_or_insert(now);
+            self.ahead -= std::mem::take(&mut client.ahead); // Dropped with the rest that it sends.
+        }
         self.note_idle(now, id);
         out.push(Effect::ClientWrite { client: id, bytes, close });
     }
@@ -679,7 +758,8 @@
 
     fn client_gone(&mut self, id: ClientId) {
         let Some(client) = self.clients.remove(&id) else { return };
-        self.idle_clients.remove(&(client.idle_since, id));
+        self.idle_clients.remove(&client.place(id));
+        self.ahead -= client.ahead;
         self.counters.clients_open -= 1;
         if self.evicting == Some(id) {
             self.counters.clients_evicted += 1;
@@ -702,14 +782,16 @@
     fn client_frame(&mut self, now: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.partial = None;
+        self.ahead -= std::mem::take(&mut client.ahead);
         if client.started.is_none() {
             return self.startup(now, id, &frame, out);
         }
-        client.used |= frame.kind == b'Q';
         let mut reply = Vec::new();
         match frame.kind {
             b'Q' if client.skips => {}
             b'Q' if Statement::is_empty(&frame) => {
+                self.client_used(id);
+                let Some(client) = self.clients.get_mut(&id) else { return };
                 if self.members.is_empty() {
                     client.awaits_ready = true;
                     return self.note_idle(now, id);
@@ -735,8 +817,6 @@
                 }
                 self.client_write(now, id, reply, false, out);
             }
-            // Copy data that crossed an error is skipped.
-            b'd' | b'c' | b'f' => {}
             _ => self.client_bad(now, id, out),
         }
     }
@@ -745,13 +825,15 @@
         let mut reply = Vec::new();
         let version = frame.code().unwrap_or_default();
         match version {
-            code::SSL | code::GSS => self.client_write(now, id, b"N".to_vec(), false, out),
+            code::SSL | code::GSS if frame.body().len() == 4 => {
+                self.client_write(now, id, b"N".to_vec(), false, out)
+            }
             code::CANCEL => {
                 self.cancel(now, frame, out);
                 out.push(Effect::ClientClose(id));
                 self.client_gone(id);
             }
-            _ if frame.is_startup() => {
+            _ if frame.is_startup() && frame.has_parameters() => {
                 self.secret = self.secret.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(id.0 | 1);
                 let secret = (self.secret >> 32) as u32;
                 if version != code::VERSION_3 {
@@ -765,7 +847,7 @@
             }
             _ => {
                 self.counters.clients_bad += 1;
-                self.client_error(now, id, true, "0A000", "this version of the protocol is not spoken", out);
+                self.client_error(now, id, true, "0A000", "this startup is not understood", out);
             }
         }
     }
@@ -786,7 +868,12 @@
         self.counters.taken += 1;
         let full = self.clients.len() > self.limits.clients;
         let surplus = self.clients.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.surplus));
-        if surplus && full {
+        // Whoever has asked nothing gives way to one that has; is there none such, this one is turned away.
+        let silent = self.idle_clients.iter().take_while(|(used, ..)| !used).find(|(.., other)| *other != id);
+        if let Some(&(.., silent)) = silent.filter(|_| surplus && full) {
+            self.evicting = Some(silent);
+            out.push(Effect::ClientRetire(silent));
+        } else if surplus && full {
             // Danger: waiting for a place, in line or here, would cost its time; it has not run, so it may go elsewhere.
             self.counters.turned_away += 1;
             return self.client_error(now, id, true, "53300", "too many connections", out);
@@ -808,12 +895,18 @@
         if (need == Need::Write) != statement.write {
             return self.reject(now, id, "the class and the statement do not go together", out);
         }
+        if self.open_ids.contains(&statement.id) {
+            // Danger: two requests under one id are one to the members, and the owner would get the other's answer.
+            self.counters.ids_taken += 1;
+            log_rarely(self.counters.ids_taken, "statements under the id of an open request:", out);
+            return self.reject(now, id, "a request with this id is open", out);
+        }
         if self.requests.len() >= self.limits.requests {
             return self.refuse(now, id, "53300", "too many requests are open", out);
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        let deadline = now + statement.wait_ms as Span * MS;
+        let deadline = now + (statement.wait_ms as Span * MS).min(self.limits.wait_most);
         let sessions = matches!(need, Need::Write | Need::Session);
         self.events.push_back(Event::Request(Request {
             id: request,
@@ -825,17 +918,35 @@
             repeat: statement.repeat,
         }));
         self.counters.held_bytes += statement.held() as u64;
+        self.open_ids.insert(statement.id.clone());
+        self.client_used(id);
         let open = Open { client: Some(id), statement, deadline, sent: 0, out: Vec::new(), ended: false };
         self.requests.insert(request, open);
         if let Some(client) = self.clients.get_mut(&id) {
             client.request = Some(request);
+            client.malformed = 0;
         }
         self.note_idle(now, id);
     }
 
+    /// A client has asked something: it is no stranger any more.
+    fn client_used(&mut self, id: ClientId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            self.idle_clients.remove(&client.place(id));
+            client.used = true;
+            if client.idle() {
+                self.idle_clients.insert(client.place(id));
+            }
+        }
+    }
+
     fn reject(&mut self, now: Time, id: ClientId, why: &str, out: &mut Vec<Effect>) {
         self.counters.malformed += 1;
-        self.client_error(now, id, false, "42601", why, out);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.malformed += 1;
+        // One that goes on and on is not worth its turns.
+        let fatal = client.malformed >= self.limits.client_malformed;
+        self.client_error(now, id, fatal, "42601", why, out);
     }
 
     /// Turned away before the router has seen it.
@@ -880,6 +991,7 @@
             if let Some(open) = self.requests.remove(&request) {
                 let before = self.counters.held_bytes;
                 self.counters.held_bytes = before - open.statement.held() as u64;
+                self.open_ids.remove(&open.statement.id);
             }
         }
     }
