Members that are gone are forgotten after a while, by the module and by its hosts

A list could name 16,384 members over the gateway's life and no more.

Now the router drops a member 30 s after it is gone (where only a drain binds: doubted and out of use) once nothing is in flight there, and says so (Action::Forget); the host then drops its number, name, digest and idle connections.

--- a/crates/stackgw-adapter/src/host.rs
+++ b/crates/stackgw-adapter/src/host.rs
@@ -31,7 +31,8 @@
     router: Router,
     position_zero: Time,
     classes: usize,
-    members: Vec<String>,
+    members: HashMap<MemberId, String>,
+    next_member: u32,
     digests: Digests,
     member_ids: HashMap<String, MemberId>,
     requests: BTreeMap<RequestId, Open>,
@@ -103,7 +104,8 @@
                     position_zero: host.position_zero,
                     classes: host.router.classes.len(),
                     router: Router::new(host.router, seed),
-                    members: Vec::new(),
+                    members: HashMap::new(),
+                    next_member: 0,
                     digests: Digests::default(),
                     member_ids: HashMap::new(),
                     requests: BTreeMap::new(),
@@ -275,11 +277,12 @@
     }
 
     fn listed(&mut self, entry: &Entry) -> Member {
-        let next = MemberId(self.members.len() as u32);
+        let next = MemberId(self.next_member);
         let id = *self.member_ids.entry(entry.name.clone()).or_insert(next);
         if id == next {
-            self.members.push(entry.name.clone());
-            self.digests.add(&entry.name);
+            self.next_member += 1;
+            self.members.insert(id, entry.name.clone());
+            self.digests.add(id, &entry.name);
         }
         Member { id, ..entry.member.clone() }
     }
@@ -376,7 +379,7 @@
 
     fn write(&mut self, gateway: &str, now: Time, action: &Action, out: &mut String) {
         let name = |id: &RequestId| self.requests.get(id).map_or("", |o| o.name.as_str());
-        let server = |id: &MemberId| self.members.get(id.0 as usize).map_or("", String::as_str);
+        let server = |id: &MemberId| self.members.get(id).map_or("", String::as_str);
         let _ = match action {
             Action::Send { request, member, timeout } => {
                 let wait = timeout.map_or(String::new(), |t| format!(" GiveUpAfterNs={t}"));
@@ -410,6 +413,7 @@
             Action::Subscribe(on) => {
                 writeln!(out, "stream_changes GatewayId={gateway} On={}", u8::from(*on))
             }
+            Action::Forget(_) => Ok(()),
             Action::FetchList => writeln!(out, "lookup GatewayId={gateway}"),
             Action::Note(text) => writeln!(out, "log GatewayId={gateway} NoteText={text}"),
         };
@@ -420,6 +424,12 @@
                 }
             }
             Action::Refuse { request, .. } | Action::Fail(request) => self.close(*request),
+            Action::Forget(member) => {
+                self.digests.remove(*member);
+                if let Some(name) = self.members.remove(member) {
+                    self.member_ids.remove(&name);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -102,6 +102,10 @@
     members_disbelieved,
     /// Attempts moved to a new connection because the idle one had closed.
     members_reopened,
+    /// Members that lists have named and that are still kept.
+    members_known,
+    /// Members dropped, gone for a while.
+    members_forgotten,
     /// Lists taken, whole or changes.
     lists,
     /// Times that the configuration was to be read anew.
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -28,7 +28,7 @@
     pub evict_fresh: Span,
     /// Requests held open together.
     pub requests: usize,
-    /// Members that lists may name, over the gateway's life.
+    /// Members that lists may name together.
     pub members: usize,
     /// A client's startup packet.
     pub startup_bytes: usize,
--- a/crates/stackgw-gateway/src/pool.rs
+++ b/crates/stackgw-gateway/src/pool.rs
@@ -35,6 +35,9 @@
             self.all.remove(&(at, id));
             if let Some(idle) = self.members.get_mut(&member) {
                 idle.remove(&(at, id));
+                if idle.is_empty() {
+                    self.members.remove(&member);
+                }
             }
         }
     }
--- a/crates/stackgw-gateway/src/reducer.rs
+++ b/crates/stackgw-gateway/src/reducer.rs
@@ -246,9 +246,11 @@
     timer: Option<TimerKey>,
 }
 
-/// A member that some list has named.
+/// A member that some list has named, until the router has no more use for it.
 #[derive(Debug)]
 struct Listed {
+    name: String,
+    group: u32,
     address: SocketAddr,
     /// Since when the list has had it draining or gone, in a way that binds.
     told: Option<Time>,
@@ -265,9 +267,9 @@
     peers_all: Option<SocketAddr>,
     me: usize,
     known: Option<ListUpdate>,
-    members: Vec<Listed>,
+    members: BTreeMap<MemberId, Listed>,
     member_ids: HashMap<String, MemberId>,
-    groups: BTreeSet<u32>,
+    next_member: u32,
     digests: Digests,
     /// Who has the list, and whether it has been asked for and not come.
     discovery: SocketAddr,
@@ -363,9 +365,9 @@
             known: config.known,
             moments: Moments::new(settings.tick),
             router: Router::new(settings, config.seed),
-            members: Vec::new(),
+            members: BTreeMap::new(),
             member_ids: HashMap::new(),
-            groups: BTreeSet::new(),
+            next_member: 0,
             digests: Digests::default(),
             revision: None,
             watching: false,
@@ -508,6 +510,7 @@
                     self.forget(conn);
                 }
             }
+            Action::Forget(member) => self.forget_member(member, out),
             Action::Tell { to, news } => {
                 let address = to.map_or(self.peers_all, |n| self.peers.get(n as usize).copied());
                 for body in self.digests.pack(now, to.is_some(), &news) {
@@ -888,7 +891,7 @@
         if self.members.is_empty() {
             return self.refuse(now, id, "57P03", "no list of members is known yet", out);
         }
-        if !self.groups.contains(&statement.cluster) {
+        if !self.members.values().any(|m| m.group == statement.cluster) {
             return self.reject(now, id, "the cluster is unknown", out);
         }
         let need = self.classes[class].need;
@@ -1020,6 +1023,9 @@
 
     /// Gives a job to an idle connection, the one used last, or to a new one.
     fn employ(&mut self, now: Time, member: MemberId, job: Job, out: &mut Vec<Effect>) {
+        let Some(address) = self.members.get(&member).map(|m| m.address) else {
+            return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
+        };
         if let Some(id) = self.pool.take(member) {
             self.bind(id, job);
             if let Some(conn) = self.conns.get_mut(&id) {
@@ -1047,7 +1053,7 @@
         let conn = Conn { member, phase, job: None, reused: false, reply, partial: false, until: 0, timer };
         self.conns.insert(id, conn);
         self.bind(id, job);
-        out.push(Effect::MemberOpen(id, self.members[member.0 as usize].address));
+        out.push(Effect::MemberOpen(id, address));
     }
 
     fn bind(&mut self, id: ConnId, job: Job) {
@@ -1072,7 +1078,7 @@
     /// Writes the connection's job; its time to answer begins.
     fn write_job(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        let told = self.members[conn.member.0 as usize].told;
+        let told = self.members.get(&conn.member).and_then(|m| m.told);
         if told.is_some_and(|told| now - told > self.limits.drain_grace) {
             // Danger: a slow connect would carry what was asked for inside the drain's grace past it.
             conn.phase = Phase::Writing;
@@ -1394,8 +1400,8 @@
         self.revision = Some(list.revision);
         let members: Vec<_> = list.members.iter().filter_map(|e| self.listed(now, e, out)).collect();
         if list.complete && !self.limits.only_drains_bind {
-            let named: BTreeSet<_> = members.iter().map(|m| m.id.0 as usize).collect();
-            let missing = self.members.iter_mut().enumerate().filter(|(n, _)| !named.contains(n));
+            let named: BTreeSet<_> = members.iter().map(|m| m.id).collect();
+            let missing = self.members.iter_mut().filter(|(id, _)| !named.contains(id));
             missing.for_each(|(_, known)| known.told = known.told.or(Some(now)));
         }
         let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
@@ -1411,26 +1417,43 @@
         }
     }
 
+    /// Drops all that goes by a member's number.
+    fn forget_member(&mut self, member: MemberId, out: &mut Vec<Effect>) {
+        let Some(Listed { name, .. }) = self.members.remove(&member) else { return };
+        self.member_ids.remove(&name);
+        self.digests.remove(member);
+        self.counters.members_known -= 1;
+        self.counters.members_forgotten += 1;
+        for conn in self.pool.drain(member) {
+            out.push(Effect::MemberClose(conn));
+            self.forget(conn);
+        }
+    }
+
     fn listed(&mut self, now: Time, entry: &ListEntry, out: &mut Vec<Effect>) -> Option<Member> {
-        let next = MemberId(self.members.len() as u32);
         let id = match self.member_ids.get(&entry.id) {
             Some(id) => *id,
             None if self.members.len() >= self.limits.members => return None,
             None => {
-                self.member_ids.insert(entry.id.clone(), next);
-                self.members.push(Listed { address: entry.address, told: None });
-                self.digests.add(&entry.id);
-                next
+                let id = MemberId(self.next_member);
+                self.next_member += 1;
+                let (name, group) = (entry.id.clone(), entry.cell);
+                self.member_ids.insert(name.clone(), id);
+                self.members.insert(id, Listed { name, group, address: entry.address, told: None });
+                self.digests.add(id, &entry.id);
+                self.counters.members_known += 1;
+                id
             }
         };
-        if let Some(known) = self.members.get_mut(id.0 as usize).filter(|m| m.address != entry.address) {
+        if let Some(known) = self.members.get_mut(&id).filter(|m| m.address != entry.address) {
             known.address = entry.address;
             for conn in self.pool.drain(id) {
                 out.push(Effect::MemberClose(conn));
                 self.forget(conn);
             }
         }
-        if let Some(known) = self.members.get_mut(id.0 as usize) {
+        if let Some(known) = self.members.get_mut(&id) {
+            known.group = entry.cell;
             let binds = match entry.phase {
                 Standing::Serving => false,
                 Standing::Draining => true,
@@ -1438,7 +1461,6 @@
             };
             known.told = if binds { known.told.or(Some(now)) } else { None };
         }
-        self.groups.insert(entry.cell);
         Some(Member {
             id,
             group: GroupId(entry.cell),
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -840,3 +840,41 @@
     assert_eq!(rig.reducer.counters().clients_greedy, 1);
     assert!(answers(&rig.input(Input::ClientHolds(small, 100))).is_empty(), "its bytes no longer count");
 }
+
+/// The long day: members are replaced throughout under new ids, clients and sessions are always new. What is kept of
+/// them is what is there now and a little of what has just gone.
+#[test]
+fn nothing_grows_over_many_generations() {
+    let mut rig = Rig::new(&list_text(1, true, &[entry(1, "ready", "leader")]));
+    let mut most = [0; 2];
+    for n in 0..400u32 {
+        let (old, new) = (1 + n, 2 + n);
+        let ready = |m| entry(m, "ready", if m == new { "leader" } else { "follower" });
+        rig.input(Input::List(list(
+            u64::from(n) * 2 + 2,
+            false,
+            &[ready(new), entry(old, "gone", "follower")],
+        )));
+        let client = rig.client(u64::from(n));
+        let text = format!("SELECT val FROM state WHERE uid = 's{n}' /* id=g{n},c=mine,d=400,cluster=2 */");
+        let effects = rig.ask(client, query(&text));
+        let sent = statements(&effects);
+        for (conn, _) in &sent {
+            rig.reply(*conn, [row(b"x"), vec![status("node_role", "leader"), message(b'Z', b"I")]].concat());
+        }
+        rig.pass(SECOND);
+        rig.input(Input::ClientClosed(client, Closed::Lost));
+        let counters = rig.reducer.counters();
+        let kept = counters.members_known;
+        let half = usize::from(n >= 200);
+        most[half] = most[half].max(kept + counters.members_open + counters.held_bytes);
+        assert!(kept < 60, "{kept} members after {n} generations");
+        assert!(counters.members_open < 30, "{} connections", counters.members_open);
+    }
+    let counters = rig.reducer.counters();
+    assert!(counters.members_forgotten > 300, "{counters}");
+    assert!(most[1] <= most[0], "{most:?}");
+    // One that comes back is a member like any other.
+    rig.input(Input::List(list(9000, false, &[entry(3, "ready", "follower")])));
+    assert!(rig.reducer.counters().members_known < 60);
+}
--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -458,6 +458,9 @@
     Probe(MemberId),
     /// Close idle connections to a member.
     CloseIdle(MemberId),
+    /// This member is of no more use: its number will not be heard again, and what goes by it may be dropped. Named by a
+    /// list once more, it gets a new one.
+    Forget(MemberId),
     /// Give word to another router, or to all of them.
     Tell {
         /// Its number; `None`: all.
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -4,7 +4,7 @@
 //! again or `give_up` ends it. Members' word arrives in `learn`, their behaviour in `judge`.
 
 use crate::api::*;
-use crate::state::{scatter, Entry, Group, Node};
+use crate::state::{drop_past, scatter, Entry, Group, Node};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Session reads this soon after a write go to the primary. The design's start; shorter was worth nothing.
@@ -22,6 +22,8 @@
 const CROWD: f64 = 16.0;
 /// Session marks are kept this long: far longer than a replica lags, or a new one's copy is old.
 const MARK_KEPT: Span = 60 * SECOND;
+/// A member that is gone is kept this long, as late answers and word of it may still come.
+const GONE_KEPT: Span = 30 * SECOND;
 /// A replica that turned a read away is taken to be this far behind until it is heard again.
 const LAG_OF_MISS: Span = 2 * SECOND;
 /// A replica with this many times its peers' mean in flight, and one more, is skipped for now.
@@ -619,7 +621,13 @@
             self.end(id, out);
         }
         if now - self.counted_at >= SECOND {
-            self.count(now);
+            let elapsed = (now - self.counted_at) as f64 / SECOND as f64;
+            let serving = self.nodes.values().filter(|n| n.standing == Standing::Serving).count();
+            let rate = self.taken / serving.max(1) as f64 / elapsed;
+            self.warm_rate += (rate - self.warm_rate) * 0.3;
+            (self.counted_at, self.taken) = (now, 0.0);
+            self.last_writes.retain(|_, write| now - *write < MARK_KEPT);
+            out.extend(drop_past(&mut self.nodes, &mut self.groups, now - GONE_KEPT));
         }
         let busy = self.groups.iter().filter(|(_, group)| self.probes >= 1.0 || !group.held.is_empty());
         for group in busy.map(|(id, _)| *id).collect::<Vec<_>>() {
@@ -628,15 +636,6 @@
         }
     }
 
-    fn count(&mut self, now: Time) {
-        let elapsed = (now - self.counted_at) as f64 / SECOND as f64;
-        let serving = |n: &&Node| n.standing == Standing::Serving;
-        let rate = self.taken / self.nodes.values().filter(serving).count().max(1) as f64 / elapsed;
-        self.warm_rate += (rate - self.warm_rate) * 0.3;
-        (self.counted_at, self.taken) = (now, 0.0);
-        self.last_writes.retain(|_, write| now - *write < MARK_KEPT);
-    }
-
     /// Whether a replica's position may be asked for again. One that was behind the whole fleet watches.
     fn probe_due(&self, now: Time, node: &Node) -> bool {
         let behind = node.lag > self.bound && node.position > 0;
--- a/crates/stackgw-router/src/state.rs
+++ b/crates/stackgw-router/src/state.rs
@@ -2,7 +2,7 @@
 //! decision stands in router.rs.
 
 use crate::api::*;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What the router knows of one member.
 #[derive(Debug, Default, Clone)]
@@ -49,6 +49,12 @@
         self.probe_out && now - self.probed_at < span
     }
 
+    /// Gone, or taken to be gone and out of use, since before a moment, with nothing in flight.
+    fn is_past(&self, before: Time) -> bool {
+        let gone = self.standing == Standing::Gone || self.doubted && self.out;
+        gone && self.in_flight == 0 && self.told < before
+    }
+
     /// No probe is out, and none was sent inside this span.
     pub(crate) fn unasked_for(&self, now: Time, span: Span) -> bool {
         !self.probe_out && now - self.probed_at >= span
@@ -67,6 +73,24 @@
     pub(crate) turn: f64,
 }
 
+/// Drops the members that have been past use since before a moment, and groups that are left with nothing.
+pub(crate) fn drop_past(
+    nodes: &mut BTreeMap<MemberId, Node>,
+    groups: &mut BTreeMap<GroupId, Group>,
+    before: Time,
+) -> Vec<Action> {
+    let past: Vec<_> = nodes.iter().filter(|(_, n)| n.is_past(before)).map(|(id, _)| *id).collect();
+    for id in &past {
+        nodes.remove(id);
+        for group in groups.values_mut() {
+            group.members.retain(|member| member != id);
+            group.primary = group.primary.filter(|primary| primary != id);
+        }
+    }
+    groups.retain(|_, group| !group.members.is_empty() || !group.held.is_empty());
+    past.into_iter().map(Action::Forget).collect()
+}
+
 /// The ledger entry of a request: what was sent, what may have run.
 #[derive(Debug, Default)]
 pub(crate) struct Entry {
--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -511,3 +511,34 @@
     }
     panic!("no final answer before the deadline");
 }
+
+/// Members are replaced for as long as the router runs: what it keeps must not be what it ever knew.
+#[test]
+fn members_that_are_gone_are_forgotten_in_the_end_and_those_in_use_are_not() {
+    let mut bench = Bench::heard(settings(), 3);
+    let (id, actions) = bench.ask(BOUNDED);
+    let busy = sent(&actions)[0];
+    let gone = |n| Member { standing: Standing::Gone, ..member(n, false) };
+    let forgotten = |bench: &Bench| -> Vec<u32> {
+        bench.log.iter().filter_map(|a| if let Action::Forget(id) = a { Some(id.0) } else { None }).collect()
+    };
+    for n in 10..300 {
+        let drains = Member { standing: Standing::Draining, ..member(9, false) };
+        bench.tell(Event::List {
+            scope: ListScope::Changes,
+            members: vec![member(n, false), gone(n - 1), drains],
+        });
+        bench.pass(SECOND);
+    }
+    let dropped = forgotten(&bench);
+    let members = [dropped.iter().min(), dropped.iter().max()];
+    assert!(dropped.len() > 250 && dropped.len() < 290, "{} were forgotten, {members:?}", dropped.len());
+    assert!(dropped.iter().all(|n| (9..290).contains(n)), "one that still serves was forgotten: {members:?}");
+    // One with an attempt out is kept until that has ended.
+    bench.tell(Event::List { scope: ListScope::Changes, members: vec![gone(busy)] });
+    bench.pass(60 * SECOND);
+    assert!(!forgotten(&bench).contains(&busy));
+    bench.end_as(id, busy, Outcome::Served, MS, Some(false), None);
+    bench.pass(60 * SECOND);
+    assert!(forgotten(&bench).contains(&busy));
+}
--- a/crates/stackgw-settings/src/words.rs
+++ b/crates/stackgw-settings/src/words.rs
@@ -21,21 +21,32 @@
 pub struct Digests {
     /// `None` where two members share a digest: word of either could be the other's, so none is taken.
     members: HashMap<[u8; 3], Option<MemberId>>,
-    digests: Vec<[u8; 3]>,
+    digests: HashMap<MemberId, [u8; 3]>,
 }
 
 impl Digests {
-    /// Adds the member that is next in number.
-    pub fn add(&mut self, name: &str) {
+    /// Adds a member.
+    pub fn add(&mut self, id: MemberId, name: &str) {
         let [a, b, c, _] = crc32fast::hash(name.as_bytes()).to_le_bytes();
-        let id = MemberId(self.digests.len() as u32);
+        self.digests.insert(id, [a, b, c]);
         self.members.entry([a, b, c]).and_modify(|known| *known = None).or_insert(Some(id));
-        self.digests.push([a, b, c]);
+    }
+
+    /// Drops a member; another with its digest is the only one again.
+    pub fn remove(&mut self, id: MemberId) {
+        let Some(digest) = self.digests.remove(&id) else { return };
+        let mut others = self.digests.iter().filter(|(_, d)| **d == digest).map(|(id, _)| *id);
+        match (others.next(), others.next()) {
+            (None, _) => drop(self.members.remove(&digest)),
+            (only, None) => drop(self.members.insert(digest, only)),
+            _ => {}
+        }
     }
 
     /// The messages that carry this news.
     pub fn pack(&self, now: Time, relay: bool, news: &[News]) -> Vec<Vec<u8>> {
-        let pack = |part: &[News]| {
+        let known: Vec<_> = news.iter().filter(|n| self.digests.contains_key(&n.member)).collect();
+        let pack = |part: &[&News]| {
             let mut body = vec![u8::from(relay)];
             body.extend(((now / MS) as u32).to_le_bytes());
             for news in part {
@@ -44,12 +55,12 @@
                     age.filter(|age| *age < i64::from(NO_POSITION)).map_or(NO_POSITION, |age| age as u8);
                 let role = news.primary.map_or(0, |primary| 1 + u8::from(primary));
                 let strain = (news.strain / STRAIN_STEP).round().clamp(0.0, STRAIN_MOST) as u8;
-                body.extend(self.digests.get(news.member.0 as usize).copied().unwrap_or_default());
+                body.extend(self.digests.get(&news.member).copied().unwrap_or_default());
                 body.extend([age, role << 6 | strain, news.answers.min(255) as u8]);
             }
             body
         };
-        news.chunks((MOST_BYTES - HEAD) / ENTRY).map(pack).collect()
+        known.chunks((MOST_BYTES - HEAD) / ENTRY).map(pack).collect()
     }
 
     /// What a message says, when it was sent by the common clock, and whether it is to be passed on. `None`:
@@ -81,7 +92,7 @@
 
     fn known(names: &[&str]) -> Digests {
         let mut digests = Digests::default();
-        names.iter().for_each(|name| digests.add(name));
+        names.iter().zip(0..).for_each(|(name, n)| digests.add(MemberId(n), name));
         digests
     }
 
@@ -117,6 +128,24 @@
         assert!(heard.iter().all(|(_, relay, news)| !relay && news[0].position.is_none()));
     }
 
+    #[test]
+    fn a_member_that_is_dropped_is_neither_told_of_nor_heard_of() {
+        let (mut digests, there) = (known(&["a", "b"]), known(&["a", "b"]));
+        let news = |n| News { member: MemberId(n), position: None, primary: None, strain: 0.1, answers: 1 };
+        digests.remove(MemberId(0));
+        let bodies = digests.pack(SECOND, false, &[news(0), news(1)]);
+        let (_, _, heard) = there.unpack(SECOND, &bodies[0]).expect("a message");
+        assert_eq!(heard.iter().map(|n| n.member).collect::<Vec<_>>(), [MemberId(1)]);
+        let bodies = there.pack(SECOND, false, &[news(0), news(1)]);
+        let (_, _, heard) = digests.unpack(SECOND, &bodies[0]).expect("a message");
+        assert_eq!(heard.iter().map(|n| n.member).collect::<Vec<_>>(), [MemberId(1)]);
+        // Two that share a digest are none; once one is dropped the other is known again.
+        let mut twins = known(&["a", "a"]);
+        assert!(twins.unpack(SECOND, &bodies[0]).expect("a message").2.is_empty());
+        twins.remove(MemberId(1));
+        assert_eq!(twins.unpack(SECOND, &bodies[0]).expect("a message").2.len(), 1);
+    }
+
     #[test]
     fn strange_bytes_are_no_message() {
         assert!(known(&["a"]).unpack(0, &[1, 2, 3]).is_none());
