--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -296,6 +296,15 @@
         &self.counters
     }
 
+    /// Each member that the router keeps: what it believes of it, and what the connections show.
+    pub fn seen(&self) -> impl Iterator<Item = Seen> + '_ {
+        self.router.beliefs().map(|(id, belief)| {
+            let name = self.members.get(&id).map_or("?", |m| m.name.as_str()).to_owned();
+            let on = |c: &&Conn| c.member == id && matches!(c.job, Some(Job::Attempt { .. }));
+            Seen { name, belief, out: self.conns.values().filter(on).count() as u32 }
+        })
+    }
+
     /// Takes one input and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
@@ -323,7 +332,10 @@
             Input::Reload(config) => self.reload(now, config, out),
             Input::Terminate => self.terminate(now, out),
             Input::ListenerClosed => self.listener_closed = true,
-            Input::Report => out.push(Effect::Report(Box::new(self.counters.clone()))),
+            Input::Report => {
+                out.push(Effect::Report(Box::new(self.counters.clone())));
+                out.extend(self.seen().map(|seen| Effect::Log(seen.line(now))));
+            }
         }
         self.route(now, out);
         self.admit(now, out);
@@ -483,6 +495,27 @@
     }
 }
 
+/// A member as the router takes it to be, beside what is out to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    /// Its name.
+    pub name: String,
+    /// What the router believes.
+    pub belief: Belief,
+    /// Attempts on connections to it.
+    pub out: u32,
+}
+
+impl Seen {
+    fn line(&self, now: Time) -> String {
+        let Belief { in_flight, out, strain, limit, position } = self.belief;
+        let age = position.map_or("never heard".to_owned(), |at| format!("{} ms old", (now - at) / MS));
+        let left = if out { ", left out but for trials" } else { "" };
+        let (name, here) = (&self.name, self.out);
+        format!("member {name}: {in_flight} in flight ({here} on connections), limit {limit:.1}, strain {strain:.2}, position {age}{left}")
+    }
+}
+
 /// A line for what may come often: at the first, second, fourth, eighth time and so on.
 fn log_rarely(count: u64, what: &str, out: &mut Vec<Effect>) {
     if count.is_power_of_two() {
--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -316,6 +316,7 @@
     assert_eq!(seen.try_iter().count(), 1, "nothing malformed was passed on");
     gateway.signal("USR1");
     let counters = gateway.line("counters taken=2");
+    assert!(gateway.line("member m1: ").contains(" 0 in flight (0 on connections)"));
     assert!(counters.contains(" malformed=1") && counters.contains(" clients_bad=2"), "{counters}");
 }
 
--- a/crates/stackgw-gateway/tests/invariants.rs
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -222,6 +222,10 @@
         assert_eq!(counters.clients_open, world.clients.len() as u64);
         assert_eq!(counters.members_open, world.conns.len() as u64);
         assert!(counters.members_open <= 4);
+        // What the router believes to be in flight is what is out on connections.
+        for seen in rig.reducer.seen() {
+            assert_eq!(seen.belief.in_flight, seen.out, "{seen:?}");
+        }
     }
     // In the end nothing is owed and nothing is kept.
     if !world.ended {
--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -372,6 +372,21 @@
     pub answers: u32,
 }
 
+/// What a router believes of one member.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Belief {
+    /// This router's requests that it holds.
+    pub in_flight: u32,
+    /// It gets nothing but trials.
+    pub out: bool,
+    /// Mean answer time over aim.
+    pub strain: f64,
+    /// Requests of this router that it may hold.
+    pub limit: f64,
+    /// The latest position heard.
+    pub position: Option<Time>,
+}
+
 /// What a router can be told.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// What it believes of each member, for those who look on.
+    pub fn beliefs(&self) -> impl Iterator<Item = (MemberId, Belief)> + '_ {
+        self.nodes.iter().map(|(id, node)| (*id, node.belief()))
+    }
+
     fn list(&mut self, now: Time, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
         if self.set.list_on_request && matches!(scope, ListScope::Cached | ListScope::Failed) {
             out.push(Action::Subscribe(true)); // A call fails only after a time-out, which sets the pace.
@@ -242,8 +247,7 @@
     }
 
     fn members(&self, group: GroupId) -> impl Iterator<Item = (MemberId, &Node)> {
-        let ids = self.groups.get(&group).into_iter().flat_map(|g| &g.members);
-        ids.map(|id| (*id, &self.nodes[id]))
+        self.groups.get(&group).into_iter().flat_map(|g| &g.members).map(|id| (*id, &self.nodes[id]))
     }
 
     fn judge(&mut self, now: Time, answer: &Answer, class: Option<&Class>) {
@@ -322,8 +326,7 @@
     fn warmth(&self, now: Time, node: &Node) -> f64 {
         let rules = &self.set.obligations;
         let age = node.started.map_or(rules.warm_within, |s| (now - s).max(0)) as f64;
-        let risen = (age / rules.warm_within.max(1) as f64).min(1.0);
-        rules.cold_share + (1.0 - rules.cold_share) * risen
+        rules.cold_share + (1.0 - rules.cold_share) * (age / rules.warm_within.max(1) as f64).min(1.0)
     }
 
     /// Danger: a cold member falls over when all routers together send too much. Each goes by its own traffic
@@ -621,9 +624,8 @@
             self.end(id, out);
         }
         if now - self.counted_at >= SECOND {
-            let elapsed = (now - self.counted_at) as f64 / SECOND as f64;
-            let serving = self.nodes.values().filter(|n| n.standing == Standing::Serving).count();
-            let rate = self.taken / serving.max(1) as f64 / elapsed;
+            let serving = self.nodes.values().filter(|n| n.standing == Standing::Serving).count().max(1);
+            let rate = self.taken / serving as f64 * SECOND as f64 / (now - self.counted_at) as f64;
             self.warm_rate += (rate - self.warm_rate) * 0.3;
             (self.counted_at, self.taken) = (now, 0.0);
             self.last_writes.retain(|_, write| now - *write < MARK_KEPT);
@@ -646,21 +648,20 @@
 
     /// Probes all while no primary is at work, one after another for a held read, and aged ones in a budget.
     fn probe(&mut self, now: Time, group: GroupId, out: &mut Vec<Action>) {
-        let state = self.groups.get(&group).filter(|_| self.set.limits.probes);
-        let Some(Group { held, .. }) = state else { return };
+        let Some(state) = self.groups.get(&group).filter(|_| self.set.limits.probes) else { return };
         let read = |id: &RequestId| self.class(&self.entries[id]).need != Need::Write;
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out);
         let pace = (SEEK_PACE as f64 * self.crowd * self.stretch) as Span;
         let usable = |(id, n): &(MemberId, &Node)| Some(*id) != primary && self.open(now, n, false);
         let replicas: Vec<_> = self.members(group).filter(usable).collect();
         let aged = |n: &Node| now - n.position > self.bound / 2 && self.probe_due(now, n);
-        let seeks = primary.is_none() && !held.is_empty();
+        let seeks = primary.is_none() && !state.held.is_empty();
         let sought = replicas.iter().filter(|(_, n)| seeks && n.unasked_for(now, pace));
         let mut due: Vec<_> = sought.map(|(id, _)| *id).collect();
         let mut next: Vec<_> = replicas.iter().filter(|(_, n)| !n.out && aged(n)).collect();
         next.sort_by(|a, b| a.1.turn.total_cmp(&b.1.turn));
         let asked = replicas.iter().any(|(_, n)| n.asked_within(now, PROBE_WAIT));
-        if due.is_empty() && !asked && held.iter().any(read) {
+        if due.is_empty() && !asked && state.held.iter().any(read) {
             due.extend(next.first().map(|(id, _)| *id));
         } else if due.is_empty() && self.probes >= 1.0 {
             due = next.iter().take(self.probes as usize).map(|(id, _)| *id).collect();
--- a/crates/stackgw-router/src/state.rs
+++ b/crates/stackgw-router/src/state.rs
@@ -44,6 +44,11 @@
 }
 
 impl Node {
+    pub(crate) fn belief(&self) -> Belief {
+        let Node { in_flight, out, strain, limit, .. } = *self;
+        Belief { in_flight, out, strain, limit, position: Some(self.position).filter(|at| *at > 0) }
+    }
+
     /// A probe is out, and was sent inside this span.
     pub(crate) fn asked_within(&self, now: Time, span: Span) -> bool {
         self.probe_out && now - self.probed_at < span
