--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -5,10 +5,26 @@
 /// What a connection to a member is busy with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Job {
-    Attempt { request: RequestId, number: u32, sent: Time, give_up: Time },
+    Attempt { request: RequestId, number: u32, sent: Time, give_up: Time, again: bool },
     Probe { sent: Time },
 }
 
+impl Job {
+    /// It has been given a second connection.
+    fn is_again(self) -> bool {
+        matches!(self, Job::Attempt { again: true, .. } | Job::Probe { .. })
+    }
+
+    fn once_more(self) -> Self {
+        match self {
+            Job::Attempt { request, number, sent, give_up, .. } => {
+                Job::Attempt { request, number, sent, give_up, again: true }
+            }
+            probe => probe,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
     Connecting,
@@ -50,7 +66,7 @@
         let number = open.sent;
         open.sent += 1;
         let give_up = timeout.map_or(open.deadline, |t| open.deadline.min(now + t));
-        let job = Job::Attempt { request, number, sent: now, give_up };
+        let job = Job::Attempt { request, number, sent: now, give_up, again: false };
         if give_up <= now || open.ended {
             return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
         }
@@ -62,7 +78,10 @@
         let Some(address) = self.members.get(&member).map(|m| m.address) else {
             return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
         };
-        if let Some(id) = self.pool.take(member) {
+        // Danger: an answer may be followed by the connection's end. What is written before that has come breaks.
+        let settled = self.pool.take(member, now - self.limits.settle);
+        let room = self.conns.len() < self.limits.member_connections;
+        if let Some(id) = settled.or_else(|| if room { None } else { self.pool.take(member, Time::MAX) }) {
             self.bind(id, job);
             if let Some(conn) = self.conns.get_mut(&id) {
                 conn.reused = true;
@@ -247,6 +266,17 @@
                 }
                 return;
             }
+            Phase::Starting if why == Closed::Lost && ended.is_none() && !job.is_some_and(Job::is_again) => {
+                // It came up, so somebody listens; what broke is this connection. The request has not been sent yet,
+                // and is given one more.
+                self.counters.members_reopened += 1;
+                self.unbind(id);
+                self.forget(id);
+                if let Some(job) = job {
+                    self.employ(now, member, job.once_more(), out);
+                }
+                return;
+            }
             Phase::Connecting => Outcome::NoConnection,
             Phase::Starting | Phase::Writing if ended == Some(Outcome::Shed) => Outcome::Shed,
             Phase::Starting | Phase::Writing => Outcome::NoConnection,
