--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -60,8 +60,6 @@
     pub answer_stall: Span,
     /// A member's clock may be ahead of this one's by so much; a position later than that cannot be.
     pub clock_slack: Span,
-    /// A member may close a connection right behind its answer: one is used again only after this, while others will do.
-    pub settle: Span,
     /// Idle connections to members are retired after this, ahead of the members' own limit.
     pub idle: Span,
     /// Pace of the look at idle connections.
@@ -149,7 +147,6 @@
             probe: settings.router.limits.connect_timeout,
             answer_stall: 150 * MS,
             clock_slack: 20 * MS,
-            settle: 3 * MS,
             idle: idle / 5 * 4,
             sweep: SECOND / 2,
             client_first: SECOND + SECOND / 2,
--- a/crates/stackgw-gateway/src/pool.rs
+++ b/crates/stackgw-gateway/src/pool.rs
@@ -22,9 +22,9 @@
         self.since.insert(id, (now, member));
     }
 
-    /// The member's connection used last, of those idle since before a moment.
-    pub fn take(&mut self, member: MemberId, before: Time) -> Option<ConnId> {
-        let (_, id) = *self.members.get(&member)?.range(..(before, ConnId(0))).next_back()?;
+    /// The member's connection used last.
+    pub fn take(&mut self, member: MemberId) -> Option<ConnId> {
+        let (_, id) = *self.members.get(&member)?.last()?;
         self.remove(id);
         Some(id)
     }
@@ -60,6 +60,6 @@
 
     /// Takes all of one member.
     pub fn drain(&mut self, member: MemberId) -> Vec<ConnId> {
-        std::iter::from_fn(|| self.take(member, Time::MAX)).collect()
+        std::iter::from_fn(|| self.take(member)).collect()
     }
 }
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -78,10 +78,7 @@
         let Some(address) = self.members.get(&member).map(|m| m.address) else {
             return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
         };
-        // Danger: an answer may be followed by the connection's end. What is written before that has come breaks.
-        let settled = self.pool.take(member, now - self.limits.settle);
-        let room = self.conns.len() < self.limits.member_connections;
-        if let Some(id) = settled.or_else(|| if room { None } else { self.pool.take(member, Time::MAX) }) {
+        if let Some(id) = self.pool.take(member) {
             self.bind(id, job);
             if let Some(conn) = self.conns.get_mut(&id) {
                 conn.reused = true;
