--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -21,6 +21,10 @@
     pub client_reserve: usize,
     /// Connections to members held together, idle ones included.
     pub member_connections: usize,
+    /// With more of them than this open, one that has been idle for `linger_idle` is closed.
+    pub clients_wanted: usize,
+    /// See `clients_wanted`.
+    pub linger_idle: Span,
     /// Where all places are taken, a client idle for this long may be closed for another.
     pub evict_after: Span,
     /// One that has not asked anything yet goes before all others, but what it came with may be on its way: it is spared
@@ -121,13 +125,16 @@
         let usable = platform.sockets.saturating_sub(OWN_DESCRIPTORS).max(OWN_DESCRIPTORS);
         let member_connections = (usable as f64 * MEMBER_SHARE) as usize;
         let client_reserve = (usable as f64 * RESERVE_SHARE).ceil() as usize;
+        let clients = usable - member_connections - client_reserve;
         let memory = platform.memory_mb << 20;
         let longest = settings.router.classes.iter().map(|c| c.deadline).max().unwrap_or(SECOND);
         let idle = if settings.conn_idle > 0 { settings.conn_idle } else { 30 * SECOND };
         Limits {
-            clients: usable - member_connections - client_reserve,
+            clients,
             client_reserve,
             member_connections,
+            clients_wanted: clients / 2,
+            linger_idle: 250 * MS,
             evict_after: 100 * MS,
             evict_fresh: 50 * MS,
             requests: settings.max_open,
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -112,11 +112,20 @@
     /// Takes new clients while there is room for one more. Where all places are taken one is kept free. Who has asked
     /// nothing makes room first, as hundreds may connect and say nothing; then the client idle longest, if that is a
     /// while (one just answered often asks again). None does that has sent something by then.
+    ///
+    /// Danger: clients that ask once and keep their connection have none left for what they ask next, well before all
+    /// places here are taken. So from half of the places on those idle for longer are closed.
     pub(super) fn admit(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let spared = |used| if used { self.limits.evict_after } else { self.limits.evict_fresh };
-        if self.clients.len() >= self.limits.clients {
+        let (open, limits) = (self.clients.len(), &self.limits);
+        let full = open >= limits.clients;
+        let spared = |used| match (full, used) {
+            (false, _) => limits.linger_idle,
+            (true, true) => limits.evict_after,
+            (true, false) => limits.evict_fresh,
+        };
+        if !self.listener_closed && (full || open > limits.clients_wanted) {
             let first = |used| self.idle_clients.range((used, Time::MIN, ClientId(0))..).next().copied();
-            let due = [first(false).filter(|(used, ..)| !used), first(true)];
+            let due = [first(false).filter(|(used, ..)| full && !used), first(true)];
             let due = due.into_iter().flatten();
             let (ripe, green): (Vec<_>, Vec<_>) =
                 due.partition(|(used, since, _)| now - since >= spared(*used));
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -895,3 +895,41 @@
     let counters = rig.reducer.counters();
     assert_eq!((counters.ended_no_connection, counters.members_reopened, counters.attempts), (1, 1, 1));
 }
+
+/// Found in an incident: clients asked once each and kept their connections, until they had none left to ask on, though
+/// places were free here.
+#[test]
+fn connections_that_stay_idle_are_closed_before_all_places_are_taken() {
+    let mut config = config(&three());
+    (config.limits.clients, config.limits.clients_wanted) = (10, 3);
+    let mut rig = Rig::with(config);
+    let mut asked = Vec::new();
+    for n in 0..3 {
+        let client = rig.client(n);
+        rig.ask(client, query(""));
+        asked.push(client);
+    }
+    let retired = |effects: &[Effect]| -> Vec<ClientId> {
+        effects
+            .iter()
+            .filter_map(|e| if let Effect::ClientRetire(id) = e { Some(*id) } else { None })
+            .collect()
+    };
+    assert!(retired(&rig.pass(SECOND)).is_empty(), "few may stay for as long as they like");
+    let before = rig.effects.len();
+    let busy = rig.client(7);
+    rig.ask(busy, buy(1900));
+    rig.pass(10 * MS);
+    let effects = rig.effects[before..].to_vec();
+    assert_eq!(retired(&effects).first(), Some(&asked[0]), "the one idle longest");
+    assert!(!retired(&effects).contains(&busy));
+    rig.input(Input::ClientClosed(asked[0], Closed::Lost));
+    // One that has just been answered often asks again.
+    let new = rig.client(8);
+    rig.ask(new, query(""));
+    assert!(!retired(&rig.pass(200 * MS)).contains(&new));
+    // Once nobody else is let in, what is closed cannot be opened again: all keep theirs.
+    rig.input(Input::Terminate);
+    rig.input(Input::ListenerClosed);
+    assert!(retired(&rig.pass(SECOND)).is_empty());
+}
