--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -127,6 +127,21 @@
     agent_that_tells(list, told)
 }
 
+/// One whose watch goes on with what it is told.
+fn agent_with_news(list: String, news: Receiver<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let Ok((mut socket, _)) = listener.accept() else { return };
+        let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for list in std::iter::once(list).chain(news) {
+            let body = format!("{list}\n");
+            let _ = socket.write_all(format!("{:x}\r\n{body}\r\n", body.len()).as_bytes());
+        }
+    });
+    address
+}
+
 /// One that passes on the first line of each request that it gets.
 fn agent_that_tells(list: String, told: Sender<String>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -645,3 +660,55 @@
         std::fs::read_dir(format!("/proc/{}/fd", gateway.child.id())).expect("its descriptors").count();
     assert!(held <= 128, "{held} descriptors");
 }
+
+/// The long day in small: members replaced throughout under new ids, sessions and clients always new, some of them asking
+/// once and staying. What is held in the second half is what was held in the first.
+#[test]
+fn many_generations_of_members_and_clients_leave_descriptors_and_memory_level() {
+    let (told, seen) = channel();
+    let (tell, news) = channel();
+    let mut go = Vec::new();
+    let mut new_entry = |n: u32, phase: &str, primary: bool| {
+        let (send, receive) = channel();
+        go.push(send);
+        let port = member(primary, told.clone(), receive);
+        let role = if primary { "leader" } else { "follower" };
+        entry(n, phase, role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\""))
+    };
+    let (primary, mut old) = (new_entry(1, "ready", true), new_entry(2, "ready", false));
+    let gateway = Gateway::start("long", agent_with_news(list_text(1, true, &[primary, old.clone()]), news));
+    let of = |what: &str| format!("/proc/{}/{what}", gateway.child.id());
+    let descriptors = || std::fs::read_dir(of("fd")).expect("its descriptors").count();
+    let memory = || {
+        let status = std::fs::read_to_string(of("status")).expect("its state");
+        let kib = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("its memory");
+        kib.trim().trim_end_matches(" kB").trim().parse::<usize>().expect("a number")
+    };
+    let (mut stay, mut half) = (Vec::new(), (0, 0));
+    for n in 0..60u32 {
+        let next = new_entry(3 + n, "ready", false);
+        let gone = old.replace("\"ready\"", "\"gone\"");
+        tell.send(list_text(u64::from(n) + 2, false, &[next.clone(), gone])).expect("the watch");
+        old = next;
+        for k in 0..8 {
+            let mut client = gateway.client();
+            client.write(&[select(&format!("s{n}-{k}"))]);
+            let answer = client.next().expect("an answer");
+            // Where all places are busy one is told so; nobody waits here for long.
+            assert!(answer.kind == b'T' || sqlstate(&answer.bytes).as_deref() == Some("53300"));
+            if k % 2 == 0 {
+                stay.push(client);
+            }
+        }
+        while seen.try_recv().is_ok() {}
+        if n == 29 {
+            half = (descriptors(), memory());
+        }
+    }
+    let end = (descriptors(), memory());
+    assert!(end.0 <= half.0 + 8 && end.0 <= 128, "descriptors {} and {}", half.0, end.0);
+    assert!(end.1 <= half.1 + 2048, "KiB {} and {}", half.1, end.1);
+    gateway.signal("USR1");
+    let counters = gateway.line("counters ");
+    assert!(counters.contains(" lists=61 "), "{counters}");
+}
--- a/crates/stackgw-gateway/tests/invariants.rs
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -24,6 +24,9 @@
     List(u8, bool),
     WatchLost,
     Datagram(Vec<u8>),
+    Holds(usize, usize),
+    Partial(usize),
+    Reload(bool, u16),
     Stick(bool, bool),
     Terminate,
 }
@@ -41,6 +44,9 @@
         2 => (any::<u8>(), any::<bool>()).prop_map(|(bits, full)| Step::List(bits, full)),
         1 => Just(Step::WatchLost),
         1 => proptest::collection::vec(any::<u8>(), 0..40).prop_map(Step::Datagram),
+        1 => (0usize..1000, 0usize..400_000).prop_map(|(n, bytes)| Step::Holds(n, bytes)),
+        1 => (0usize..1000).prop_map(Step::Partial),
+        1 => (any::<bool>(), 8500u16..8503).prop_map(|(good, port)| Step::Reload(good, port)),
         1 => (any::<bool>(), any::<bool>()).prop_map(|(clients, members)| Step::Stick(clients, members)),
     ]
 }
@@ -198,6 +204,22 @@
                 let from = "127.0.0.1:7901".parse().expect("an address");
                 world.see(&rig.input(Input::Datagram(from, bytes)));
             }
+            Step::Holds(n, bytes) => {
+                if let Some(id) = World::nth(world.clients.iter().copied(), n) {
+                    world.see(&rig.input(Input::ClientHolds(id, bytes)));
+                }
+            }
+            Step::Partial(n) => {
+                if let Some(id) = World::nth(world.conns.keys().copied(), n) {
+                    world.see(&rig.input(Input::MemberPartial(id)));
+                }
+            }
+            Step::Reload(good, port) => {
+                let text = config_text("null").replace(":8500", &format!(":{port}"));
+                let config = stackgw_gateway::config::Config::from_text(&text, |_| None).map(Box::new);
+                let config = if good { config } else { Err("ROUTER_CONFIG: no JSON".to_owned()) };
+                world.see(&rig.input(Input::Reload(config)));
+            }
             Step::Stick(clients, members) => {
                 // What was stuck moves on before anything else is.
                 (rig.clients_stuck, rig.members_stuck) = (false, false);
