--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -240,7 +240,7 @@
             self.counters.members_bad += 1;
             log_rarely(self.counters.members_bad, "bad bytes from members:", out);
         }
-        let (member, job) = (conn.member, conn.job);
+        let job = conn.job;
         if why == Closed::Unasked {
             self.counters.members_unasked += 1;
             log_rarely(self.counters.members_unasked, "connections with more than was asked for:", out);
@@ -255,24 +255,11 @@
             }
             Phase::Writing if conn.reused && why != Closed::Bad && ended.is_none() => {
                 // It had closed while idle, so this request has not been sent at all yet.
-                self.counters.members_reopened += 1;
-                self.unbind(id);
-                self.forget(id);
-                if let Some(job) = job {
-                    self.employ(now, member, job, out);
-                }
-                return;
+                return self.reopen(now, id, job, out);
             }
             Phase::Starting if why == Closed::Lost && ended.is_none() && !job.is_some_and(Job::is_again) => {
-                // It came up, so somebody listens; what broke is this connection. The request has not been sent yet,
-                // and is given one more.
-                self.counters.members_reopened += 1;
-                self.unbind(id);
-                self.forget(id);
-                if let Some(job) = job {
-                    self.employ(now, member, job.once_more(), out);
-                }
-                return;
+                // It came up, so somebody listens; what broke is this connection.
+                return self.reopen(now, id, job.map(Job::once_more), out);
             }
             Phase::Connecting => Outcome::NoConnection,
             Phase::Starting | Phase::Writing if ended == Some(Outcome::Shed) => Outcome::Shed,
@@ -283,6 +270,17 @@
         self.end_job(now, id, outcome, out);
     }
 
+    /// Gives a job whose bytes have not been sent at all another connection.
+    fn reopen(&mut self, now: Time, id: ConnId, job: Option<Job>, out: &mut Vec<Effect>) {
+        let Some(member) = self.conns.get(&id).map(|conn| conn.member) else { return };
+        self.counters.members_reopened += 1;
+        self.unbind(id);
+        self.forget(id);
+        if let Some(job) = job {
+            self.employ(now, member, job, out);
+        }
+    }
+
     /// A connection's time is up: it did not come up, or its attempt or probe is given up.
     pub(super) fn conn_due(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
