--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -63,9 +63,10 @@
 const GRACE_USE: f64 = 0.8;
 /// Late answers that earn less than this share take room from others that earn it all: they are not held for.
 const LATE_COUNTS: f64 = 0.5;
-/// Held until the aim less this many expected answer times (sent at first: less the second), or this share.
+/// Held until the aim less so many answer times (on arrival the 2nd, to idle members the 3rd), or this share.
 const HOLD_RESERVE: f64 = 3.0;
 const SEND_RESERVE: f64 = 1.0;
+const SEND_RESERVE_IDLE: f64 = 0.3;
 const HOLD_RESERVE_MOST: f64 = 0.85;
 /// Pace of the timer; events much further apart than that show that this router stood still.
 const TICK: Span = 10 * MS;
@@ -186,8 +187,7 @@
         }
         for member in members {
             let group = self.groups.entry(member.group).or_default();
-            // Danger: routers that start together would all begin with one member, and send at once. Each
-            // begins elsewhere in the rotation, and somewhere inside its first pace.
+            // Danger: routers that start together would all begin with one member: each begins elsewhere.
             let turn = scatter(self.seed ^ u64::from(member.id.0));
             let limit = LIMIT_START / f64::from(self.set.fleet_size.max(1));
             let latency = STRAIN_START * self.aim;
@@ -397,10 +397,11 @@
         let Some(entry) = self.entries.get(&id).filter(|e| e.out.is_empty()) else { return false };
         let past = |reserve| !self.may_send(now, entry) || now >= self.hold_until(entry, reserve);
         let over = past(HOLD_RESERVE);
-        // Danger: what is kept back from holding must not refuse on arrival what a member can still answer.
-        let shut = if now > entry.arrived && entry.sent == 0 { over } else { past(SEND_RESERVE) };
+        // Danger: what is kept back must not refuse on arrival what a member, even an idle one, can answer.
+        let shut = if now > entry.arrived && entry.sent == 0 { over } else { past(SEND_RESERVE_IDLE) };
         let place = if shut || entry.erred.len() >= ERRORS_ALIKE { None } else { self.route(now, entry) };
-        if let Some(member) = place {
+        let idle = |id: &MemberId| f64::from(self.nodes[id].in_flight + 2) <= self.nodes[id].limit;
+        if let Some(member) = place.filter(|id| idle(id) || !past(SEND_RESERVE)) {
             self.send(now, id, member, out);
         } else if over || !entry.erred.is_empty() {
             self.give_up(now, id, out);
@@ -485,9 +486,8 @@
             return Some(fresh);
         }
         if self.set.lagging != Lagging::Answers && floor > 0 && entry.tried.is_empty() {
-            // Replicas check reads here, so one that merely aged may be asked: the next in turn of those last
-            // heard inside the bound, else the most advanced, unless hopelessly behind. Danger: with nothing
-            // heard all are alike, and a fleet would crowd one: the rotation decides.
+            // Replicas check reads here, so one that merely aged may be asked: the next in turn of those heard
+            // inside the bound, else the most advanced. With nothing heard a fleet would crowd one: by turns.
             let near = |n: &Node| !n.out && (n.position == 0 || n.lag <= 2 * (now - floor));
             let top = replicas.iter().filter(|(_, n)| near(n)).map(|(_, n)| n.position).max();
             let asked = pick(&replicas, |node| node.lag <= now - floor);
--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -627,3 +627,21 @@
 
 /// Breaks in a row that put a member out.
 const STRIKES: usize = 4;
+
+/// Found in an incident: clients in a hurry were refused on arrival while every member stood idle.
+#[test]
+fn a_client_in_a_hurry_is_tried_at_an_idle_member_and_refused_by_busy_ones() {
+    let hurry = |bench: &mut Bench, id: u64| {
+        let deadline = bench.now + 50 * MS;
+        let id = RequestId(1000 + id);
+        let request = Request { id, class: BOUNDED, group: GROUP, deadline, ..Request::default() };
+        sent(&bench.tell(Event::Request(request))).len()
+    };
+    let mut bench = Bench::heard(settings(), 3);
+    assert_eq!(hurry(&mut bench, 0), 1, "with all members idle");
+    // One more than two below the limit of each is no idle member.
+    for _ in 0..22 {
+        bench.ask(BOUNDED);
+    }
+    assert_eq!(hurry(&mut bench, 1), 0, "with all of them near their limits");
+}
