--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -486,8 +486,8 @@
             return Some(fresh);
         }
         if self.set.lagging != Lagging::Answers && floor > 0 && entry.tried.is_empty() {
-            // Replicas check reads here, so one that merely aged may be asked: the next in turn of those heard
-            // inside the bound, else the most advanced. With nothing heard a fleet would crowd one: by turns.
+            // Replicas check reads here, so one that merely aged may be asked: the next in turn of those last
+            // heard inside the bound, else the most advanced; with nothing heard all take turns.
             let near = |n: &Node| !n.out && (n.position == 0 || n.lag <= 2 * (now - floor));
             let top = replicas.iter().filter(|(_, n)| near(n)).map(|(_, n)| n.position).max();
             let asked = pick(&replicas, |node| node.lag <= now - floor);
