Read over: one place closes a member's idle connections; unused code out; behaviour unchanged

The loop that closes a member's idle connections stood three times; a client asked to make room was put back into the order by hand where note_idle does the same; Reply::has_begun had no caller left.

--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -85,11 +85,6 @@
         self.ready
     }
 
-    /// Whether any of it has come.
-    pub fn has_begun(&self) -> bool {
-        self.described || self.complete || self.failed.is_some()
-    }
-
     /// How it ended, once the member is ready again or has closed; `None`: it had not come so far.
     pub fn ended(&self) -> Option<Ended> {
         match (self.failed, self.complete) {
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -129,14 +129,10 @@
             let due = due.into_iter().flatten();
             let (ripe, green): (Vec<_>, Vec<_>) =
                 due.partition(|(used, since, _)| now - since >= spared(*used));
-            if let Some(&(used, since, oldest)) = ripe.first() {
+            if let Some(&(.., oldest)) = ripe.first() {
                 self.evicting = Some(oldest);
                 // Danger: one that has sent something stays, and would keep all others from making room.
-                self.idle_clients.remove(&(used, since, oldest));
-                if let Some(client) = self.clients.get_mut(&oldest) {
-                    client.idle_since = now;
-                    self.idle_clients.insert(client.place(oldest));
-                }
+                self.note_idle(now, oldest);
                 out.push(Effect::ClientRetire(oldest));
             } else if let Some(at) = green.iter().map(|(used, since, _)| since + spared(*used)).min() {
                 if !std::mem::replace(&mut self.admits, true) {
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -70,10 +70,7 @@
         self.digests.remove(member);
         self.counters.members_known -= 1;
         self.counters.members_forgotten += 1;
-        for conn in self.pool.drain(member) {
-            out.push(Effect::MemberClose(conn));
-            self.forget(conn);
-        }
+        self.close_idle(member, out);
     }
 
     pub(super) fn listed(&mut self, now: Time, entry: &ListEntry, out: &mut Vec<Effect>) -> Option<Member> {
@@ -93,10 +90,7 @@
         };
         if let Some(known) = self.members.get_mut(&id).filter(|m| m.address != entry.address) {
             known.address = entry.address;
-            for conn in self.pool.drain(id) {
-                out.push(Effect::MemberClose(conn));
-                self.forget(conn);
-            }
+            self.close_idle(id, out);
         }
         if let Some(known) = self.members.get_mut(&id) {
             known.group = entry.cell;
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -108,6 +108,14 @@
         out.push(Effect::MemberOpen(id, address));
     }
 
+    /// Closes the idle connections to a member.
+    pub(super) fn close_idle(&mut self, member: MemberId, out: &mut Vec<Effect>) {
+        for conn in self.pool.drain(member) {
+            out.push(Effect::MemberClose(conn));
+            self.forget(conn);
+        }
+    }
+
     pub(super) fn bind(&mut self, id: ConnId, job: Job) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.job = Some(job);
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -398,12 +398,7 @@
                 self.counters.probes += 1;
                 self.employ(now, member, Job::Probe { sent: now }, out);
             }
-            Action::CloseIdle(member) => {
-                for conn in self.pool.drain(member) {
-                    out.push(Effect::MemberClose(conn));
-                    self.forget(conn);
-                }
-            }
+            Action::CloseIdle(member) => self.close_idle(member, out),
             Action::Forget(member) => self.forget_member(member, out),
             Action::Tell { to, news } => {
                 let address = to.map_or(self.peers_all, |n| self.peers.get(n as usize).copied());
