Same verdict every time: interrupted reads are no end; gone members lose idle connections

Seen: the end-to-end tests failed now and then (a second copy behind an answer: no answer at all), and in each of 32 runs with four beside each other. Three causes, each traced:

- Wire::next in the tests took an interrupted read (EINTR) for the end of the connection.
Found by printing why it ended; the gateway's counters showed every answer written and nobody closed by it.
- The SIGTERM test connected in a loop without pause until the listener was closed; hundreds of silent connections made the idle client give its place, as they should.
It now waits for a new log line, "no longer listening".
- The test over many generations compared descriptors at two moments of a moving quantity.
It now waits until no more are held than a bound, which showed a real one: idle connections to members that were gone stayed until their usual retirement, one for each generation.

In the gateway the same cause stood twice: the look at what waits before an idle client is closed (io/link.rs, end_if_quiet) took an interrupted look for silence, and an interrupted read ended the watch (io/discovery.rs). A failing end-to-end test prints the gateway's log.

--- a/crates/stackgw-gateway/src/io/discovery.rs
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -6,6 +6,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, stream, AsyncReadExt, AsyncWriteExt, Stream, StreamExt};
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
@@ -39,6 +40,8 @@
                     pieces.push_back(Piece::End);
                 }
                 Ok(n) => pieces.extend(http.feed(&buffer[..n]).map_err(said)?),
+                // Nothing has been read; the watch goes on.
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e.to_string()),
             }
         }
--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -182,20 +182,30 @@
     /// Why nothing may be written to a connection on which nothing is due: the other side has closed or broken it, or
     /// something has come, whether its task has read it yet or not.
     pub(super) fn unusable(&self) -> Option<Closed> {
-        match self.socket.get_ref().peek(&mut [0]) {
+        match self.peek() {
             _ if self.held.get() > 0 => Some(Closed::Unasked),
             Ok(0) => Some(Closed::Lost),
             Ok(_) => Some(Closed::Unasked),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
             Err(_) => Some(Closed::Lost),
         }
     }
 
+    /// How much of one byte waits to be read. Danger: a look that was interrupted has seen nothing, and what waits would
+    /// be lost with the connection.
+    fn peek(&self) -> std::io::Result<usize> {
+        loop {
+            match self.socket.get_ref().peek(&mut [0]) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                seen => return seen,
+            }
+        }
+    }
+
     /// Ends the connection unless something has come that was not handed over. Danger: what comes between the look and
     /// the end is lost, so the end is not left to the moment when the connection's task is dropped.
     pub(super) fn end_if_quiet(&self) -> bool {
-        let waits = self.socket.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0);
-        let quiet = self.held.get() == 0 && !waits;
+        let quiet = self.held.get() == 0 && !matches!(self.peek(), Ok(1..));
         if quiet {
             let _ = self.socket.get_ref().shutdown(Shutdown::Both);
         }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -331,7 +331,13 @@
             Input::Due => self.due(now, out),
             Input::Reload(config) => self.reload(now, config, out),
             Input::Terminate => self.terminate(now, out),
-            Input::ListenerClosed => self.listener_closed = true,
+            Input::ListenerClosed => {
+                self.listener_closed = true;
+                out.push(Effect::Log(format!(
+                    "no longer listening, {} clients are here",
+                    self.clients.len()
+                )));
+            }
             Input::Report => {
                 out.push(Effect::Report(Box::new(self.counters.clone())));
                 out.extend(self.seen().map(|seen| Effect::Log(seen.line(now))));
@@ -465,6 +471,12 @@
             out.push(Effect::MemberClose(conn));
             self.forget(conn);
         }
+        // Danger: where members are replaced throughout, connections to those that are gone take places from others.
+        let gone = |m: &Listed| m.told.is_some_and(|told| now - told > self.limits.drain_grace);
+        let gone = self.members.iter().filter(|(_, m)| gone(m)).map(|(id, _)| *id);
+        for member in gone.collect::<Vec<_>>() {
+            self.close_idle(member, out);
+        }
         if self.watching && now - self.watch_heard > self.limits.watch_silence {
             out.push(Effect::Unwatch);
             self.watch_lost(now, "silent".to_owned(), out);
--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-gateway/tests/end_to_end.rs
@@ -6,13 +6,13 @@
 use common::*;
 use stackgw_gateway::pg::{code, Frame, Frames};
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const WAIT: Duration = Duration::from_secs(20);
 
@@ -36,8 +36,10 @@
                 return frame.ok();
             }
             match self.socket.read(&mut buffer) {
-                Ok(0) | Err(_) => return None,
-                Ok(n) => self.frames.feed(&buffer[..n]),
+                Ok(n) if n > 0 => self.frames.feed(&buffer[..n]),
+                // Danger: taken for the end, it would fail a test now and then.
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Ok(_) | Err(_) => return None,
             }
         }
     }
@@ -239,6 +241,11 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            let ended = self.child.try_wait();
+            eprintln!("the gateway's end: {ended:?}; its log:");
+            self.log.try_iter().for_each(|line| eprintln!("  {line}"));
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
@@ -442,7 +449,7 @@
     go[0].send(()).expect("the member waits");
     assert_eq!(kinds(&busy.answer()), "TDCZ");
     // Once none comes any more, those that are there are served on; then they are closed between requests.
-    while TcpStream::connect(gateway.address).is_ok() {}
+    gateway.line("no longer listening, ");
     idle.write(&[select("k2")]);
     assert_eq!(kinds(&idle.answer()), "TDCZ");
     assert!(late.next().is_none() && idle.next().is_none() && busy.next().is_none());
@@ -684,7 +691,20 @@
         let kib = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("its memory");
         kib.trim().trim_end_matches(" kB").trim().parse::<usize>().expect("a number")
     };
-    let (mut stay, mut half) = (Vec::new(), (0, 0));
+    // What a gateway holds that has served one; members in use may add a few connections each, and no more.
+    drop(gateway.client());
+    let most = descriptors() + 12;
+    let settled = |stay: &mut Vec<Wire>, when: &str| {
+        stay.clear();
+        let (mut client, begun) = (gateway.client(), Instant::now());
+        while descriptors() > most {
+            assert!(begun.elapsed() < WAIT, "{when}: {} descriptors, {most} at most", descriptors());
+            client.write(&[query("")]);
+            assert_eq!(kinds(&client.answer()), "IZ");
+        }
+        memory()
+    };
+    let (mut stay, mut half) = (Vec::new(), 0);
     for n in 0..60u32 {
         let next = new_entry(3 + n, "ready", false);
         let gone = old.replace("\"ready\"", "\"gone\"");
@@ -701,13 +721,13 @@
             }
         }
         while seen.try_recv().is_ok() {}
+        assert!(descriptors() <= 128);
         if n == 29 {
-            half = (descriptors(), memory());
+            half = settled(&mut stay, "half");
         }
     }
-    let end = (descriptors(), memory());
-    assert!(end.0 <= half.0 + 8 && end.0 <= 128, "descriptors {} and {}", half.0, end.0);
-    assert!(end.1 <= half.1 + 2048, "KiB {} and {}", half.1, end.1);
+    let end = settled(&mut stay, "end");
+    assert!(end <= half + 2048, "KiB {half} and {end}");
     gateway.signal("USR1");
     let counters = gateway.line("counters ");
     assert!(counters.contains(" lists=61 "), "{counters}");
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -504,6 +504,17 @@
     }
 }
 
+/// Where members are replaced throughout, connections to the old ones would hold places for as long as idle ones may.
+#[test]
+fn idle_connections_to_a_member_that_is_gone_are_closed_after_its_grace() {
+    let (mut rig, _, conn) = asked(buy(900));
+    rig.reply(conn, [row(b"x"), vec![status("node_role", "leader"), ready()]].concat());
+    rig.input(Input::List(list(2, false, &[entry(1, "draining", "leader")])));
+    let early = closed(&rig.pass(900 * MS));
+    assert!(!early.contains(&conn), "it may still be asked");
+    assert!(closed(&rig.pass(SECOND)).contains(&conn));
+}
+
 #[test]
 fn a_new_address_is_used_and_idle_connections_to_the_old_one_are_closed() {
     let (mut rig, client, conn) = asked(buy(900));
