Statements that a client writes together run together and are answered in their order

Ruled out: members and limits (strains low, no member left out), the list.

A client now has a line of up to 16 places. Reads run together; a write starts when all before it is answered, and what is behind it waits for it. Answers leave in the order asked, the time of each counts from when it came, errors and the end for bad bytes take their place in the line, a cancel means the first. What waits is held within the same budgets as before.

--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -82,6 +82,8 @@
     pub linger_bytes: usize,
     /// Malformed statements in a row, at most, before the connection ends.
     pub client_malformed: u32,
+    /// Statements of one client in hand together, where it writes several before it reads.
+    pub client_line: usize,
     /// Messages of one client taken before all others have had their turn.
     pub client_turn: usize,
     /// New connections taken before others have had their turn.
@@ -168,6 +170,7 @@
             linger: SECOND,
             linger_bytes: 1 << 20,
             client_malformed: 10,
+            client_line: 16,
             client_turn: 4,
             accept_turn: 8,
             backlog: 4096,
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -8,7 +8,10 @@
     pub(super) opened: Time,
     /// Its startup is done; the key that cancels its query.
     pub(super) started: Option<u32>,
-    pub(super) request: Option<RequestId>,
+    /// What it has asked and what it is to be told, in its order.
+    pub(super) line: VecDeque<Place>,
+    /// Messages that start once what is before them is answered, and when each came: its time counts from then.
+    pub(super) next: VecDeque<(Time, Frame)>,
     /// Since when something written to it has not left.
     pub(super) unsent: Option<Time>,
     /// So much was written to it since then.
@@ -33,9 +36,30 @@
     pub(super) idle_since: Time,
 }
 
+/// One answer's place in a client's line.
+#[derive(Debug, Default)]
+pub(super) struct Place {
+    /// The request that it waits for.
+    request: Option<RequestId>,
+    reply: Vec<u8>,
+    /// Nothing follows it.
+    last: bool,
+}
+
 impl Client {
     pub(super) fn idle(&self) -> bool {
-        self.request.is_none() && self.unsent.is_none() && !self.awaits_ready && self.closing.is_none()
+        self.line.is_empty() && self.next.is_empty() && self.listens()
+    }
+
+    /// It may be asked for one more message, with so many places in its line.
+    pub(super) fn has_room(&self, most: usize) -> bool {
+        self.listens()
+            && self.line.len() + self.next.len() < most
+            && !self.line.iter().any(|place| place.last)
+    }
+
+    fn listens(&self) -> bool {
+        self.unsent.is_none() && !self.awaits_ready && self.closing.is_none()
     }
 
     /// Its place among those that make room: whoever has asked nothing goes first.
@@ -59,7 +83,7 @@
     /// Half a message, or nothing at all, holds a place for nothing. Who has sent something is told why; for who has sent
     /// nothing a request may be on its way, which must not be met by words that are not its answer.
     pub(super) fn client_silent(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
-        if self.clients.get(&id).is_some_and(|c| c.partial.is_some()) {
+        if self.clients.get_mut(&id).is_some_and(|c| c.partial.take().is_some()) {
             self.counters.clients_stalled += 1;
             log_rarely(self.counters.clients_stalled, "clients that stood still inside a message:", out);
             return self.client_error(now, id, true, "08P01", "the message was not finished in time", out);
@@ -76,7 +100,8 @@
             opened: now,
             surplus: self.clients.len() >= self.limits.clients,
             started: None,
-            request: None,
+            line: VecDeque::new(),
+            next: VecDeque::new(),
             unsent: None,
             unread: 0,
             partial: None,
@@ -171,6 +196,11 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        if !client.line.is_empty() {
+            client.unread += bytes.len();
+            self.unread += bytes.len();
+            return client.line.push_back(Place { request: None, reply: bytes, last: close });
+        }
         client.unsent = client.unsent.or(Some(now));
         client.unread += bytes.len();
         self.unread += bytes.len();
@@ -189,7 +219,9 @@
             return;
         }
         let others = self.clients.iter().filter(|(id, c)| **id != writes && c.unread > 0);
-        let Some((slow, _)) = others.min_by_key(|(id, c)| (c.unsent, **id)) else { return };
+        let Some((slow, _)) = others.min_by_key(|(id, c)| (c.unsent.unwrap_or(Time::MAX), **id)) else {
+            return;
+        };
         let slow = *slow;
         self.counters.clients_greedy += 1;
         log_rarely(self.counters.clients_greedy, "clients that sent or left unread too much:", out);
@@ -226,9 +258,10 @@
     pub(super) fn client_flushed(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.unsent = None;
-        self.unread -= std::mem::take(&mut client.unread);
+        let in_line = client.line.iter().map(|place| place.reply.len()).sum();
+        self.unread -= std::mem::replace(&mut client.unread, in_line) - in_line;
         self.note_idle(now, id);
-        if self.ending && now >= self.retire_at && self.takes(id) {
+        if self.ending && now >= self.retire_at && self.clients.get(&id).is_some_and(Client::idle) {
             out.push(Effect::ClientRetire(id));
         }
     }
@@ -238,9 +271,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         self.counters.clients_bad += 1;
         log_rarely(self.counters.clients_bad, "bad bytes from clients:", out);
-        if let Some(request) = client.request.take() {
-            self.abandon(request);
-        }
+        client.partial = None;
         self.client_error(now, id, true, "08P01", "these bytes are no message of the protocol", out);
     }
 
@@ -254,7 +285,9 @@
             self.counters.clients_evicted += 1;
             self.evicting = None;
         }
-        if let Some(request) = client.request {
+        self.counters.held_bytes -=
+            client.next.iter().map(|(_, frame)| frame.bytes.len() as u64).sum::<u64>();
+        for request in client.line.into_iter().filter_map(|place| place.request) {
             self.abandon(request);
         }
     }
@@ -275,6 +308,35 @@
         if client.started.is_none() {
             return self.startup(now, id, &frame, out);
         }
+        self.counters.held_bytes += frame.bytes.len() as u64;
+        client.next.push_back((now, frame));
+        self.start_next(now, id, out);
+    }
+
+    /// Starts what a client has written as far as it may run now.
+    ///
+    /// Danger: one after another, statements written together would wait for the slowest before them until their time
+    /// is over. Reads mind no order among themselves; all else starts when what came before it is answered.
+    pub(super) fn start_next(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
+        while let Some(client) = self.clients.get_mut(&id).filter(|c| c.closing.is_none() && !c.awaits_ready)
+        {
+            let asked = client.line.iter().filter_map(|place| self.requests.get(&place.request?));
+            let reads = asked.map(|open| &open.statement).all(|s| !s.write);
+            let free = client.line.is_empty();
+            let joins = |frame: &Frame| frame.kind == b'Q' && frame.body().starts_with(b"SELECT") && reads;
+            if !client.next.front().is_some_and(|(_, frame)| free || joins(frame)) {
+                break;
+            }
+            let Some((came, frame)) = client.next.pop_front() else { break };
+            self.counters.held_bytes -= frame.bytes.len() as u64;
+            self.client_asks(now, came, id, frame, out);
+        }
+        self.note_idle(now, id);
+    }
+
+    /// A message's turn has come; it came at this time.
+    fn client_asks(&mut self, now: Time, came: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let mut reply = Vec::new();
         match frame.kind {
             b'Q' if client.skips => {}
@@ -287,7 +349,7 @@
                 }
                 self.client_ready(now, id, out);
             }
-            b'Q' => self.query(now, id, frame, out),
+            b'Q' => self.query(now, came, id, frame, out),
             b'X' => {
                 out.push(Effect::ClientClose(id));
                 self.client_gone(id);
@@ -347,13 +409,16 @@
         let (process, secret) = (u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes([e, f, g, h]));
         let id = ClientId(process.into());
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.started == Some(secret)) else { return };
-        if let Some(request) = client.request.take() {
+        if let Some(request) = client.line.iter().find_map(|place| place.request) {
+            let mut reply = Vec::new();
+            write::error(&mut reply, false, "57014", "cancelled on the client's request", None);
+            write::ready(&mut reply);
+            self.fill(now, id, request, reply, out);
             self.abandon(request);
-            self.client_error(now, id, false, "57014", "cancelled on the client's request", out);
         }
     }
 
-    pub(super) fn query(&mut self, now: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
+    pub(super) fn query(&mut self, now: Time, came: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
         self.counters.taken += 1;
         let full = self.clients.len() > self.limits.clients;
         let surplus = self.clients.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.surplus));
@@ -395,7 +460,7 @@
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        let deadline = now + (statement.wait_ms as Span * MS).min(self.limits.wait_most);
+        let deadline = came + (statement.wait_ms as Span * MS).min(self.limits.wait_most);
         let sessions = matches!(need, Need::Write | Need::Session);
         self.events.push_back(Event::Request(Request {
             id: request,
@@ -412,7 +477,7 @@
         let open = Open { client: Some(id), statement, deadline, sent: 0, out: Vec::new(), ended: false };
         self.requests.insert(request, open);
         if let Some(client) = self.clients.get_mut(&id) {
-            client.request = Some(request);
+            client.line.push_back(Place { request: Some(request), ..Place::default() });
             client.malformed = 0;
         }
         self.note_idle(now, id);
@@ -472,15 +537,34 @@
         open.ended = true;
         let client = open.client.take();
         if let Some(id) = client {
-            if let Some(client) = self.clients.get_mut(&id) {
-                client.request = None;
-            }
-            self.client_write(now, id, reply, false, out);
+            self.fill(now, id, request, reply, out);
         }
         self.forget_request(request);
         client.is_some()
     }
 
+    /// Puts a request's answer in its place, and writes all that nothing is before.
+    fn fill(&mut self, now: Time, id: ClientId, request: RequestId, reply: Vec<u8>, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some(place) = client.line.iter_mut().find(|p| p.request == Some(request)) else { return };
+        client.unread += reply.len();
+        self.unread += reply.len();
+        (place.request, place.reply) = (None, reply);
+        let whole = client.line.iter().take_while(|place| place.request.is_none()).count();
+        let written: Vec<_> = client.line.drain(..whole).collect();
+        // Written past what still waits in the line.
+        let rest = std::mem::take(&mut client.line);
+        for Place { reply, last, .. } in written {
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            client.unread -= reply.len();
+            self.unread -= reply.len();
+            self.client_write(now, id, reply, last, out);
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.line = rest;
+        self.start_next(now, id, out);
+    }
+
     pub(super) fn forget_request(&mut self, request: RequestId) {
         if self.requests.get(&request).is_some_and(|o| o.ended && o.out.is_empty()) {
             if let Some(open) = self.requests.remove(&request) {
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -59,6 +59,7 @@
                     client.awaits_ready = false;
                 }
                 self.client_ready(now, id, out);
+                self.start_next(now, id, out);
             }
         }
     }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -291,7 +291,7 @@
     /// Whether a client's next message is taken now; else it waits where it is.
     pub fn takes(&self, client: ClientId) -> bool {
         let room = self.counters.held_bytes < self.limits.client_bytes as u64;
-        self.clients.get(&client).is_some_and(Client::idle) && room
+        self.clients.get(&client).is_some_and(|c| c.has_room(self.limits.client_line)) && room
     }
 
     /// The counters as they stand.
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -234,6 +234,49 @@
     assert!(rig.reducer.takes(client));
 }
 
+/// Statements written together: reads run together and are answered in their order; a write starts when all before it
+/// is answered, and nothing behind it before its own answer. The time of each counts from when it came.
+#[test]
+fn statements_written_together_are_answered_in_their_order_and_writes_run_alone() {
+    let mut rig = Rig::new(&three());
+    let client = rig.client(1);
+    let place = |effects: &[Effect]| match statements(effects).first() {
+        Some((conn, _)) => *conn,
+        None => opened(effects)[0].0,
+    };
+    let first = place(&rig.ask(client, read(900)));
+    let second = place(&rig.ask(client, read(900)));
+    assert_ne!(first, second, "both are on their way");
+    assert!(rig.reducer.takes(client));
+    let effects = rig.ask(client, buy(900));
+    assert!(statements(&effects).is_empty() && opened(&effects).is_empty(), "a write waits");
+    assert!(answers(&rig.ask(client, query(""))).is_empty(), "and all behind it");
+    rig.pass(50 * MS);
+    assert!(answers(&rig.serve(second, b"two")).is_empty(), "its turn is after the first's");
+    let effects = rig.serve(first, b"one");
+    let told = answers(&effects);
+    assert_eq!(told.len(), 2);
+    assert!(told[0].windows(3).any(|w| w == b"one") && told[1].windows(3).any(|w| w == b"two"));
+    let texts = statements(&effects);
+    assert!(texts.iter().all(|(_, text)| text.contains("d=850")), "{texts:?}");
+    let told = answers(&rig.serve(place(&effects), b"three"));
+    assert_eq!((told.len(), told[0][0], told[1][0]), (2, b'T', b'I'));
+    // Bytes that are no protocol end the connection behind the answers that are owed.
+    let third = place(&rig.ask(client, read(900)));
+    assert!(answers(&rig.input(Input::ClientClosed(client, Closed::Bad))).is_empty());
+    assert!(!rig.reducer.takes(client));
+    let told = answers(&rig.serve(third, b"four"));
+    assert_eq!((told.len(), told[0][0], told[1][0]), (2, b'T', b'E'));
+    // A client that goes takes all of its line with it.
+    let client = rig.client(2);
+    rig.ask(client, read(900));
+    rig.ask(client, read(900));
+    rig.ask(client, buy(900));
+    rig.input(Input::ClientClosed(client, Closed::Lost));
+    rig.pass(SECOND);
+    assert_eq!(rig.reducer.counters().held_bytes, 0);
+}
+
 #[test]
 fn tls_is_declined_and_what_is_not_spoken_gets_one_error() {
     let mut rig = Rig::new(&three());
