Statements written together keep their order within a key only

The line at fault: start_next let nothing pass a write.

The order of effects is what users rely on, and it turns on the key: a statement now waits only for those before it with its own key where one of the two writes. Answers leave in the order asked as before.

--- a/crates/stackgw-gateway/src/pg/statement.rs
+++ b/crates/stackgw-gateway/src/pg/statement.rs
@@ -49,6 +49,12 @@
         frame.body().iter().all(|b| b.is_ascii_whitespace() || matches!(b, b';' | 0))
     }
 
+    /// The quoted key of a query message, and whether it writes, as far as its words alone tell.
+    pub fn asks(frame: &Frame) -> Option<(&str, bool)> {
+        let text = std::str::from_utf8(frame.body()).ok()?;
+        form(text.split_at(text.rfind("/*")?).0)
+    }
+
     /// Reads a query message; it is kept whole.
     pub fn parse(frame: Frame) -> Result<Self, Malformed> {
         let text = frame.body().strip_suffix(b"\0").ok_or(Malformed("the query has no end"))?;
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -316,14 +316,18 @@
     /// Starts what a client has written as far as it may run now.
     ///
     /// Danger: one after another, statements written together would wait for the slowest before them until their time
-    /// is over. Reads mind no order among themselves; all else starts when what came before it is answered.
+    /// is over, above all behind a write that waits for a primary. Those of different keys mind no order, and neither do
+    /// reads; all else starts when what came before it is answered.
     pub(super) fn start_next(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) {
         while let Some(client) = self.clients.get_mut(&id).filter(|c| c.closing.is_none() && !c.awaits_ready)
         {
-            let asked = client.line.iter().filter_map(|place| self.requests.get(&place.request?));
-            let reads = asked.map(|open| &open.statement).all(|s| !s.write);
             let free = client.line.is_empty();
-            let joins = |frame: &Frame| frame.kind == b'Q' && frame.body().starts_with(b"SELECT") && reads;
+            let mut asked = client.line.iter().filter_map(|place| self.requests.get(&place.request?));
+            let mut joins = |frame: &Frame| {
+                let asks = Statement::asks(frame).filter(|_| frame.kind == b'Q');
+                let apart = |(key, write), s: &Statement| s.key != key || !(write || s.write);
+                asks.is_some_and(|asks| asked.all(|open| apart(asks, &open.statement)))
+            };
             if !client.next.front().is_some_and(|(_, frame)| free || joins(frame)) {
                 break;
             }
--- a/crates/stackgw-gateway/tests/common/mod.rs
+++ b/crates/stackgw-gateway/tests/common/mod.rs
@@ -262,6 +262,14 @@
         self.reply(conn, frames)
     }
 
+    /// The statement that a connection carries, now or once it is up.
+    pub fn written(&mut self, conn: ConnId, mut effects: Vec<Effect>) -> String {
+        if statements(&effects).is_empty() {
+            effects = self.reply(conn, vec![message(b'R', &[0; 4]), ready()]);
+        }
+        statements(&effects).into_iter().map(|(_, text)| text).collect()
+    }
+
     pub fn lose(&mut self, conn: ConnId) -> Vec<Effect> {
         self.input(Input::MemberClosed(conn, Closed::Lost))
     }
