Up to 64 statements of one client in hand, as the time of the rest counts too late

What stood behind 16 statements of its client was taken from the buffer only when a place was free, its `d` counted from then, and its answer came after its time. The line at fault: Limits::client_line.

--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -82,7 +82,8 @@
     pub linger_bytes: usize,
     /// Malformed statements in a row, at most, before the connection ends.
     pub client_malformed: u32,
-    /// Statements of one client in hand together, where it writes several before it reads.
+    /// Statements of one client in hand together, where it writes several before it reads. Danger: the time of those that
+    /// stand behind them counts only from when they are taken, and their answers would come too late.
     pub client_line: usize,
     /// Messages of one client taken before all others have had their turn.
     pub client_turn: usize,
@@ -170,7 +171,7 @@
             linger: SECOND,
             linger_bytes: 1 << 20,
             client_malformed: 10,
-            client_line: 16,
+            client_line: 64,
             client_turn: 4,
             accept_turn: 8,
             backlog: 4096,
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -289,6 +289,22 @@
     assert_eq!(rig.reducer.counters().held_bytes, 0);
 }
 
+#[test]
+fn a_clients_line_has_an_end() {
+    let mut config = config(&three());
+    config.limits.client_line = 3;
+    let mut rig = Rig::with(config);
+    let client = rig.client(1);
+    for n in 0..3 {
+        assert!(rig.reducer.takes(client), "{n}");
+        // The write waits for the reads before it, and counts as well.
+        rig.ask(client, if n < 2 { read(900) } else { buy(900) });
+    }
+    assert!(!rig.reducer.takes(client));
+    rig.pass(2 * SECOND);
+    assert!(rig.reducer.takes(client), "all have their answers");
+}
+
 #[test]
 fn tls_is_declined_and_what_is_not_spoken_gets_one_error() {
     let mut rig = Rig::new(&three());
