Read over: one writer past a client's line, one error reply, one pair of sockets; behaviour unchanged

fill took the line apart to get past client_write's queueing, and took off the counts that client_write added again; the part that writes is now its own (client_send). Three places put an error and ReadyForQuery together, two counted greedy clients, the budget woke its waiters twice over, and a test in io/link.rs built by hand what pair() builds.

--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -48,11 +48,11 @@
 
     fn change(&self, of: usize, before: usize, after: usize) {
         self.used.set(self.used.get() - before + after);
-        if after == 0 && self.first.get() == Some(of) {
+        let done = after == 0 && self.first.get() == Some(of);
+        if done {
             self.first.set(None);
-            self.waiting.take().into_iter().for_each(Waker::wake);
         }
-        if self.used.get() < self.most {
+        if done || self.used.get() < self.most {
             self.waiting.take().into_iter().for_each(Waker::wake);
         }
     }
@@ -310,21 +310,21 @@
 
     /// A connection, and its other end.
     fn pair() -> (Rc<Link>, TcpStream) {
+        pair_within(&Budget::new(1000))
+    }
+
+    fn pair_within(budget: &Rc<Budget>) -> (Rc<Link>, TcpStream) {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
         let other = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
         let (socket, _) = listener.accept().expect("a connection");
-        (Link::new(Async::new(socket).expect("non-blocking"), 100, 1000, &Budget::new(1000)), other)
+        (Link::new(Async::new(socket).expect("non-blocking"), 100, 1000, budget), other)
     }
 
     /// Found with values of hundreds of KiB: with all room taken by parts of messages, none became whole in time.
     #[test]
     fn where_there_is_no_room_one_connection_after_another_reads_on() {
         let budget = Budget::new(100);
-        let links = [(); 3].map(|()| {
-            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-            let other = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
-            (Link::new(Async::new(other).expect("non-blocking"), 100, 1000, &budget), listener)
-        });
+        let links = [(); 3].map(|()| pair_within(&budget));
         links.iter().for_each(|(link, _)| link.hold(60));
         let waker = Waker::noop();
         let reads = || links.each_ref().map(|(link, _)| link.may_read(waker));
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -131,8 +131,7 @@
             let idle = self.clients.iter().filter(|(_, c)| c.ahead > 0 && c.idle());
             let Some((most, _)) = idle.max_by_key(|(_, c)| (!c.used, c.ahead)) else { return };
             let most = *most;
-            self.counters.clients_greedy += 1;
-            log_rarely(self.counters.clients_greedy, "clients that sent or left unread too much:", out);
+            self.count_greedy(out);
             self.client_error(now, most, true, "53400", "too much was sent ahead", out);
         }
     }
@@ -196,14 +195,18 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        client.unread += bytes.len();
+        self.unread += bytes.len();
         if !client.line.is_empty() {
-            client.unread += bytes.len();
-            self.unread += bytes.len();
             return client.line.push_back(Place { request: None, reply: bytes, last: close });
         }
+        self.client_send(now, id, bytes, close, out);
+    }
+
+    /// Writes what is counted as unread already and has nothing before it.
+    fn client_send(&mut self, now: Time, id: ClientId, bytes: Vec<u8>, close: bool, out: &mut Vec<Effect>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
         client.unsent = client.unsent.or(Some(now));
-        client.unread += bytes.len();
-        self.unread += bytes.len();
         if close {
             client.closing.get_or_insert(now);
             self.ahead -= std::mem::take(&mut client.ahead); // Dropped with the rest that it sends.
@@ -223,12 +226,16 @@
             return;
         };
         let slow = *slow;
-        self.counters.clients_greedy += 1;
-        log_rarely(self.counters.clients_greedy, "clients that sent or left unread too much:", out);
+        self.count_greedy(out);
         out.push(Effect::ClientClose(slow));
         self.client_gone(slow);
     }
 
+    fn count_greedy(&mut self, out: &mut Vec<Effect>) {
+        self.counters.clients_greedy += 1;
+        log_rarely(self.counters.clients_greedy, "clients that sent or left unread too much:", out);
+    }
+
     /// Tells a client of an error; a fatal one ends its connection.
     pub(super) fn client_error(
         &mut self,
@@ -239,12 +246,7 @@
         why: &str,
         out: &mut Vec<Effect>,
     ) {
-        let mut reply = Vec::new();
-        write::error(&mut reply, fatal, code, why, None);
-        if !fatal {
-            write::ready(&mut reply);
-        }
-        self.client_write(now, id, reply, fatal, out);
+        self.client_write(now, id, error_reply(fatal, code, why, None), fatal, out);
     }
 
     /// Answers an empty query: the gateway can serve.
@@ -328,10 +330,8 @@
                 let apart = |(key, write), s: &Statement| s.key != key || !(write || s.write);
                 asks.is_some_and(|asks| asked.all(|open| apart(asks, &open.statement)))
             };
-            if !client.next.front().is_some_and(|(_, frame)| free || joins(frame)) {
-                break;
-            }
-            let Some((came, frame)) = client.next.pop_front() else { break };
+            let next = client.next.pop_front_if(|(_, frame)| free || joins(frame));
+            let Some((came, frame)) = next else { break };
             self.counters.held_bytes -= frame.bytes.len() as u64;
             self.client_asks(now, came, id, frame, out);
         }
@@ -414,9 +414,7 @@
         let id = ClientId(process.into());
         let Some(client) = self.clients.get_mut(&id).filter(|c| c.started == Some(secret)) else { return };
         if let Some(request) = client.line.iter().find_map(|place| place.request) {
-            let mut reply = Vec::new();
-            write::error(&mut reply, false, "57014", "cancelled on the client's request", None);
-            write::ready(&mut reply);
+            let reply = error_reply(false, "57014", "cancelled on the client's request", None);
             self.fill(now, id, request, reply, out);
             self.abandon(request);
         }
@@ -523,10 +521,7 @@
         detail: Option<&str>,
         out: &mut Vec<Effect>,
     ) -> bool {
-        let mut reply = Vec::new();
-        write::error(&mut reply, false, code, text, detail);
-        write::ready(&mut reply);
-        self.answer(now, request, reply, out)
+        self.answer(now, request, error_reply(false, code, text, detail), out)
     }
 
     /// Gives a request its one answer; whether there was still somebody to give it to.
@@ -554,18 +549,11 @@
         client.unread += reply.len();
         self.unread += reply.len();
         (place.request, place.reply) = (None, reply);
-        let whole = client.line.iter().take_while(|place| place.request.is_none()).count();
-        let written: Vec<_> = client.line.drain(..whole).collect();
-        // Written past what still waits in the line.
-        let rest = std::mem::take(&mut client.line);
-        for Place { reply, last, .. } in written {
-            let Some(client) = self.clients.get_mut(&id) else { return };
-            client.unread -= reply.len();
-            self.unread -= reply.len();
-            self.client_write(now, id, reply, last, out);
+        while let Some(client) = self.clients.get_mut(&id) {
+            let first = client.line.pop_front_if(|place| place.request.is_none());
+            let Some(Place { reply, last, .. }) = first else { break };
+            self.client_send(now, id, reply, last, out);
         }
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.line = rest;
         self.start_next(now, id, out);
     }
 
@@ -579,3 +567,13 @@
         }
     }
 }
+
+/// An error, and that the gateway is ready again unless the connection ends with it.
+fn error_reply(fatal: bool, code: &str, text: &str, detail: Option<&str>) -> Vec<u8> {
+    let mut reply = Vec::new();
+    write::error(&mut reply, fatal, code, text, detail);
+    if !fatal {
+        write::ready(&mut reply);
+    }
+    reply
+}
