The end answers statements too that wait for others of their key

Found in reading: Reducer::end gathered the requests in hand once, and answering one starts what waited behind it in its client's line; those got no answer though they had been taken. They are refused now (57P03), as nothing of them was sent.

--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -701,6 +701,20 @@
     assert!(at(|e| matches!(e, Effect::ClientWrite { .. })) < at(|e| *e == Effect::Exit));
 }
 
+/// What waits behind another of its key has been taken too; that its turn comes with the end is no reason for silence.
+#[test]
+fn the_end_answers_statements_that_wait_for_others_of_their_key() {
+    let (mut rig, client, _) = asked(buy(9000));
+    for _ in 0..2 {
+        rig.ask(client, buy(9000));
+    }
+    rig.input(Input::Terminate);
+    rig.input(Input::ListenerClosed);
+    let effects = rig.pass(2 * SECOND + 600 * MS);
+    let codes: Vec<_> = answers(&effects).iter().filter_map(|bytes| sqlstate(bytes)).collect();
+    assert_eq!(codes, ["58000", "57P03", "57P03"], "the first may have run, the others never did");
+}
+
 #[test]
 fn events_closer_than_a_tick_are_of_one_moment_for_the_router() {
     let mut moments = Moments::new(5 * MS);
