Membership by foca over sealed datagrams, and the operator's YAML file with its schema

Need: instances must know where the others are and take nothing from strangers; sessions across instances are turned on in a file of the operator's.

Change: stackgw-cluster wraps foca (SWIM without I/O, the well-known one) and seals each datagram with a keyed blake3 hash, several keys valid while they are changed; what is foreign, forged, malformed or under an unknown key is dropped and counted. No promise rests on it. stackgw-config reads YAML by serde-saphyr (errors know their line), validates by garde, gives its schema by schemars; each error is one line with file, line and field.

The gateway is unchanged.

--- /dev/null
+++ b/crates/stackgw-cluster/src/lib.rs
@@ -0,0 +1,16 @@
+//! Who the other instances are: SWIM membership (`foca`) over sealed datagrams.
+//!
+//! What is known here is a hint. It says where an instance is to be reached and whether it seems to be there; no promise
+//! rests on it, as `stackgw-sessions` goes by pledges alone. No I/O, clock or threads: datagrams, time and a seed are handed
+//! in, and what is to be sent comes out.
+
+mod cluster;
+mod identity;
+mod seal;
+
+pub use cluster::{Cluster, Counts, Effect, Event, Refused, Seen, Settings};
+pub use identity::Identity;
+pub use seal::{Key, Ring, Unsealed, SEAL_BYTES};
+
+/// No datagram is longer.
+pub const MOST_BYTES: usize = 1_200;
--- /dev/null
+++ b/crates/stackgw-config/src/lib.rs
@@ -0,0 +1,193 @@
+//! The operator's file. What the platform says stays in its own JSON document; this file turns on what other installations
+//! have: talk among instances, a lasting disk, a local socket. All of it is off where there is no file or no such part.
+//!
+//! One type, [`Operator`], is read, validated and handed down. An error is one plain line that names file, line and field.
+
+mod duration;
+mod read;
+
+pub use duration::Duration;
+pub use read::{read, schema, Problem};
+
+use garde::Validate;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The whole file.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// How the log is written.
+    #[serde(default)]
+    #[garde(dive)]
+    pub log: Log,
+    /// A local socket at which a running gateway answers questions, such as `stackgw sessions`.
+    #[serde(default)]
+    #[garde(skip)]
+    pub control: Option<PathBuf>,
+    /// Sessions that hold across instances and restarts. Absent: off.
+    #[serde(default)]
+    #[garde(dive)]
+    pub sessions: Option<Sessions>,
+}
+
+/// How the log is written.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// Lines for people, or JSON objects for programs.
+    #[serde(default)]
+    #[garde(skip)]
+    pub format: Format,
+}
+
+/// The log's form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Sessions across instances.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Sessions {
+    /// The cluster's name; datagrams of another one are foreign, whatever their key.
+    #[garde(length(min = 1, max = 64))]
+    pub cluster: String,
+    /// Where datagrams of the other instances arrive, over UDP.
+    pub listen: SocketAddr,
+    /// What the others send to, where that differs from `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Addresses at which others may be found; this one's own may be among them.
+    #[serde(default)]
+    #[garde(length(max = 64))]
+    pub seeds: Vec<SocketAddr>,
+    /// Files that each hold one secret of 16 bytes or more. The first one seals, all of them open.
+    #[garde(length(min = 1, max = 8))]
+    pub keys: Vec<PathBuf>,
+    /// The names of the gateways that keep marks: in a small deployment all of them, in a large one three to five. The same
+    /// on every instance.
+    #[garde(length(min = 1, max = 16), inner(length(min = 1, max = 64)), custom(distinct))]
+    pub keepers: Vec<String>,
+    /// So many keepers hold each session's marks.
+    #[serde(default = "two")]
+    #[garde(range(min = 1, max = 5))]
+    pub homes: usize,
+    /// How long a pledge binds: a write waits this long at most for a keeper that is not there.
+    #[serde(default = "default_lease")]
+    #[garde(custom(between("50ms", "10s")))]
+    pub lease: Duration,
+    /// After this long every replica holds a write.
+    #[serde(default = "default_horizon")]
+    #[garde(custom(between("1s", "1h")), custom(leases(&self.lease)))]
+    pub horizon: Duration,
+    /// A message without an answer is sent again after this.
+    #[serde(default = "default_resend")]
+    #[garde(custom(between("1ms", "1s")))]
+    pub resend: Duration,
+    /// How long a read waits for a home's word.
+    #[serde(default = "default_lookup")]
+    #[garde(custom(between("1ms", "1s")))]
+    pub lookup: Duration,
+    /// Marks that a keeper holds at most, at about 60 bytes each.
+    #[serde(default = "default_marks")]
+    #[garde(range(min = 1_000, max = 100_000_000))]
+    pub marks: usize,
+    /// Own marks kept for keepers that join, at about 150 bytes each.
+    #[serde(default = "default_own")]
+    #[garde(range(min = 1_000, max = 10_000_000))]
+    pub own_marks: usize,
+    /// Writes and reads that may wait at once.
+    #[serde(default = "default_waits")]
+    #[garde(range(min = 16, max = 1_000_000))]
+    pub waits: usize,
+    /// A file on a lasting disk. Without one each restart of a keeper costs a horizon of caution.
+    #[serde(default)]
+    pub store: Option<PathBuf>,
+    /// How many instances there are about.
+    #[serde(default = "default_expected")]
+    #[garde(range(min = 1, max = 4_096))]
+    pub expected: u32,
+}
+
+impl Sessions {
+    /// The address that the others send to.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
+fn two() -> usize {
+    2
+}
+
+fn default_lease() -> Duration {
+    Duration::from_millis(800)
+}
+
+fn default_horizon() -> Duration {
+    Duration::from_millis(60_000)
+}
+
+fn default_resend() -> Duration {
+    Duration::from_millis(20)
+}
+
+fn default_lookup() -> Duration {
+    Duration::from_millis(20)
+}
+
+fn default_marks() -> usize {
+    1_000_000
+}
+
+fn default_own() -> usize {
+    100_000
+}
+
+fn default_waits() -> usize {
+    20_000
+}
+
+fn default_expected() -> u32 {
+    8
+}
+
+type Check<T> = Box<dyn FnOnce(&T, &()) -> garde::Result>;
+
+fn distinct(names: &[String], _: &()) -> garde::Result {
+    let different: BTreeSet<_> = names.iter().collect();
+    let twice = different.len() < names.len();
+    (!twice).then_some(()).ok_or_else(|| garde::Error::new("names one keeper twice"))
+}
+
+fn between(least: &'static str, most: &'static str) -> Check<Duration> {
+    Box::new(move |duration, ()| {
+        let fits = |text: &str, order: fn(&Duration, &Duration) -> bool| {
+            text.parse::<Duration>().is_ok_and(|end| order(duration, &end))
+        };
+        let inside = fits(least, |a, b| a >= b) && fits(most, |a, b| a <= b);
+        inside.then_some(()).ok_or_else(|| garde::Error::new(format!("must be from {least} to {most}")))
+    })
+}
+
+/// Danger: with a horizon of a few leases a pledge that is late now and then would cost more caution than it saves.
+fn leases(lease: &Duration) -> Check<Duration> {
+    let least = Duration::from_millis(lease.as_millis().saturating_mul(4));
+    Box::new(move |horizon, ()| {
+        let enough = *horizon >= least;
+        enough
+            .then_some(())
+            .ok_or_else(|| garde::Error::new(format!("must be four leases at least, {least}")))
+    })
+}
