Keepers notice a disk that was put back from an old copy, and it begins anew

Need: a disk restored from a copy vouches for what is no longer on it. Change: disks count their records, keepers remember each other's counts and answer a smaller one of a later life with Stale.

--- a/crates/stackgw-sessions/src/keeper.rs
+++ b/crates/stackgw-sessions/src/keeper.rs
@@ -81,6 +81,16 @@
         self.ask_at = now;
     }
 
+    /// The disk was an old one: what it said of others is void, and what was held since is missing.
+    pub(crate) fn void(&mut self, now: Time) {
+        (self.own_from, self.own_on_disk) = (now, false);
+        for heard in self.heard.values_mut() {
+            (heard.incarnation, heard.until, heard.known_from, heard.on_disk) = (0, now, now, false);
+            heard.asked.clear();
+        }
+        self.ask_at = now;
+    }
+
     pub(crate) fn asked(&mut self, now: Time, node: NodeId, nonce: u64) {
         if let Some(heard) = self.heard.get_mut(&node) {
             if heard.asked.len() >= ASKED_MOST {
--- a/crates/stackgw-sessions/src/lib.rs
+++ b/crates/stackgw-sessions/src/lib.rs
@@ -19,7 +19,7 @@
 mod source;
 
 pub use marks::{Marks, Seen};
-pub use message::{Message, Undecodable, MARKS_PER_MESSAGE, MOST_BYTES};
+pub use message::{Message, Stamp, Undecodable, MARKS_PER_MESSAGE, MOST_BYTES};
 pub use roster::{NodeId, Peer, Roster, SessionKey};
 pub use sessions::{
     Counts, Knowledge, Output, Record, Recovered, Sessions, Settings, Standing, Status, Ticket, Why,
--- a/crates/stackgw-sessions/src/message.rs
+++ b/crates/stackgw-sessions/src/message.rs
@@ -11,6 +11,15 @@
 /// Marks that one message carries at most: each is up to 24 bytes.
 pub const MARKS_PER_MESSAGE: usize = 40;
 
+/// How far a disk has come. A disk that is put back from an old copy comes with fewer records than its instance had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Which disk: another one for each that was begun anew.
+    pub disk: u64,
+    /// Records on it since then.
+    pub records: u64,
+}
+
 /// A message between two instances.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
@@ -20,6 +29,8 @@
         nonce: u64,
         /// The asker's roster.
         roster: u64,
+        /// How far its disk has come, if it has one.
+        stamp: Option<Stamp>,
     },
     /// A source's promise to a home: until the lease is over, counted from the sending of the question, no answer to a write
     /// of a session of that home leaves without that home's acknowledgement; and all that have left before are
@@ -33,7 +44,11 @@
         covers: Span,
         /// All incarnations of the source from this one on left nothing that this one does not know of.
         unbroken_since: u64,
+        /// How far its disk has come, if it has one.
+        stamp: Option<Stamp>,
     },
+    /// The other side's disk is older than what it has said of it before: a copy put back, say.
+    Stale(Stamp),
     /// A keeper's roster is another one than the asker's: no pledge.
     Differs {
         /// The question's.
--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -2,7 +2,7 @@
 
 use crate::keeper::{Ack, Keeper, ALWAYS};
 use crate::marks::Marks;
-use crate::message::{Message, MARKS_PER_MESSAGE};
+use crate::message::{Message, Stamp, MARKS_PER_MESSAGE};
 use crate::reader::{Lookup, Reader};
 use crate::roster::{NodeId, Peer, Roster, SessionKey};
 use crate::source::{Gate, Own, Source};
@@ -63,6 +63,10 @@
 pub struct Recovered {
     /// The incarnations from this one on wrote to this disk without a break; this life's for a new one.
     pub unbroken_since: u64,
+    /// How far it has come.
+    pub stamp: Stamp,
+    /// How far others' disks had come, and in which of their lives.
+    pub seen: Vec<(Peer, Stamp)>,
     /// The last roster that was recorded.
     pub roster: Option<u64>,
     /// Marks held for others.
@@ -83,11 +87,20 @@
             Record::Roster(_) => {}
             Record::Held(key, position) => self.held.push((key, position)),
             Record::Owed(key, position) => self.owed.push((key, position)),
+            Record::Seen(peer, stamp) => {
+                self.seen.retain(|(known, _)| known.node != peer.node);
+                self.seen.push((peer, stamp));
+            }
+            Record::Void(stamp, unbroken_since) => {
+                (self.stamp, self.unbroken_since, self.whole) = (stamp, unbroken_since, Vec::new());
+                return;
+            }
             Record::Whole(peer) => {
                 self.whole.retain(|known| known.node != peer.node);
                 self.whole.push(peer);
             }
         }
+        self.stamp.records += 1;
     }
 }
 
@@ -102,6 +115,11 @@
     Owed(SessionKey, Time),
     /// Nothing is missing of this source.
     Whole(Peer),
+    /// So far another one's disk has come.
+    Seen(Peer, Stamp),
+    /// The disk begins anew from here, as it turned out to be an old copy: no records, this stamp, unbroken since this
+    /// incarnation.
+    Void(Stamp, u64),
 }
 
 /// Why a read must see every commit.
@@ -186,6 +204,8 @@
     pub own_pushed_out: u64,
     /// Writes and reads turned away for room.
     pub full: u64,
+    /// Times that the disk turned out to be an old copy.
+    pub disks_old: u64,
 }
 
 /// Another keeper, as this instance sees it.
@@ -250,9 +270,13 @@
     carried: BTreeMap<(Peer, u64), u64>,
     carries: BTreeMap<u64, (Peer, u64)>,
     nonce: u64,
-    /// Records asked for, and those that are on the disk.
+    /// Records asked for, and those that are on the disk; those that were when it began anew.
     records: u64,
     stored: u64,
+    voided: u64,
+    /// How far others' disks had come when last heard of, in which life, and when that was put on this one's.
+    stamps: BTreeMap<NodeId, (Peer, Stamp)>,
+    stamps_at: Time,
     tick_at: Time,
     counts: Counts,
 }
@@ -296,6 +320,9 @@
             nonce: 0,
             records: 0,
             stored: 0,
+            voided: 0,
+            stamps: recovered.seen.iter().map(|(peer, stamp)| (peer.node, (*peer, *stamp))).collect(),
+            stamps_at: now,
             tick_at: now,
             counts: Counts::default(),
             set,
@@ -430,8 +457,12 @@
             return;
         }
         match message {
-            Message::Ask { nonce, roster } => self.asked(now, from, nonce, roster, out),
-            Message::Pledge { nonce, roster, covers, unbroken_since } => {
+            Message::Ask { stamp, .. } | Message::Pledge { stamp, .. } if self.is_old(from, stamp) => {
+                self.send(from, Message::Stale(stamp.unwrap_or_default()), out);
+            }
+            Message::Stale(stamp) => self.void(now, stamp, out),
+            Message::Ask { nonce, roster, .. } => self.asked(now, from, nonce, roster, out),
+            Message::Pledge { nonce, roster, covers, unbroken_since, .. } => {
                 if roster == self.roster.digest() {
                     let set = &self.set;
                     self.keeper.pledged(now, from, nonce, set.lease, (covers, unbroken_since));
@@ -697,7 +728,8 @@
         self.source.pledge(now, from.node, self.set.lease, &self.roster);
         let covers = now - self.source.covered_from;
         let unbroken_since = self.source.unbroken_since;
-        self.send(from, Message::Pledge { nonce, roster, covers, unbroken_since }, out);
+        let stamp = self.stamp();
+        self.send(from, Message::Pledge { nonce, roster, covers, unbroken_since, stamp }, out);
     }
 
     fn catch_up(&mut self, node: NodeId, batches: usize, out: &mut Vec<Output>) {
@@ -720,7 +752,7 @@
         for node in self.keeper.heard.keys().copied().collect::<Vec<_>>() {
             self.nonce += 1;
             self.keeper.asked(now, node, self.nonce);
-            let ask = Message::Ask { nonce: self.nonce, roster: self.roster.digest() };
+            let ask = Message::Ask { nonce: self.nonce, roster: self.roster.digest(), stamp: self.stamp() };
             // Whichever life is there: a new one is met by this.
             self.send(Peer { node, incarnation: 0 }, ask, out);
         }
@@ -748,6 +780,45 @@
         for peer in peers {
             self.store(Record::Whole(peer), out);
         }
+        if self.stamps_at <= before {
+            self.stamps_at = now;
+            for (peer, stamp) in self.stamps.values().copied().collect::<Vec<_>>() {
+                self.store(Record::Seen(peer, stamp), out);
+            }
+        }
+    }
+
+    fn stamp(&self) -> Option<Stamp> {
+        let disk = self.set.disk.as_ref()?;
+        let records = disk.stamp.records + self.stored.saturating_sub(self.voided);
+        Some(Stamp { records, ..disk.stamp })
+    }
+
+    /// Whether a keeper comes with a disk that had come further in an earlier life. Danger: it would vouch for what is not
+    /// on it, as a source and as a home.
+    fn is_old(&mut self, from: Peer, stamp: Option<Stamp>) -> bool {
+        let Some(stamp) = stamp.filter(|_| self.roster.has(from.node)) else { return false };
+        match self.stamps.get(&from.node) {
+            Some((peer, known)) if known.disk == stamp.disk && known.records > stamp.records => {
+                // Within one life it is an old message that came late.
+                return peer.incarnation != from.incarnation;
+            }
+            _ => {}
+        }
+        self.stamps.insert(from.node, (from, stamp));
+        false
+    }
+
+    /// Others know this disk to be older than it was: it begins anew, and so does what this instance can be sure of.
+    fn void(&mut self, now: Time, told: Stamp, out: &mut Vec<Output>) {
+        let Some(disk) = self.set.disk.as_mut().filter(|disk| disk.stamp.disk == told.disk) else { return };
+        let incarnation = self.set.me.incarnation;
+        disk.stamp = Stamp { disk: incarnation, records: 0 };
+        // Those that have believed this life already must not go on from that.
+        self.source.unbroken_since = incarnation + 1;
+        self.keeper.void(now);
+        self.counts.disks_old += 1;
+        self.voided = self.store(Record::Void(Stamp { disk: incarnation, records: 0 }, incarnation + 1), out);
     }
 
     fn marks(&mut self, now: Time, from: Peer, marks: Vec<(u64, SessionKey, Time)>, out: &mut Vec<Output>) {
--- a/crates/stackgw-sessions/tests/common/mod.rs
+++ b/crates/stackgw-sessions/tests/common/mod.rs
@@ -144,7 +144,8 @@
         if i.has_disk {
             let (unbroken_since, records) = i.disk.get_or_insert((i.incarnation, Vec::new()));
             records.truncate(i.synced);
-            let mut recovered = Recovered { unbroken_since: *unbroken_since, ..Recovered::default() };
+            let stamp = Stamp { disk: *unbroken_since, records: 0 };
+            let mut recovered = Recovered { unbroken_since: *unbroken_since, stamp, ..Recovered::default() };
             records.iter().cloned().for_each(|record| recovered.apply(record));
             i.base = i.synced as u64;
             set.disk = Some(recovered);
@@ -161,6 +162,11 @@
         self.reads.retain(|(at, _), _| *at != n);
     }
 
+    /// Puts the disk back to what it held so many records ago.
+    pub fn old_disk(&mut self, n: usize, records: usize) {
+        self.instances[n].synced = self.instances[n].synced.saturating_sub(records);
+    }
+
     pub fn lose_disk(&mut self, n: usize) {
         let i = &mut self.instances[n];
         (i.disk, i.synced) = (None, 0);
--- a/crates/stackgw-sessions/tests/histories.rs
+++ b/crates/stackgw-sessions/tests/histories.rs
@@ -290,3 +290,22 @@
     world.pass(LEASE / 2);
     assert_eq!(world.released, 0, "the later life may hold a pledge of this one's earlier life");
 }
+
+#[test]
+fn an_old_copy_of_a_disk_is_told_and_begins_anew() {
+    let mut world = settled(2, 0, true);
+    (0..20).for_each(|session| world.write(0, session));
+    world.pass(50 * MS);
+    assert_eq!(world.released, 20);
+    world.kill(0);
+    world.old_disk(0, 15);
+    world.start(0);
+    world.pass(2 * LEASE);
+    assert!(matches!(why(&world, 0), Some(Why::Started | Why::TooShort(_))), "less is on it than it had");
+    assert!(why(&world, 1).is_some(), "and it may owe marks that it does not know of");
+    (0..20).for_each(|session| world.read(0, session));
+    world.pass(50 * MS);
+    assert_eq!(world.missed.len(), 0, "{:?}", world.missed);
+    world.pass(HORIZON);
+    assert_eq!((why(&world, 0), why(&world, 1)), (None, None));
+}
