The gateway asks its sessions' homes before reads and tells them before writes' answers

Need: sessions across instances hang on the reducer as inputs and effects; the router still picks the member.

Change: reducer/sessions.rs carries reads and served writes to stackgw-sessions and back; a write's answer waits for Release, is failed honestly shortly before its client's time is over otherwise; a read waits for what it must see, then the router hears of it. New in the router: a request may have to see every commit whatever its class (fresh), and a primary by the list alone must show that it holds a session's write. I/O: a UDP socket for the cluster, the store's thread, a local socket for questions, JSON logs by slog-json. async-channel brings the disk's word to the executor. All of it is off without an operator's file.

--- a/crates/stackgw-adapter/src/host.rs
+++ b/crates/stackgw-adapter/src/host.rs
@@ -305,6 +305,7 @@
             session: line.get("Sess").map(|s| SessionId(s.into())),
             last_write: age.map(|ms| now - (ms * 1e6) as Span),
             repeat: line.int("StateBits")?.unwrap_or(0) & REPEAT_BIT != 0,
+            fresh: false,
         };
         self.next_request += 1;
         self.request_ids.insert(name.clone(), request.id);
--- a/crates/stackgw-gateway/src/config.rs
+++ b/crates/stackgw-gateway/src/config.rs
@@ -4,6 +4,7 @@
 use crate::discovery::{self, ListUpdate};
 use crate::limits::{Limits, Platform, LEAST_DESCRIPTORS};
 use serde_json::Value;
+use stackgw_cluster::{Key, Ring};
 use stackgw_settings::HostSettings;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -33,6 +34,51 @@
     pub limits: Limits,
     /// The file that it was read from.
     pub file: Option<PathBuf>,
+    /// The operator's file; without one everything in it is off.
+    pub operator: Operator,
+    /// What the operator's file says of sessions across instances, with the keys that it names.
+    pub together: Option<Together>,
+}
+
+/// The operator's file as far as a gateway has it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Operator {
+    /// Where it is.
+    pub file: Option<PathBuf>,
+    /// The log's form.
+    pub format: stackgw_config::Format,
+    /// The local socket.
+    pub control: Option<PathBuf>,
+}
+
+/// Sessions across instances: the file's part, and the keys that it names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Together {
+    /// The file's part.
+    pub file: stackgw_config::Sessions,
+    /// The keys.
+    pub ring: Ring,
+}
+
+/// A secret is smaller than this.
+const KEY_MOST: u64 = 4 << 10;
+
+impl Together {
+    fn read(file: stackgw_config::Sessions) -> Result<Self, String> {
+        let mut keys = Vec::new();
+        for path in &file.keys {
+            let wrong = |why: &dyn std::fmt::Display| format!("sessions.keys: {}: {why}", path.display());
+            let about = std::fs::metadata(path).map_err(|e| wrong(&e))?;
+            if !about.is_file() || about.len() > KEY_MOST {
+                return Err(wrong(&"no plain file, or too large a one"));
+            }
+            let secret = std::fs::read(path).map_err(|e| wrong(&e))?;
+            let key = Key::new(&file.cluster, secret.trim_ascii());
+            keys.push(key.ok_or_else(|| wrong(&"holds fewer than 16 bytes"))?);
+        }
+        let ring = Ring::new(keys).ok_or("sessions.keys: names no file")?;
+        Ok(Together { file, ring })
+    }
 }
 
 /// Reads the file of a running gateway anew. What the environment said holds for the start alone: where both name
@@ -40,6 +86,7 @@
 #[derive(Debug, Clone)]
 pub struct Reread {
     file: Option<PathBuf>,
+    operator: Option<PathBuf>,
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
@@ -55,7 +102,11 @@
             "ROUTER_DISCOVERY" => Some(self.discovery.to_string()),
             _ => None,
         };
-        Config::read(&text_of(file)?, started, true)
+        let config = Config::read(&text_of(file)?, started, true)?;
+        match &self.operator {
+            Some(operator) => config.with_operator(operator),
+            None => Ok(config),
+        }
     }
 }
 
@@ -81,6 +132,16 @@
         Ok(Config { file: Some(file), ..config })
     }
 
+    /// The same with what the operator's file turns on.
+    pub fn with_operator(self, file: &Path) -> Result<Self, String> {
+        let read = stackgw_config::read(file).map_err(|problem| problem.to_string())?;
+        let named = |why| format!("{}: {why}", file.display());
+        let together = read.sessions.map(Together::read).transpose().map_err(named)?;
+        let operator =
+            Operator { file: Some(file.to_owned()), format: read.log.format, control: read.control };
+        Ok(Config { operator, together, ..self })
+    }
+
     /// Reads the document's text; variables override its fields.
     pub fn from_text(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         Self::read(text, var, false)
@@ -89,7 +150,8 @@
     /// What reads this configuration's file anew.
     pub fn reread(&self) -> Reread {
         let Config { file, name, listen, discovery, .. } = self;
-        Reread { file: file.clone(), name: name.clone(), listen: *listen, discovery: *discovery }
+        let operator = self.operator.file.clone();
+        Reread { file: file.clone(), operator, name: name.clone(), listen: *listen, discovery: *discovery }
     }
 
     fn read(text: &str, var: impl Fn(&str) -> Option<String>, file_wins: bool) -> Result<Self, String> {
@@ -144,6 +206,8 @@
             limits: Limits::new(platform, &settings),
             settings,
             file: None,
+            operator: Operator::default(),
+            together: None,
         })
     }
 }
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/cluster.rs
@@ -0,0 +1,68 @@
+//! The operator's cluster: datagrams of the other instances, and the disk's word.
+
+use super::Shell;
+use crate::config::Config;
+use crate::reducer::{Input, Life};
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use slog::{info, Logger};
+use stackgw_sessions::NodeId;
+use stackgw_store::{Done, File, Owner, Writer};
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// What turns sessions across instances on.
+pub(super) struct Start {
+    pub(super) socket: Rc<Async<UdpSocket>>,
+    pub(super) life: Life,
+    pub(super) writer: Option<Writer>,
+    pub(super) disk: Option<Receiver<Done>>,
+}
+
+/// Binds the socket and opens the store, if the operator's file asks for them. A store that another process has, or that can
+/// neither be used nor set aside, ends the start: a later life would take it for whole.
+pub(super) fn start(config: &Config, log: &Logger) -> Result<Option<Start>, String> {
+    let Some(together) = &config.together else { return Ok(None) };
+    let file = &together.file;
+    let bind = |e: std::io::Error| format!("sessions.listen: {}: {e}", file.listen);
+    let socket = Rc::new(Async::<UdpSocket>::bind(file.listen).map_err(bind)?);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let mut life = Life { incarnation: u64::try_from(now).unwrap_or(u64::MAX), recovered: None };
+    let (mut writer, mut disk) = (None, None);
+    if let Some(path) = &file.store {
+        let node = NodeId::of(&config.name);
+        let owner = Owner { cluster: file.cluster.clone(), node, horizon_ms: file.horizon.as_millis() };
+        let opened = File::open(path, &owner).map_err(|failed| failed.to_string())?;
+        if let Some(said) = opened.set_aside {
+            info!(log, "{said}; starting cautiously");
+        }
+        life = Life { incarnation: opened.incarnation, recovered: Some(opened.recovered) };
+        let (told, word) = async_channel::unbounded();
+        let done = move |done| drop(told.send_blocking(done));
+        writer = Some(Writer::start(opened.file, done).map_err(|failed| failed.to_string())?);
+        disk = Some(word);
+    }
+    Ok(Some(Start { socket, life, writer, disk }))
+}
+
+/// Hands over each datagram.
+pub(super) async fn run(shell: Rc<Shell>, socket: Rc<Async<UdpSocket>>) {
+    let pause = Duration::from_nanos(shell.limits.error_pause as u64);
+    // One byte more than allowed shows that one is too long.
+    let mut buffer = vec![0; stackgw_cluster::MOST_BYTES + 1];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((n, _)) => shell.input(Input::Cluster(buffer[..n].to_vec())),
+            // Word of a datagram that did not arrive; it must not become a busy loop.
+            Err(_) => drop(Timer::after(pause).await),
+        }
+    }
+}
+
+/// Hands over the disk's word.
+pub(super) async fn disk(shell: Rc<Shell>, word: Receiver<Done>) {
+    while let Ok(done) = word.recv().await {
+        shell.input(Input::Disk(done));
+    }
+}
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -2,6 +2,8 @@
 //! here decides. One thread, one executor.
 
 mod clients;
+mod cluster;
+mod control;
 mod discovery;
 mod link;
 mod members;
@@ -107,6 +109,10 @@
     watch: RefCell<Option<Task<()>>>,
     fetch: RefCell<Option<Task<()>>>,
     datagrams: Option<Rc<Async<UdpSocket>>>,
+    /// Where the operator's cluster talks, and what keeps its records.
+    cluster: Option<Rc<Async<UdpSocket>>>,
+    store: Option<stackgw_store::Writer>,
+    askers: control::Askers,
     accepts: Gate,
     stops_listening: Gate,
     alarm: timers::Alarm,
@@ -210,6 +216,18 @@
                     let _ = socket.get_ref().send_to(&bytes, to);
                 }
             }
+            Effect::Cluster(to, bytes) => {
+                if let Some(socket) = &self.cluster {
+                    // As above; what matters is sent again.
+                    let _ = socket.get_ref().send_to(&bytes, to);
+                }
+            }
+            Effect::Store(record) => {
+                if let Some(store) = &self.store {
+                    store.put(record);
+                }
+            }
+            Effect::Told(asker, answer) => self.askers.tell(asker, answer),
             Effect::StopListening => self.stops_listening.set(true),
             Effect::Log(text) => info!(self.log, "{text}"),
             Effect::Report(counters) => info!(self.log, "{counters}"),
@@ -240,13 +258,27 @@
             Some(Rc::new(socket))
         }
     };
+    let control = config.operator.control.as_deref().map(control::listen).transpose()?;
+    let mut shared = cluster::start(&config, &log)?;
     let executor = Rc::new(LocalExecutor::new());
     let limits = config.limits.clone();
+    let clock = Clock::new();
+    let (together, reread) = (config.together.clone(), config.reread());
+    let mut reducer = Reducer::new(config);
+    let mut effects = Vec::new();
+    if let (Some(together), Some(shared)) = (&together, &mut shared) {
+        let life = shared.life.clone();
+        reducer.share_sessions(clock.now(), together, life, &mut effects);
+    }
+    let (cluster, store, disk) = match shared {
+        Some(shared) => (Some(shared.socket), shared.writer, shared.disk),
+        None => (None, None, None),
+    };
     let shell = Rc::new(Shell {
-        clock: Clock::new(),
+        clock,
         log,
         executor: executor.clone(),
-        reread: config.reread(),
+        reread,
         queue: RefCell::default(),
         handling: Cell::new(false),
         clients: RefCell::default(),
@@ -257,12 +289,15 @@
         watch: RefCell::default(),
         fetch: RefCell::default(),
         datagrams,
+        cluster,
+        store,
+        askers: control::Askers::default(),
         accepts: Gate::default(),
         stops_listening: Gate::default(),
         alarm: timers::Alarm::default(),
         ended: Gate::default(),
         buffer: Rc::new(RefCell::new(vec![0; limits.read_bytes])),
-        reducer: RefCell::new(Reducer::new(config)),
+        reducer: RefCell::new(reducer),
         limits,
     });
     executor.spawn(signals::run(shell.clone(), signals)).detach();
@@ -270,7 +305,17 @@
     if let Some(socket) = shell.datagrams.clone() {
         executor.spawn(peers::run(shell.clone(), socket)).detach();
     }
+    if let Some(socket) = shell.cluster.clone() {
+        executor.spawn(cluster::run(shell.clone(), socket)).detach();
+    }
+    if let Some(word) = disk {
+        executor.spawn(cluster::disk(shell.clone(), word)).detach();
+    }
+    if let Some(listener) = control {
+        executor.spawn(control::run(shell.clone(), listener)).detach();
+    }
     executor.spawn(clients::accept(shell.clone(), listener)).detach();
+    effects.into_iter().for_each(|effect| shell.carry_out(effect));
     shell.input(Input::Start);
     async_io::block_on(executor.run(shell.ended.wait(true)));
     Ok(())
--- a/crates/stackgw-gateway/src/lib.rs
+++ b/crates/stackgw-gateway/src/lib.rs
@@ -16,13 +16,23 @@
 
 /// Serves until SIGTERM has been seen through. Logs go to standard error without ever holding the gateway up.
 pub fn run(config: config::Config) -> Result<(), String> {
-    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
-    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
-    let (drain, flush) = slog_async::Async::new(format)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let log = Logger::root(drain.fuse(), o!("gateway" => config.name.clone()));
+    let (log, flush) = logger(&config);
     let ended = io::serve(config, log);
     drop(flush);
     ended
 }
+
+/// Lines for people, or JSON objects for programs where the operator's file says so.
+fn logger(config: &config::Config) -> (Logger, slog_async::AsyncGuard) {
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match config.operator.format {
+        stackgw_config::Format::Json => Box::new(slog_json::Json::default(std::io::stderr()).fuse()),
+        stackgw_config::Format::Text => {
+            let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            Box::new(slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse())
+        }
+    };
+    let (drain, flush) = slog_async::Async::new(drain)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!("gateway" => config.name.clone())), flush)
+}
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -77,6 +77,12 @@
     pub(super) sent: u32,
     pub(super) out: Vec<(u32, ConnId)>,
     pub(super) ended: bool,
+    /// It waits for word of what its session wrote, before the router hears of it.
+    pub(super) asks: Option<Box<Request>>,
+    /// A served write's answer, until its session's homes know of it.
+    pub(super) held: Option<Vec<u8>>,
+    /// When that is given up.
+    pub(super) held_until: Option<TimerKey>,
 }
 
 impl Reducer {
@@ -298,7 +304,13 @@
         if let Some(open) = self.requests.get_mut(&request) {
             (open.client, open.ended) = (None, true);
             self.counters.answered_gone += 1;
-            self.events.push_back(Event::Abandoned(request));
+            let known = open.asks.take().is_none();
+            let held = open.held.take();
+            self.counters.held_bytes -= held.map_or(0, |reply| reply.len() as u64);
+            self.unshared(request);
+            if known {
+                self.events.push_back(Event::Abandoned(request));
+            }
             self.forget_request(request);
         }
     }
@@ -460,11 +472,14 @@
         if self.requests.len() >= self.limits.requests {
             return self.refuse(now, id, "53300", "too many requests are open", out);
         }
+        if let Some(why) = self.shared.as_ref().filter(|_| need == Need::Write).and_then(|s| s.shut()) {
+            return self.refuse(now, id, "53300", why, out);
+        }
         let request = RequestId(self.next_request);
         self.next_request += 1;
         let deadline = came + (statement.wait_ms as Span * MS).min(self.limits.wait_most);
         let sessions = matches!(need, Need::Write | Need::Session);
-        self.events.push_back(Event::Request(Request {
+        let asked = Request {
             id: request,
             class,
             group: GroupId(statement.cluster),
@@ -472,17 +487,32 @@
             session: sessions.then(|| SessionId(statement.key.as_str().into())),
             last_write: statement.after_ms.map(|ms| ms * MS),
             repeat: statement.repeat,
-        }));
+            fresh: false,
+        };
         self.counters.held_bytes += statement.held() as u64;
         self.open_ids.insert(statement.id.clone());
         self.client_used(id);
-        let open = Open { client: Some(id), statement, deadline, sent: 0, out: Vec::new(), ended: false };
+        let open = Open {
+            client: Some(id),
+            statement,
+            deadline,
+            sent: 0,
+            out: Vec::new(),
+            ended: false,
+            asks: None,
+            held: None,
+            held_until: None,
+        };
         self.requests.insert(request, open);
         if let Some(client) = self.clients.get_mut(&id) {
             client.line.push_back(Place { request: Some(request), ..Place::default() });
             client.malformed = 0;
         }
         self.note_idle(now, id);
+        if need == Need::Session && self.shared.is_some() {
+            return self.ask_session(now, asked, out);
+        }
+        self.events.push_back(Event::Request(asked));
     }
 
     /// A client has asked something: it is no stranger any more.
@@ -535,6 +565,11 @@
         let Some(open) = self.requests.get_mut(&request) else { return false };
         open.ended = true;
         let client = open.client.take();
+        let held = open.held.take();
+        self.counters.held_bytes -= held.map_or(0, |reply| reply.len() as u64);
+        if open.asks.take().is_some() {
+            self.unshared(request);
+        }
         if let Some(id) = client {
             self.fill(now, id, request, reply, out);
         }
@@ -558,7 +593,7 @@
     }
 
     pub(super) fn forget_request(&mut self, request: RequestId) {
-        if self.requests.get(&request).is_some_and(|o| o.ended && o.out.is_empty()) {
+        if self.requests.get(&request).is_some_and(|o| o.ended && o.out.is_empty() && o.held.is_none()) {
             if let Some(open) = self.requests.remove(&request) {
                 let before = self.counters.held_bytes;
                 self.counters.held_bytes = before - open.statement.held() as u64;
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -360,16 +360,18 @@
         self.count(outcome);
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
         let finished = ended || outcome == Outcome::Served;
+        if !self.can_be(now, reply.position) {
+            (reply.primary, reply.position) = (None, None);
+        }
         if outcome == Outcome::Served && !ended {
             let mut row = std::mem::take(&mut reply.row);
             write::ready(&mut row);
-            let answered = self.answer(now, request, row, out);
-            self.counters.answered_served += u64::from(answered);
-        }
-        let Reply { mut primary, mut position, mut report, .. } = reply;
-        if !self.can_be(now, position) {
-            (primary, position) = (None, None);
+            if let Some(row) = self.hold_write(now, request, reply.position, row, out) {
+                let answered = self.answer(now, request, row, out);
+                self.counters.answered_served += u64::from(answered);
+            }
         }
+        let Reply { primary, position, mut report, .. } = reply;
         if !self.can_be(now, report.position) {
             report = Report::default();
         }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 mod list;
 mod members;
 mod reload;
+mod sessions;
 
 use crate::config::Config;
 use crate::counters::Counters;
@@ -23,6 +24,8 @@
 use list::Listed;
 use members::{Conn, Job};
 use reload::Fixed;
+pub use sessions::Life;
+use sessions::Shared;
 
 /// A client's connection, numbered by the I/O side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -77,6 +80,12 @@
     FetchFailed,
     /// A datagram.
     Datagram(SocketAddr, Vec<u8>),
+    /// A datagram from another instance of the operator's cluster.
+    Cluster(Vec<u8>),
+    /// Word of the disk.
+    Disk(stackgw_store::Done),
+    /// Somebody at the local socket asks.
+    Question(u64, Question),
     /// The time that [`Reducer::next_due`] named has come.
     Due,
     /// The configuration as it stands now, or why it cannot be used.
@@ -89,6 +98,15 @@
     Report,
 }
 
+/// What somebody at the local socket wants to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Question {
+    /// What is known of sessions, and why not for sure.
+    Sessions,
+    /// What is held of one session of a group.
+    Session(u32, String),
+}
+
 /// What is to be done outside.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -121,6 +139,12 @@
     Fetch(SocketAddr),
     /// Send a datagram.
     Datagram(SocketAddr, Vec<u8>),
+    /// Send a datagram to another instance of the operator's cluster.
+    Cluster(SocketAddr, Vec<u8>),
+    /// Keep a record on the disk.
+    Store(stackgw_sessions::Record),
+    /// The answer to a question at the local socket.
+    Told(u64, serde_json::Value),
     /// Take what waits in line, then close the listener.
     StopListening,
     /// A line for the log.
@@ -142,6 +166,10 @@
     Watch,
     /// Another look at whether some client may make room.
     Admit,
+    /// Something in the sessions across instances.
+    Shared,
+    /// A served write whose session could not be told of it in time.
+    Held(RequestId),
     StopListening,
     Retire,
     End,
@@ -228,13 +256,19 @@
     secret: u64,
     /// What holds until a restart.
     fixed: Fixed,
+    /// Sessions across instances, where the operator's file turns them on.
+    shared: Option<Box<Shared>>,
 }
 
 impl Reducer {
     /// A gateway that has not started yet.
     pub fn new(config: Config) -> Self {
         let fixed = Fixed::of(&config);
-        let settings = config.settings.router;
+        let mut settings = config.settings.router;
+        if config.together.is_some() {
+            // What a session wrote is found out here, so the router is told with each read.
+            settings.session_marks = SessionMarks::Client;
+        }
         Reducer {
             fixed,
             discovery: config.discovery,
@@ -279,6 +313,7 @@
             listener_closed: false,
             retire_at: 0,
             exited: false,
+            shared: None,
             secret: config.seed,
         }
     }
@@ -331,6 +366,12 @@
                 self.list_failed();
             }
             Input::Datagram(from, bytes) => self.datagram(now, from, &bytes),
+            Input::Cluster(bytes) => self.cluster_datagram(now, &bytes, out),
+            Input::Disk(done) => self.disk(now, done, out),
+            Input::Question(asker, question) => {
+                let told = self.tell(now, question);
+                out.push(Effect::Told(asker, told));
+            }
             Input::Due => self.due(now, out),
             Input::Reload(config) => self.reload(now, config, out),
             Input::Terminate => self.terminate(now, out),
@@ -344,9 +385,11 @@
             Input::Report => {
                 out.push(Effect::Report(Box::new(self.counters.clone())));
                 out.extend(self.seen().map(|seen| Effect::Log(seen.line(now))));
+                out.extend(self.shared.iter().map(|shared| Effect::Log(shared.line(now))));
             }
         }
         self.route(now, out);
+        self.shared_due_set();
         self.admit(now, out);
         self.counters.peaks();
         if self.listener_closed && self.clients.is_empty() {
@@ -460,6 +503,8 @@
                     }
                 }
                 Due::Admit => self.admits = false,
+                Due::Shared => self.shared_due(now, out),
+                Due::Held(request) => self.held_too_long(now, request, out),
                 Due::StopListening => out.push(Effect::StopListening),
                 Due::Retire => self.retire_clients(now, out),
                 Due::End => self.end(now, out),
@@ -469,6 +514,7 @@
     }
 
     fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.shared_look(now, out);
         for conn in self.pool.expired(now - self.limits.idle) {
             self.counters.members_retired += 1;
             out.push(Effect::MemberClose(conn));
--- a/crates/stackgw-gateway/src/reducer/reload.rs
+++ b/crates/stackgw-gateway/src/reducer/reload.rs
@@ -54,6 +54,7 @@
             said += &format!("; unchanged until a restart: {}", fixed.join(", "));
         }
         out.push(Effect::Log(said));
+        self.shared_reload(now, config.together, out);
         (self.peers, self.peers_all) = (config.peers, config.peers_all);
         if std::mem::replace(&mut self.discovery, config.discovery) == config.discovery {
             return;
--- /dev/null
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -0,0 +1,443 @@
+//! Sessions across instances: carries what the router and the clients' side have to do with `stackgw-sessions` to and fro.
+//! What a read must see and when a write's answer may leave is decided there; which member then serves is the router's.
+
+use super::*;
+use crate::config::Together;
+use serde_json::{json, Value};
+use stackgw_cluster::{Cluster, Identity};
+use stackgw_sessions::{
+    Knowledge, NodeId, Output, Peer, Recovered, SessionKey, Sessions, Settings, Standing, Why,
+};
+use stackgw_store::Done;
+use std::collections::BTreeMap as Map;
+
+/// A held write is given up this many ticks before its client's time is over, so that the word still arrives.
+const HELD_TICKS: Span = 4;
+/// A change in whether reads can be sure is logged once in this long.
+const SAID_EVERY: Span = 5 * SECOND;
+
+/// One life of an instance: what its disk gave it at start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Life {
+    /// Higher than that of any life before.
+    pub incarnation: u64,
+    /// What the disk had; `None`: there is no disk.
+    pub recovered: Option<Recovered>,
+}
+
+/// Everything of it.
+pub(super) struct Shared {
+    sessions: Sessions,
+    cluster: Cluster,
+    outputs: Vec<Output>,
+    names: Map<NodeId, String>,
+    due: Option<TimerKey>,
+    disk_failed: bool,
+    /// Reads that had to be cautious, by reason.
+    cautious: Map<Why, u64>,
+    /// What was last said of whether reads can be sure, and when.
+    said: Option<(Option<Why>, Time)>,
+    in_doubt: u64,
+}
+
+fn key_of(statement: &Statement) -> SessionKey {
+    SessionKey::of(statement.cluster, &statement.key)
+}
+
+/// A reason, with the names that the operator knows.
+fn named(why: Why, names: &Map<NodeId, String>) -> String {
+    let name = |node: &NodeId| names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"));
+    match why {
+        Why::NotPledged(node) => format!("no pledge from {}", name(&node)),
+        Why::OtherRoster(node) => format!("{} has other keepers or times in its file", name(&node)),
+        Why::TooShort(node) => format!("less than a horizon known of {}", name(&node)),
+        why => why.to_string(),
+    }
+}
+
+impl Shared {
+    fn new(
+        now: Time,
+        config: &Together,
+        name: &str,
+        seed: u64,
+        life: Life,
+        outputs: &mut Vec<Output>,
+    ) -> Self {
+        let file = &config.file;
+        let me = Peer { node: NodeId::of(name), incarnation: life.incarnation };
+        let settings = Settings {
+            me,
+            keepers: file.keepers.iter().map(|name| NodeId::of(name)).collect(),
+            homes: file.homes,
+            lease: file.lease.as_nanos(),
+            horizon: file.horizon.as_nanos(),
+            resend: file.resend.as_nanos(),
+            lookup: file.lookup.as_nanos(),
+            marks_most: file.marks,
+            own_most: file.own_marks,
+            waits_most: file.waits,
+            disk: life.recovered,
+        };
+        let cluster = stackgw_cluster::Settings {
+            me: Identity { peer: me, address: file.reached_at(), turn: 0 },
+            seeds: file.seeds.clone(),
+            ring: config.ring.clone(),
+            seed,
+            expected: file.expected,
+        };
+        Shared {
+            cluster: Cluster::new(now, cluster),
+            sessions: Sessions::new(now, settings, outputs),
+            outputs: Vec::new(),
+            names: names_of(&file.keepers, name),
+            due: None,
+            disk_failed: false,
+            cautious: Map::new(),
+            said: None,
+            in_doubt: 0,
+        }
+    }
+
+    /// Why no write is taken now, if none is: its answer could not leave.
+    pub(super) fn shut(&self) -> Option<&'static str> {
+        let keeper =
+            |seen: &stackgw_cluster::Seen| seen.up && self.sessions.roster().has(seen.identity.peer.node);
+        if !self.sessions.lets_out() {
+            return Some("this gateway's disk failed, another one takes writes");
+        }
+        let cut = !self.sessions.is_keeper() && !self.cluster.known().any(keeper);
+        cut.then_some("no keeper of sessions is known here, another gateway takes writes")
+    }
+
+    fn next_due(&self) -> Time {
+        self.sessions.next_due().min(self.cluster.next_due())
+    }
+
+    /// One line for the log.
+    pub(super) fn line(&self, now: Time) -> String {
+        let status = self.sessions.status(now);
+        let counts = status.counts;
+        let sure = status.unsure.map_or("sure".to_owned(), |why| named(why, &self.names));
+        let met = self.cluster.counts();
+        format!(
+            "sessions {sure}: marks={} own={} waiting={} pushed_out={} sure_here={} sure_there={} cautious={} released={} \
+             released_owed={} in_doubt={} sent={} disregarded={} unknown_key={} forged={} malformed={}",
+            status.marks, status.own, status.waiting, status.pushed_out, counts.sure_here, counts.sure_there,
+            counts.cautious, counts.released, counts.released_owed, self.in_doubt, met.sent, counts.disregarded,
+            met.unknown_key, met.forged, met.malformed
+        )
+    }
+
+    fn tell(&self, now: Time) -> Value {
+        let status = self.sessions.status(now);
+        let name = |node: &NodeId| self.names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"));
+        let other = |other: &Standing| {
+            json!({"name": name(&other.node), "incarnation": other.incarnation,
+                "pledged_for_ms": other.pledged_for / MS, "bound_for_ms": other.bound_for / MS, "owed": other.owed})
+        };
+        let seen = |seen: &stackgw_cluster::Seen| {
+            json!({"name": name(&seen.identity.peer.node), "incarnation": seen.identity.peer.incarnation,
+                "address": seen.identity.address.to_string(), "up": seen.up})
+        };
+        let (counts, met) = (status.counts, self.cluster.counts());
+        let cautious: serde_json::Map<String, Value> =
+            self.cautious.iter().map(|(why, n)| (named(*why, &self.names), json!(n))).collect();
+        json!({
+            "name": name(&status.me.node), "incarnation": status.me.incarnation, "keeper": status.keeper,
+            "sure": status.unsure.is_none(),
+            "unsure_because": status.unsure.map(|why| named(why, &self.names)),
+            "keepers": status.others.iter().map(other).collect::<Vec<_>>(),
+            "instances": self.cluster.known().map(seen).collect::<Vec<_>>(), "epoch": self.cluster.epoch(),
+            "marks": status.marks, "marks_pushed_out": status.pushed_out, "own_marks": status.own,
+            "waiting": status.waiting, "cautious_because": cautious,
+            "counts": {"sure_here": counts.sure_here, "sure_there": counts.sure_there, "cautious": counts.cautious,
+                "released": counts.released, "released_owed": counts.released_owed, "in_doubt": self.in_doubt,
+                "messages": counts.sent, "disregarded": counts.disregarded, "full": counts.full,
+                "own_pushed_out": counts.own_pushed_out, "disks_old": counts.disks_old,
+                "datagrams_sent": met.sent, "datagrams_taken": met.received, "foreign": met.foreign,
+                "unknown_key": met.unknown_key, "forged": met.forged, "malformed": met.malformed,
+                "unreachable": met.unreachable},
+            "disk_failed": self.disk_failed,
+        })
+    }
+}
+
+fn names_of(keepers: &[String], me: &str) -> Map<NodeId, String> {
+    keepers.iter().map(String::as_str).chain([me]).map(|name| (NodeId::of(name), name.to_owned())).collect()
+}
+
+impl Reducer {
+    /// Turns sessions across instances on, before [`Input::Start`].
+    pub fn share_sessions(&mut self, now: Time, config: &Together, life: Life, out: &mut Vec<Effect>) {
+        let mut outputs = Vec::new();
+        let shared = Shared::new(now, config, &self.fixed.name, self.secret, life, &mut outputs);
+        self.shared = Some(Box::new(shared));
+        self.shared_outputs(now, outputs, out);
+        self.shared_due_set();
+    }
+
+    fn with_shared(
+        &mut self,
+        now: Time,
+        out: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Sessions, &mut Vec<Output>),
+    ) {
+        let Some(shared) = self.shared.as_mut() else { return };
+        let mut outputs = std::mem::take(&mut shared.outputs);
+        act(&mut shared.sessions, &mut outputs);
+        self.shared_outputs(now, outputs, out);
+    }
+
+    fn shared_outputs(&mut self, now: Time, mut outputs: Vec<Output>, out: &mut Vec<Effect>) {
+        for output in outputs.drain(..) {
+            match output {
+                Output::Send(to, message) => {
+                    let Some(shared) = self.shared.as_mut() else { return };
+                    let mut effects = Vec::new();
+                    shared.cluster.send(to, &message, &mut effects);
+                    out.extend(effects.into_iter().map(datagram));
+                }
+                Output::Store(record) => out.push(Effect::Store(record)),
+                Output::Release(ticket) => self.release(now, RequestId(ticket), out),
+                Output::Need(ticket, knowledge) => self.session_known(RequestId(ticket), knowledge),
+            }
+        }
+        if let Some(shared) = self.shared.as_mut() {
+            shared.outputs = outputs;
+        }
+    }
+
+    pub(super) fn cluster_datagram(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Effect>) {
+        let Some(shared) = self.shared.as_mut() else { return };
+        let (mut effects, mut events) = (Vec::new(), Vec::new());
+        if shared.cluster.receive(now, bytes, &mut effects, &mut events).is_err() {
+            let counts = shared.cluster.counts();
+            let refused = counts.foreign + counts.unknown_key + counts.forged + counts.malformed;
+            log_rarely(refused, "datagrams refused that claim to be of this cluster:", out);
+        }
+        out.extend(effects.into_iter().map(datagram));
+        self.cluster_events(now, events, out);
+    }
+
+    fn cluster_events(&mut self, now: Time, events: Vec<stackgw_cluster::Event>, out: &mut Vec<Effect>) {
+        use stackgw_cluster::Event;
+        for event in events {
+            let Some(shared) = self.shared.as_ref() else { return };
+            let name = |id: &Identity| match shared.names.get(&id.peer.node) {
+                Some(name) => name.clone(),
+                None => format!("{:?}", id.peer.node),
+            };
+            match event {
+                Event::Up(id) => {
+                    out.push(Effect::Log(format!("instance {} is at {}", name(&id), id.address)))
+                }
+                Event::Down(id) => out.push(Effect::Log(format!("instance {} seems gone", name(&id)))),
+                Event::Superseded(id) => out.push(Effect::Log(format!(
+                    "another process goes by this gateway's name at {}: one of them must end",
+                    id.address
+                ))),
+                Event::Sessions(from, to, message) => {
+                    self.with_shared(now, out, |sessions, outputs| {
+                        sessions.heard(now, from, to, message, outputs);
+                    });
+                }
+            }
+        }
+    }
+
+    pub(super) fn disk(&mut self, now: Time, done: Done, out: &mut Vec<Effect>) {
+        match done {
+            Done::Stored(records) => self.with_shared(now, out, |s, outputs| s.stored(now, records, outputs)),
+            Done::Failed { why, void } => {
+                let what = if void {
+                    "it was set aside; a restart will be cautious"
+                } else {
+                    "writes are turned away"
+                };
+                out.push(Effect::Log(format!("{why}; {what}")));
+                if let Some(shared) = self.shared.as_mut() {
+                    shared.disk_failed = true;
+                }
+                self.with_shared(now, out, |s, outputs| s.disk_failed(now, void, outputs));
+            }
+        }
+    }
+
+    /// Sets the one timer of it all anew where its moment has changed.
+    pub(super) fn shared_due_set(&mut self) {
+        let Some(shared) = self.shared.as_mut() else { return };
+        let due = shared.next_due();
+        let before = shared.due;
+        if before.is_some_and(|(at, _)| at == due) {
+            return;
+        }
+        let key = self.set_timer(due, Due::Shared);
+        if let Some(before) = before {
+            self.timers.remove(&before);
+        }
+        if let Some(shared) = self.shared.as_mut() {
+            shared.due = Some(key);
+        }
+    }
+
+    pub(super) fn shared_due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(shared) = self.shared.as_mut() else { return };
+        shared.due = None;
+        let (mut effects, mut events) = (Vec::new(), Vec::new());
+        shared.cluster.due(now, &mut effects, &mut events);
+        out.extend(effects.into_iter().map(datagram));
+        self.cluster_events(now, events, out);
+        self.with_shared(now, out, |sessions, outputs| sessions.due(now, outputs));
+        self.shared_due_set();
+    }
+
+    /// Says when reads became sure, or why they no longer are.
+    pub(super) fn shared_look(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(shared) = self.shared.as_mut() else { return };
+        let status = shared.sessions.status(now);
+        if !status.keeper
+            || shared.said.is_some_and(|(said, at)| said == status.unsure || now - at < SAID_EVERY)
+        {
+            return;
+        }
+        shared.said = Some((status.unsure, now));
+        out.push(Effect::Log(match status.unsure {
+            None => "session reads are sure".to_owned(),
+            Some(why) => format!("session reads are cautious: {}", named(why, &shared.names)),
+        }));
+    }
+
+    pub(super) fn shared_reload(&mut self, now: Time, config: Option<Together>, out: &mut Vec<Effect>) {
+        let (Some(shared), Some(config)) = (self.shared.as_mut(), config) else { return };
+        shared.names = names_of(&config.file.keepers, &self.fixed.name);
+        shared.cluster.reload(now, config.ring, config.file.seeds);
+        let keepers = config.file.keepers.iter().map(|name| NodeId::of(name)).collect();
+        self.with_shared(now, out, |sessions, outputs| sessions.take_keepers(now, keepers, outputs));
+    }
+
+    // Reads and writes.
+
+    /// A session read waits for what its session must see; then the router hears of it.
+    pub(super) fn ask_session(&mut self, now: Time, request: Request, out: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get_mut(&request.id) else { return };
+        let (ticket, key) = (request.id.0, key_of(&open.statement));
+        open.asks = Some(Box::new(request));
+        self.with_shared(now, out, |sessions, outputs| sessions.read(now, ticket, key, outputs));
+    }
+
+    fn session_known(&mut self, id: RequestId, knowledge: Knowledge) {
+        let Some(mut request) = self.requests.get_mut(&id).and_then(|open| open.asks.take()) else { return };
+        match knowledge {
+            // The client's own word counts too, where it carries one.
+            Knowledge::Sure(position) => request.last_write = request.last_write.max(position),
+            Knowledge::Cautious(why) => {
+                request.fresh = true;
+                if let Some(shared) = self.shared.as_mut() {
+                    *shared.cautious.entry(why).or_default() += 1;
+                }
+            }
+        }
+        self.events.push_back(Event::Request(*request));
+    }
+
+    /// Holds a served write's answer until its session's homes know of it; gives it back where it may leave as it is.
+    pub(super) fn hold_write(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        position: Option<Time>,
+        row: Vec<u8>,
+        out: &mut Vec<Effect>,
+    ) -> Option<Vec<u8>> {
+        let open =
+            self.requests.get_mut(&request).filter(|open| open.statement.write && open.client.is_some());
+        let Some(open) = open.filter(|_| self.shared.is_some()) else { return Some(row) };
+        let (key, deadline) = (key_of(&open.statement), open.deadline);
+        (open.ended, open.held) = (true, Some(row));
+        self.counters.held_bytes += open.held.as_ref().map_or(0, |row| row.len() as u64);
+        let mut waits = true;
+        self.with_shared(now, out, |sessions, outputs| {
+            waits = sessions.wrote(now, request.0, key, position, outputs);
+        });
+        let held = self.requests.get(&request).is_some_and(|open| open.held.is_some());
+        if !waits {
+            self.held_too_long(now, request, out);
+        } else if held {
+            let tick = self.fixed.settings.router.tick.max(MS);
+            let until = self.set_timer((deadline - tick * HELD_TICKS).max(now), Due::Held(request));
+            if let Some(open) = self.requests.get_mut(&request) {
+                open.held_until = Some(until);
+            }
+        }
+        None
+    }
+
+    fn release(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let Some(row) = open.held.take() else { return };
+        if let Some(until) = open.held_until.take() {
+            self.timers.remove(&until);
+        }
+        self.counters.held_bytes -= row.len() as u64;
+        let answered = self.answer(now, request, row, out);
+        self.counters.answered_served += u64::from(answered);
+    }
+
+    /// Its write has run, but an answer that says so would let the session's next read miss it. Failed promises nothing.
+    pub(super) fn held_too_long(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
+        if self.requests.get(&request).is_none_or(|open| open.held.is_none()) {
+            return;
+        }
+        self.unshared(request);
+        if let Some(shared) = self.shared.as_mut() {
+            shared.in_doubt += 1;
+            log_rarely(shared.in_doubt, "writes served whose session could not be told in time:", out);
+        }
+        let text = "the write was sent and may have run, its answer could not be confirmed";
+        let answered = self.answer_error(now, request, "58000", text, None, out);
+        self.counters.answered_failed += u64::from(answered);
+    }
+
+    /// Nobody waits for this request's session any more.
+    pub(super) fn unshared(&mut self, request: RequestId) {
+        if let Some(shared) = self.shared.as_mut() {
+            shared.sessions.unread(request.0);
+            shared.sessions.withdrawn(request.0);
+        }
+    }
+
+    /// Answers somebody at the local socket.
+    pub(super) fn tell(&self, now: Time, question: Question) -> Value {
+        let Some(shared) = self.shared.as_ref() else {
+            return json!({"error": "sessions across instances are off"});
+        };
+        match question {
+            Question::Sessions => shared.tell(now),
+            Question::Session(group, session) => {
+                let key = SessionKey::of(group, &session);
+                let name = |node| shared.names.get(&node).cloned().unwrap_or_else(|| format!("{node:?}"));
+                let (seen, sure) = shared.sessions.held(now, key);
+                let position = |at: Time| {
+                    if at == stackgw_sessions::UNKNOWN {
+                        json!("unknown")
+                    } else {
+                        json!(at / MS)
+                    }
+                };
+                json!({
+                    "group": group, "homes": shared.sessions.roster().homes(key).map(name).collect::<Vec<_>>(),
+                    "sure_here": sure.is_ok(),
+                    "unsure_because": sure.err().map(|why| named(why, &shared.names)),
+                    "mark": seen.map(|seen| json!({"position_ms": position(seen.position),
+                        "age_ms": (now - seen.at) / MS, "pushed_out": seen.pushed_out})),
+                })
+            }
+        }
+    }
+}
+
+fn datagram(effect: stackgw_cluster::Effect) -> Effect {
+    let stackgw_cluster::Effect::Send(to, bytes) = effect;
+    Effect::Cluster(to, bytes)
+}
--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -298,6 +298,8 @@
     pub last_write: Option<Time>,
     /// The client says that it repeats an earlier try.
     pub repeat: bool,
+    /// It must see every commit made before it came in, whatever its class needs: what its session wrote is not known.
+    pub fresh: bool,
 }
 
 /// How an attempt ended.
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -459,18 +459,21 @@
         let most = self.set.limits.attempts;
         let at_primary = |share| primary.filter(|id| self.fits(now, entry, *id, share, true));
         let fits = |id: &MemberId| self.fits(now, entry, *id, 1.0, false);
-        let floor = match self.class(entry).need {
+        // Danger: a primary by the list alone may be a replica by now; it must show that it holds the write.
+        let claimed = self.groups.get(&group).and_then(|g| g.primary);
+        let holds = |id: &MemberId, write| claimed == Some(*id) || self.nodes[id].position >= write;
+        let need = if entry.request.fresh { Need::Fresh } else { self.class(entry).need };
+        let floor = match need {
             Need::Write if primary.is_some() => return at_primary(1.0),
             // A write met by a member that is not the primary tries the next, then waits for a probe.
             Need::Write if entry.tried.is_empty() || entry.sent * 2 >= most => return None,
             Need::Write => return self.members(group).map(|m| m.0).find(fits),
-            // The list alone does not prove that a member is the primary now.
-            Need::Fresh if self.groups.get(&group).is_none_or(|g| g.primary.is_none()) => return None,
-            Need::Fresh => return at_primary(1.0),
+            Need::Fresh => return at_primary(1.0).filter(|id| holds(id, Time::MAX)),
             Need::Session => {
                 let write = entry.request.last_write.unwrap_or(0);
                 // Departure: a primary without room leaves even these to replicas that cover the write.
-                match at_primary(1.0).filter(|_| now - write < READ_AFTER_WRITE) {
+                let recent = now - write < READ_AFTER_WRITE;
+                match at_primary(1.0).filter(|id| recent && holds(id, write)) {
                     None => write,
                     place => return place,
                 }
@@ -503,7 +506,7 @@
         if asks && replicas.iter().any(|(_, n)| !n.out && asked(n)) {
             return None;
         }
-        at_primary(FALLBACK_SHARE)
+        at_primary(FALLBACK_SHARE).filter(|id| need != Need::Session || holds(id, floor))
     }
 
     fn fits(&self, now: Time, entry: &Entry, id: MemberId, share: f64, as_primary: bool) -> bool {
--- a/crates/stackgw-router/tests/common/mod.rs
+++ b/crates/stackgw-router/tests/common/mod.rs
@@ -141,6 +141,7 @@
             session: Some(SessionId("s".into())),
             last_write: age.map(|age| self.now - age),
             repeat: false,
+            fresh: false,
         };
         let actions = self.tell(Event::Request(request));
         (id, actions)
--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -645,3 +645,40 @@
     }
     assert_eq!(hurry(&mut bench, 1), 0, "with all of them near their limits");
 }
+
+// ---- What a session must see, where little is known of members ----
+
+#[test]
+fn a_read_that_must_see_everything_waits_for_a_primary_that_claims_the_role() {
+    let mut bench = Bench::new(settings(), 2);
+    let deadline = bench.now + 3 * SECOND;
+    let id = RequestId(900);
+    let request = Request { id, class: SESSION, group: GROUP, deadline, fresh: true, ..Request::default() };
+    assert!(sent(&bench.tell(Event::Request(request))).is_empty(), "the list alone proves nothing");
+    // The listed one has become a replica, however far it has come.
+    bench.probed(0, false, bench.now);
+    assert!(!bench.log.iter().any(|a| matches!(a, Action::Send { .. })));
+    bench.probed(1, true, bench.now);
+    assert!(bench.log.contains(&Action::Send { request: id, member: MemberId(1), timeout: None }));
+}
+
+#[test]
+fn a_session_read_takes_a_listed_primary_only_where_it_holds_the_write() {
+    for holds in [false, true] {
+        let mut bench = Bench::new(settings(), 1);
+        if holds {
+            let word = News {
+                member: MemberId(0),
+                position: Some(bench.now),
+                primary: None,
+                strain: 0.0,
+                answers: 0,
+            };
+            bench.tell(Event::Peer { told: bench.now, relay: false, news: vec![word] });
+        }
+        let (_, actions) = bench.ask_since(SESSION, Some(100 * MS));
+        assert_eq!(sent(&actions).len(), usize::from(holds));
+        let (_, actions) = bench.ask_since(SESSION, None);
+        assert_eq!(sent(&actions).len(), 1, "a session that wrote nothing may be asked for anywhere");
+    }
+}
--- a/crates/stackgw-sessions/src/message.rs
+++ b/crates/stackgw-sessions/src/message.rs
@@ -18,6 +18,8 @@
     pub disk: u64,
     /// Records on it since then.
     pub records: u64,
+    /// The life before this one that wrote to it; 0: none.
+    pub last: u64,
 }
 
 /// A message between two instances.
--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -275,7 +275,7 @@
     stored: u64,
     voided: u64,
     /// How far others' disks had come when last heard of, in which life, and when that was put on this one's.
-    stamps: BTreeMap<NodeId, (Peer, Stamp)>,
+    stamps: BTreeMap<NodeId, (Peer, Option<Stamp>)>,
     stamps_at: Time,
     tick_at: Time,
     counts: Counts,
@@ -321,7 +321,7 @@
             records: 0,
             stored: 0,
             voided: 0,
-            stamps: recovered.seen.iter().map(|(peer, stamp)| (peer.node, (*peer, *stamp))).collect(),
+            stamps: recovered.seen.iter().map(|(peer, stamp)| (peer.node, (*peer, Some(*stamp)))).collect(),
             stamps_at: now,
             tick_at: now,
             counts: Counts::default(),
@@ -783,7 +783,7 @@
         if self.stamps_at <= before {
             self.stamps_at = now;
             for (peer, stamp) in self.stamps.values().copied().collect::<Vec<_>>() {
-                self.store(Record::Seen(peer, stamp), out);
+                self.store(Record::Seen(peer, stamp.unwrap_or_default()), out);
             }
         }
     }
@@ -794,18 +794,25 @@
         Some(Stamp { records, ..disk.stamp })
     }
 
-    /// Whether a keeper comes with a disk that had come further in an earlier life. Danger: it would vouch for what is not
-    /// on it, as a source and as a home.
+    /// Whether a keeper comes with a disk that an earlier life of it had brought further, or had left unused. Danger: it
+    /// would vouch for what is not on it, as a source and as a home.
     fn is_old(&mut self, from: Peer, stamp: Option<Stamp>) -> bool {
-        let Some(stamp) = stamp.filter(|_| self.roster.has(from.node)) else { return false };
-        match self.stamps.get(&from.node) {
-            Some((peer, known)) if known.disk == stamp.disk && known.records > stamp.records => {
-                // Within one life it is an old message that came late.
-                return peer.incarnation != from.incarnation;
+        if !self.roster.has(from.node) {
+            return false;
+        }
+        let known = self.stamps.get(&from.node).copied();
+        let before = known.filter(|(peer, _)| peer.incarnation < from.incarnation);
+        if let (Some((peer, seen)), Some(stamp)) = (before, stamp.filter(|s| s.disk != from.incarnation)) {
+            let shorter = |s: Stamp| s.disk == stamp.disk && s.records > stamp.records;
+            if stamp.last < peer.incarnation || seen.is_some_and(shorter) {
+                return true;
             }
-            _ => {}
         }
-        self.stamps.insert(from.node, (from, stamp));
+        // Within one life a smaller count is that of a message that came late.
+        let further = known.is_none_or(|(peer, seen)| (peer.incarnation, seen) < (from.incarnation, stamp));
+        if further {
+            self.stamps.insert(from.node, (from, stamp));
+        }
         false
     }
 
@@ -813,12 +820,13 @@
     fn void(&mut self, now: Time, told: Stamp, out: &mut Vec<Output>) {
         let Some(disk) = self.set.disk.as_mut().filter(|disk| disk.stamp.disk == told.disk) else { return };
         let incarnation = self.set.me.incarnation;
-        disk.stamp = Stamp { disk: incarnation, records: 0 };
+        disk.stamp = Stamp { disk: incarnation, records: 0, last: 0 };
         // Those that have believed this life already must not go on from that.
         self.source.unbroken_since = incarnation + 1;
         self.keeper.void(now);
         self.counts.disks_old += 1;
-        self.voided = self.store(Record::Void(Stamp { disk: incarnation, records: 0 }, incarnation + 1), out);
+        self.voided =
+            self.store(Record::Void(Stamp { disk: incarnation, ..Stamp::default() }, incarnation + 1), out);
     }
 
     fn marks(&mut self, now: Time, from: Peer, marks: Vec<(u64, SessionKey, Time)>, out: &mut Vec<Output>) {
--- a/crates/stackgw-store/src/file.rs
+++ b/crates/stackgw-store/src/file.rs
@@ -73,7 +73,7 @@
 }
 
 impl File {
-    /// Opens an instance's file, or begins one, and starts a new life in it.
+    /// Opens an instance's file, or begins one, and starts a new life in it. An error leaves the file where it was.
     pub fn open(path: &Path, owner: &Owner) -> Result<Opened, Failed> {
         let named = |Failed(why)| Failed(format!("store: {}: {why}", path.display()));
         match Self::start(path, owner) {
@@ -129,7 +129,7 @@
         let incarnation = unix_ms().max(last + 1);
         if !there {
             recovered.unbroken_since = incarnation;
-            recovered.stamp = Stamp { disk: incarnation, records: 0 };
+            recovered.stamp = Stamp { disk: incarnation, records: 0, last: 0 };
         }
         let begin = || -> Result<(), redb::Error> {
             let write = database.begin_write()?;
@@ -236,7 +236,8 @@
         return Err(refused("it is another instance's"));
     }
     recovered.unbroken_since = must("unbroken_since")?;
-    recovered.stamp = Stamp { disk: must("disk")?, records: must("records")? };
+    let last = must("incarnation")?;
+    recovered.stamp = Stamp { disk: must("disk")?, records: must("records")?, last };
     recovered.roster = number("roster")?;
     for (table, marks) in [(HELD, &mut recovered.held), (OWED, &mut recovered.owed)] {
         let table = read.open_table(table).map_err(refused)?;
@@ -253,9 +254,8 @@
         let (node, seen) = entry.map_err(refused)?;
         let (incarnation, disk, records) = seen.value();
         let peer = Peer { node: NodeId(node.value()), incarnation };
-        recovered.seen.push((peer, Stamp { disk, records }));
+        recovered.seen.push((peer, Stamp { disk, records, last: 0 }));
     }
-    let last = must("incarnation")?;
     if recovered.unbroken_since > last.saturating_add(1) {
         return Err(refused("its lives are out of order"));
     }
