stackgw demo: gateways are killed between writes and reads, and the audit says what sessions saw

Need: the promise must be shown with real processes, and operators need a command line around the gateway.

Change: stackgw-cli on clap: bare and run, check, schema, sessions (asks a running gateway over its local socket), demo, completions; the binary and its end-to-end tests move there. stackgw-standin: members with a log, positions, lag, slowness and an audit of every execution, an agent, clients whose sessions roam, gateways that are killed, paused, started anew with and without disks.

--- /dev/null
+++ b/crates/stackgw-cli/src/main.rs
@@ -0,0 +1,61 @@
+//! `stackgw`: one gateway, configured by its environment where no sub-command is named, and what operators need around it.
+
+mod cmd;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "stackgw",
+    version,
+    about = "A gateway between clients and a replicated store",
+    max_term_width = 100
+)]
+#[command(after_help = "Without a sub-command it runs the gateway that ROUTER_CONFIG describes.")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a gateway in the foreground.
+    Run(cmd::run::Run),
+    /// Check an operator's file: one line if it cannot be used.
+    Check(cmd::check::Check),
+    /// Print the JSON Schema of the operator's file.
+    Schema,
+    /// Ask a running gateway what it holds of sessions, and why one is read cautiously.
+    Sessions(cmd::sessions::Ask),
+    /// Stand-ins, gateways and clients on loopback; gateways are killed, and the audit says what sessions saw.
+    Demo(cmd::demo::Demo),
+    /// Print completions for a shell.
+    Completions {
+        /// Which shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        None => cmd::run::Run::default().run(),
+        Some(Command::Run(run)) => run.run(),
+        Some(Command::Check(check)) => check.run(),
+        Some(Command::Schema) => cmd::check::schema(),
+        Some(Command::Sessions(ask)) => ask.run(),
+        Some(Command::Demo(demo)) => demo.run(),
+        Some(Command::Completions { shell }) => {
+            let mut command = <Arguments as clap::CommandFactory>::command();
+            clap_complete::generate(shell, &mut command, "stackgw", &mut std::io::stdout());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("stackgw: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/stackgw-gateway/tests/end_to_end.rs
+++ b/crates/stackgw-cli/tests/end_to_end.rs
@@ -1,6 +1,7 @@
 //! The binary on loopback, between small stand-ins of clients, members and the list's agent. Every wait is for an
 //! event and bounded.
 
+#[path = "../../stackgw-gateway/tests/common/mod.rs"]
 mod common;
 
 use common::*;
--- /dev/null
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -0,0 +1,219 @@
+//! Sessions across real processes on loopback: gateways are killed, paused, started anew with and without their disks, between
+//! paired writes and reads. The stand-ins' audit is the judge. Every wait is for an event and bounded.
+
+use stackgw_standin::{Gateways, Mode, Setup, Store, Trial, Troubles, Verdict};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const LEASE_MS: u64 = 300;
+const HORIZON_MS: u64 = 2_000;
+
+struct World {
+    store: Arc<Store>,
+    gateways: Gateways,
+    folder: PathBuf,
+}
+
+impl World {
+    fn new(name: &str, gateways: usize, keepers: usize, mode: Mode, disks: bool) -> Self {
+        let folder = std::env::temp_dir().join(format!("stackgw-sessions-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (store, agent) = Store::start(&[20, 1_500]).expect("members");
+        let gateways = Gateways::start(Setup {
+            program: env!("CARGO_BIN_EXE_stackgw").into(),
+            folder: folder.clone(),
+            agent,
+            gateways,
+            keepers,
+            mode,
+            disks,
+            lease_ms: LEASE_MS,
+            horizon_ms: HORIZON_MS,
+        });
+        World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
+    }
+
+    /// What a gateway says of its sessions.
+    fn told(&self, n: usize) -> serde_json::Value {
+        let asked = Command::new(env!("CARGO_BIN_EXE_stackgw"))
+            .arg("sessions")
+            .arg(self.gateways.control(n))
+            .arg("--json")
+            .output();
+        serde_json::from_slice(&asked.expect("it runs").stdout).unwrap_or_default()
+    }
+
+    /// Waits until all these are sure.
+    fn sure(&self, keepers: usize) -> Duration {
+        let since = Instant::now();
+        while !(0..keepers).all(|n| self.told(n)["sure"] == true) {
+            assert!(since.elapsed() < Duration::from_secs(30), "{}", self.told(0));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        since.elapsed()
+    }
+
+    fn run(&self, trial: &Trial) -> Verdict {
+        trial.run(&self.store, &self.gateways, |_| {})
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for n in 0..self.gateways.len() {
+                let log = std::fs::read_to_string(self.folder.join(format!("g{n}.log"))).unwrap_or_default();
+                eprintln!("g{n}:\n{log}");
+            }
+        }
+        (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Each run has other keys and ids than any before.
+fn trial(pairs: u64) -> Trial {
+    static SEED: AtomicU64 = AtomicU64::new(11);
+    Trial {
+        clients: 6,
+        pairs,
+        reads: 1,
+        pause: Duration::from_millis(5),
+        roam: true,
+        seed: SEED.fetch_add(1, Ordering::Relaxed),
+        troubles: None,
+        most: Duration::from_secs(120),
+    }
+}
+
+fn storm(kill_every_ms: u64) -> Troubles {
+    Troubles {
+        kill_every: Duration::from_millis(kill_every_ms),
+        all: true,
+        disks: true,
+        pause: Some(Duration::from_millis(2 * LEASE_MS)),
+        slow: true,
+    }
+}
+
+#[test]
+fn no_read_misses_its_write_while_gateways_are_killed_between_them() {
+    for (name, gateways, keepers, disks) in [("two", 2, 2, true), ("three", 4, 3, false)] {
+        let world = World::new(name, gateways, keepers, Mode::Shared, disks);
+        let pause = Duration::from_millis(20);
+        let verdict = world.run(&Trial { troubles: Some(storm(150)), pause, ..trial(400) });
+        assert!(verdict.good(), "{verdict:?}");
+        assert!(verdict.tally.pairs >= 400 && verdict.kills > 0, "{verdict:?}");
+    }
+}
+
+#[test]
+fn with_marks_in_each_process_alone_the_same_run_misses_writes() {
+    let world = World::new("off", 2, 2, Mode::Off, false);
+    let verdict = world.run(&Trial { troubles: Some(storm(250)), ..trial(300) });
+    assert!(verdict.tally.misses > 0, "{verdict:?}");
+    assert_eq!(verdict.doubled + verdict.refused_and_ran, 0);
+}
+
+#[test]
+fn on_a_calm_day_reads_are_sure_and_replicas_serve_them() {
+    let world = World::new("calm", 3, 2, Mode::Shared, true);
+    world.sure(2);
+    let calm = Trial { pause: Duration::from_millis(600), reads: 4, ..trial(30) };
+    let verdict = world.run(&calm);
+    assert!(verdict.good(), "{verdict:?}");
+    assert!(verdict.reads_at[1] > verdict.reads_at[0], "past the window after a write: {verdict:?}");
+    for n in 0..3 {
+        assert_eq!(world.told(n)["counts"]["cautious"], 0, "{}", world.told(n));
+    }
+}
+
+#[test]
+fn with_disks_all_restart_at_once_and_are_sure_again_within_a_second_or_so() {
+    let world = World::new("all", 2, 2, Mode::Shared, true);
+    world.sure(2);
+    // Wait for the disk to have it that nothing is missing: that is written with the next questions.
+    std::thread::sleep(Duration::from_millis(2 * LEASE_MS));
+    assert!(world.run(&trial(20)).good());
+    for _ in 0..2 {
+        (0..2).for_each(|n| world.gateways.kill(n));
+        (0..2).for_each(|n| world.gateways.restart(n).expect("it starts"));
+        let took = world.sure(2);
+        assert!(took < Duration::from_millis(HORIZON_MS), "{took:?}");
+        assert!(world.run(&trial(20)).good());
+    }
+    // Without them, a horizon.
+    (0..2).for_each(|n| world.gateways.kill(n));
+    (0..2).for_each(|n| world.gateways.lose_disk(n));
+    (0..2).for_each(|n| world.gateways.restart(n).expect("it starts"));
+    assert!(world.sure(2) > Duration::from_millis(HORIZON_MS / 2));
+}
+
+#[test]
+fn the_only_current_replica_slows_down_right_after_the_write() {
+    let world = World::new("slow", 2, 2, Mode::Shared, true);
+    world.sure(2);
+    world.store.members[1].lag_ms.store(2_500, Ordering::Relaxed);
+    world.store.members[1].slow_ms.store(80, Ordering::Relaxed);
+    let verdict = world.run(&Trial { pause: Duration::from_millis(1_100), ..trial(30) });
+    assert!(verdict.good(), "{verdict:?}");
+}
+
+#[test]
+fn a_killed_keeper_is_named_as_the_reason() {
+    let world = World::new("why", 2, 2, Mode::Shared, true);
+    world.sure(2);
+    world.gateways.kill(1);
+    let since = Instant::now();
+    while world.told(0)["unsure_because"] != "no pledge from g1" {
+        assert!(since.elapsed() < Duration::from_secs(20), "{}", world.told(0));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // A foreign file in place of its disk is set aside, and it starts all the same.
+    let store = world.folder.join("g1.redb");
+    std::fs::copy(world.folder.join("cluster.key"), &store).expect("a file");
+    world.gateways.restart(1).expect("it starts");
+    let aside = std::fs::read_dir(&world.folder).expect("a folder").flatten();
+    assert!(aside.filter(|e| e.file_name().to_string_lossy().contains("redb.refused")).count() == 1);
+    world.sure(2);
+}
+
+#[test]
+fn a_wrong_key_keeps_an_instance_out_and_reads_stay_right() {
+    let world = World::new("key", 2, 2, Mode::Shared, true);
+    world.gateways.kill(1);
+    let other = world.folder.join("other.key");
+    std::fs::write(&other, "another key that nobody else has").expect("a file");
+    let file = world.folder.join("g1.yaml");
+    let text = std::fs::read_to_string(&file).expect("a file");
+    let key = world.folder.join("cluster.key").display().to_string();
+    std::fs::write(&file, text.replace(&key, &other.display().to_string())).expect("a file");
+    world.gateways.restart(1).expect("it starts");
+    let verdict = world.run(&trial(60));
+    assert!(verdict.good(), "{verdict:?}");
+    assert_eq!(world.told(0)["sure"], false);
+    assert!(world.told(0)["counts"]["unknown_key"].as_u64() > Some(0), "{}", world.told(0));
+}
+
+#[test]
+fn the_command_line_names_file_and_field() {
+    let stackgw = |args: &[&str]| {
+        let done = Command::new(env!("CARGO_BIN_EXE_stackgw")).args(args).output().expect("it runs");
+        (done.status.success(), String::from_utf8_lossy(&[done.stdout, done.stderr].concat()).into_owned())
+    };
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sessions.example.yaml");
+    let (good, said) = stackgw(&["check", example]);
+    assert!(good && said.contains("keepers g0, g1"), "{said}");
+    let file = std::env::temp_dir().join(format!("stackgw-check-{}.yaml", std::process::id()));
+    std::fs::write(&file, "sessions:\n  cluster: x\n  horizon: never\n").expect("a file");
+    let (good, said) = stackgw(&["check", &file.display().to_string()]);
+    std::fs::remove_file(&file).expect("it was there");
+    assert!(!good && said.contains(":3: horizon: ") && said.trim().lines().count() == 1, "{said}");
+    let (good, said) = stackgw(&["schema"]);
+    assert!(good && serde_json::from_str::<serde_json::Value>(&said).is_ok());
+    let (good, said) = stackgw(&["sessions", "/nowhere.sock"]);
+    assert!(!good && said.starts_with("stackgw: /nowhere.sock: "), "{said}");
+}
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -247,6 +247,8 @@
 pub(crate) fn serve(config: Config, log: Logger) -> Result<(), String> {
     // First of all: a signal that came before would end the program.
     let signals = signals::listen().map_err(|e| format!("signals: {e}"))?;
+    let control = config.operator.control.as_deref().map(control::listen).transpose()?;
+    let mut shared = cluster::start(&config, &log)?;
     let bind = |what: &str, address: SocketAddr, e: std::io::Error| format!("{what}: {address}: {e}");
     let listener = Async::<TcpListener>::bind(config.listen).map_err(|e| bind("listen", config.listen, e))?;
     let at = listener.get_ref().local_addr().map_err(|e| bind("listen", config.listen, e))?;
@@ -258,8 +260,6 @@
             Some(Rc::new(socket))
         }
     };
-    let control = config.operator.control.as_deref().map(control::listen).transpose()?;
-    let mut shared = cluster::start(&config, &log)?;
     let executor = Rc::new(LocalExecutor::new());
     let limits = config.limits.clone();
     let clock = Clock::new();
--- /dev/null
+++ b/crates/stackgw-standin/src/client.rs
@@ -0,0 +1,105 @@
+//! One client's connection to a gateway.
+
+use crate::gateways::group;
+use stackgw_gateway::pg::{write, Frame, Frames};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// A value.
+    Served(Vec<u8>),
+    /// Trying again is harmless.
+    Refused,
+    /// Nothing is promised.
+    Failed,
+    /// The connection ended first: the gateway was killed.
+    Cut,
+    /// No answer came in time.
+    Late,
+    /// More came than was asked for.
+    Twice,
+}
+
+pub(crate) struct Client {
+    socket: TcpStream,
+    frames: Frames,
+}
+
+/// Beyond any request's time; what is not answered by then is lost.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+impl Client {
+    pub(crate) fn connect(address: SocketAddr) -> Option<Self> {
+        let socket = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        socket.set_read_timeout(Some(PATIENCE)).ok()?;
+        socket.set_nodelay(true).ok()?;
+        let mut client = Client { socket, frames: Frames::typed(1 << 20) };
+        let mut bytes = Vec::new();
+        write::startup(&mut bytes, "client", "core");
+        client.socket.write_all(&bytes).ok()?;
+        client.reply().ok()?;
+        Some(client)
+    }
+
+    pub(crate) fn insert(&mut self, id: &str, key: &str, value: u64) -> Answer {
+        let comment = format!("/* id={id},c=buy,d=3000,cluster={} */", group());
+        self.ask(&format!(
+            "INSERT INTO state (uid, val) VALUES ('{key}', '\\x{value:016x}') RETURNING val {comment}"
+        ))
+    }
+
+    pub(crate) fn select(&mut self, id: &str, key: &str) -> Answer {
+        let comment = format!("/* id={id},c=mine,d=1000,cluster={} */", group());
+        self.ask(&format!("SELECT val FROM state WHERE uid = '{key}' {comment}"))
+    }
+
+    fn ask(&mut self, text: &str) -> Answer {
+        let mut bytes = Vec::new();
+        write::query(&mut bytes, text);
+        if self.socket.write_all(&bytes).is_err() {
+            return Answer::Cut;
+        }
+        let reply = match self.reply() {
+            Ok(reply) => reply,
+            Err(ended) => return ended,
+        };
+        if self.frames.next_frame().is_some() {
+            return Answer::Twice;
+        }
+        if let Some(error) = reply.iter().find(|f| f.kind == b'E') {
+            let fields = error.body().split(|b| *b == 0);
+            let code = fields.filter_map(|f| f.strip_prefix(b"C")).next().unwrap_or_default();
+            return if matches!(code, b"53300" | b"57P03") { Answer::Refused } else { Answer::Failed };
+        }
+        let row = reply.iter().find(|f| f.kind == b'D').and_then(|f| f.body().get(6..));
+        row.map_or(Answer::Failed, |value| Answer::Served(value.to_vec()))
+    }
+
+    /// Everything up to ReadyForQuery.
+    fn reply(&mut self) -> Result<Vec<Frame>, Answer> {
+        let (mut reply, mut buffer) = (Vec::new(), [0; 4096]);
+        loop {
+            while let Some(frame) = self.frames.next_frame() {
+                let frame = frame.map_err(|_| Answer::Cut)?;
+                let last = frame.kind == b'Z';
+                reply.push(frame);
+                if last {
+                    return Ok(reply);
+                }
+            }
+            match self.socket.read(&mut buffer) {
+                Ok(n) if n > 0 => self.frames.feed(&buffer[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                {
+                    return Err(Answer::Late);
+                }
+                _ => return Err(Answer::Cut),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -0,0 +1,234 @@
+//! Gateways as real processes, with their configuration, their keys and their disks in a folder of their own.
+
+use crate::store::{lock, GROUP};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What sessions rest on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Marks across instances.
+    Shared,
+    /// Marks in each process alone.
+    Off,
+}
+
+/// What gateways are set up as.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The program.
+    pub program: PathBuf,
+    /// Where files go; it must be there.
+    pub folder: PathBuf,
+    /// The list's agent.
+    pub agent: SocketAddr,
+    /// How many gateways.
+    pub gateways: usize,
+    /// So many of them are keepers.
+    pub keepers: usize,
+    /// What sessions rest on.
+    pub mode: Mode,
+    /// Keepers have disks.
+    pub disks: bool,
+    /// The lease, in milliseconds.
+    pub lease_ms: u64,
+    /// The horizon, in milliseconds.
+    pub horizon_ms: u64,
+}
+
+struct Gateway {
+    child: Option<Child>,
+    address: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+/// All of them.
+pub struct Gateways {
+    setup: Setup,
+    gateways: Mutex<Vec<Gateway>>,
+}
+
+const START: Duration = Duration::from_secs(20);
+
+impl Gateways {
+    /// Writes their files and starts them all.
+    pub fn start(setup: Setup) -> Result<Self, String> {
+        let wrong = |e: std::io::Error| format!("{}: {e}", setup.folder.display());
+        // Ports that are free now; each is bound again at once by its gateway.
+        let sockets: Vec<_> = (0..setup.gateways)
+            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .collect::<Result<_, _>>()
+            .map_err(wrong)?;
+        let ports: Vec<_> =
+            sockets.iter().map(|s| s.local_addr()).collect::<Result<_, _>>().map_err(wrong)?;
+        drop(sockets);
+        let key = setup.folder.join("cluster.key");
+        std::fs::write(&key, format!("a key of this trial alone, {}", std::process::id())).map_err(wrong)?;
+        let seeds: Vec<_> = ports.iter().take(setup.keepers).map(|port| format!("\"{port}\"")).collect();
+        let keepers: Vec<_> = (0..setup.keepers).map(|n| format!("g{n}")).collect();
+        for (n, port) in ports.iter().enumerate() {
+            let document = platform(n, setup.gateways, setup.agent, setup.mode);
+            std::fs::write(setup.folder.join(format!("g{n}.json")), document.to_string()).map_err(wrong)?;
+            let store = format!("\n  store: {}", setup.folder.join(format!("g{n}.redb")).display());
+            let file = format!(
+                "control: {}\nsessions:\n  cluster: trial\n  listen: {port}\n  seeds: [{}]\n  keys: [{}]\n  keepers: [{}]\n  lease: {}ms\n  horizon: {}ms{}\n",
+                setup.folder.join(format!("g{n}.sock")).display(),
+                seeds.join(", "),
+                key.display(),
+                keepers.join(", "),
+                setup.lease_ms,
+                setup.horizon_ms,
+                if setup.disks && n < setup.keepers { store.as_str() } else { "" },
+            );
+            std::fs::write(setup.folder.join(format!("g{n}.yaml")), file).map_err(wrong)?;
+        }
+        let empty = || Gateway { child: None, address: Arc::default() };
+        let gateways =
+            Gateways { gateways: Mutex::new((0..setup.gateways).map(|_| empty()).collect()), setup };
+        for n in 0..gateways.setup.gateways {
+            gateways.restart(n)?;
+        }
+        Ok(gateways)
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.setup.gateways
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Where clients connect, if it runs.
+    pub fn address(&self, n: usize) -> Option<SocketAddr> {
+        *lock(&lock(&self.gateways).get(n)?.address)
+    }
+
+    /// The process, while it runs.
+    pub fn pid(&self, n: usize) -> Option<u32> {
+        lock(&self.gateways).get(n)?.child.as_ref().map(Child::id)
+    }
+
+    /// A gateway's local socket.
+    pub fn control(&self, n: usize) -> PathBuf {
+        self.setup.folder.join(format!("g{n}.sock"))
+    }
+
+    /// Kills a gateway where it stands.
+    pub fn kill(&self, n: usize) {
+        let mut gateways = lock(&self.gateways);
+        let Some(gateway) = gateways.get_mut(n) else { return };
+        *lock(&gateway.address) = None;
+        if let Some(mut child) = gateway.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops a gateway's process in its tracks, or lets it go on.
+    pub fn pause(&self, n: usize, paused: bool) {
+        let signal = if paused { Signal::STOP } else { Signal::CONT };
+        if let Some(pid) = self.pid(n).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Takes a gateway's disk away. It must not run.
+    pub fn lose_disk(&self, n: usize) {
+        let _ = std::fs::remove_file(self.setup.folder.join(format!("g{n}.redb")));
+    }
+
+    /// Starts a gateway, anew where it ran, and waits until it listens.
+    pub fn restart(&self, n: usize) -> Result<(), String> {
+        self.kill(n);
+        let Setup { program, folder, mode, .. } = &self.setup;
+        let wrong = |e: std::io::Error| format!("{}: {e}", program.display());
+        let mut command = Command::new(program);
+        command.arg("run").arg("--config").arg(folder.join(format!("g{n}.json")));
+        if *mode == Mode::Shared {
+            command.arg("--file").arg(folder.join(format!("g{n}.yaml")));
+        }
+        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().map_err(wrong)?;
+        let stderr = child.stderr.take().ok_or("no log")?;
+        let log = File::options().create(true).append(true).open(folder.join(format!("g{n}.log")));
+        let mut log = log.map_err(wrong)?;
+        let address: Arc<Mutex<Option<SocketAddr>>> = Arc::default();
+        let found = address.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let _ = writeln!(log, "{line}");
+                let word = line.split("listening on ").nth(1).and_then(|rest| rest.split([',', ' ']).next());
+                if let Some(at) = word.and_then(|at| at.trim().parse().ok()) {
+                    *lock(&found) = Some(at);
+                }
+            }
+        });
+        let since = Instant::now();
+        while lock(&address).is_none() {
+            let over = child.try_wait().map_err(wrong)?;
+            if over.is_some() || since.elapsed() > START {
+                let _ = child.kill();
+                let _ = child.wait();
+                return Err(format!("gateway g{n} did not start: {}", last_line(folder, n)));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        if let Some(gateway) = lock(&self.gateways).get_mut(n) {
+            (gateway.child, gateway.address) = (Some(child), address);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Gateways {
+    fn drop(&mut self) {
+        (0..self.len()).for_each(|n| self.kill(n));
+    }
+}
+
+fn last_line(folder: &Path, n: usize) -> String {
+    let text = std::fs::read_to_string(folder.join(format!("g{n}.log"))).unwrap_or_default();
+    text.lines().last().unwrap_or("it said nothing").to_owned()
+}
+
+/// The platform's document for one gateway.
+fn platform(n: usize, fleet: usize, agent: SocketAddr, mode: Mode) -> serde_json::Value {
+    const MS: i64 = 1_000_000;
+    let class = |name: &str, effect: &str, deadline_ms: i64| {
+        json!({"Name": name, "Effect": effect, "Group": "all", "AimNs": 200 * MS, "DeadlineNs": deadline_ms * MS,
+            "DedupWindowNs": 0, "LateWorth": 0.5, "Worth": 1.0})
+    };
+    let marks = if mode == Mode::Off { "router" } else { "client" };
+    json!({
+        "name": format!("g{n}"), "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": format!("{:x}", 77 + n),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "settings": {
+            "Classes": [class("look", "retryable", 1_000), class("mine", "retryable", 1_000), class("buy", "fragile", 3_000)],
+            "FleetSize": fleet, "Me": n, "Zone": 0, "Zones": ["room"], "QuantumNs": 5 * MS, "MembershipMode": "automatic",
+            "Clients": {"MarksRetry": false},
+            "Domain": {"Behind": "silent", "CatchUpWaitNs": 0, "CommitWaits": false, "CountedFromNs": 0,
+                "NeedsByClass": ["recent", "own_writes", "update"], "RoleListed": "delayed", "SessionMarks": marks,
+                "StalenessBoundNs": [2_000 * MS, 0, 0], "Stamps": true},
+            "Limits": {"Cancel": true, "ConnIdleNs": 20_000 * MS, "DialTimeoutNs": 250 * MS, "MaxAttempts": 5,
+                "MaxOpen": 10_000, "MaxRetryAfterNs": 1_000 * MS, "MayTell": false, "Probes": true, "RetryAfter": true,
+                "SecondCopies": false},
+            "Obligations": {"AnswerSlackNs": 20 * MS, "FallMultiple": 4.0, "FallNs": 1_000 * MS, "StartCapacity": 0.25,
+                "StopSendingWithinNs": 1_000 * MS, "WarmWithinNs": 10_000 * MS},
+            "Prices": {"Probe": 0.05, "CrossZone": 0.0, "Waste": 0.04, "LateFail": 0.1},
+            "Stats": {"How": "piggyback", "Fields": ["x0", "x1"]}
+        }
+    })
+}
+
+/// The group that statements name.
+pub(crate) fn group() -> u32 {
+    GROUP
+}
--- /dev/null
+++ b/crates/stackgw-standin/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins on loopback, for the product's demo, its tests and its long measurements: members of a replicated store that
+//! speak the gateway's protocol ([`Store`]), the agent that has their list, clients whose sessions roam ([`Trial`]), and
+//! gateways as real processes that are killed, paused and started anew ([`Gateways`]).
+//!
+//! Every execution is written down ([`Audit`]), so that what a session saw is judged by what ran.
+
+mod client;
+mod gateways;
+mod store;
+mod trial;
+
+pub use gateways::{Gateways, Mode, Setup};
+pub use store::{Audit, Store};
+pub use trial::{Tally, Trial, Troubles, Verdict};
