--- a/crates/stackgw-cli/src/cmd/mod.rs
+++ b/crates/stackgw-cli/src/cmd/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod check;
 pub mod demo;
+pub mod measure;
 pub mod run;
 pub mod sessions;
--- a/crates/stackgw-cli/src/main.rs
+++ b/crates/stackgw-cli/src/main.rs
@@ -30,6 +30,8 @@
     Sessions(cmd::sessions::Ask),
     /// Stand-ins, gateways and clients on loopback; gateways are killed, and the audit says what sessions saw.
     Demo(cmd::demo::Demo),
+    /// Measure what a subsystem costs, on against off in one run.
+    Measure(cmd::measure::Measure),
     /// Print completions for a shell.
     Completions {
         /// Which shell.
@@ -45,6 +47,7 @@
         Some(Command::Schema) => cmd::check::schema(),
         Some(Command::Sessions(ask)) => ask.run(),
         Some(Command::Demo(demo)) => demo.run(),
+        Some(Command::Measure(measure)) => measure.run(),
         Some(Command::Completions { shell }) => {
             let mut command = <Arguments as clap::CommandFactory>::command();
             clap_complete::generate(shell, &mut command, "stackgw", &mut std::io::stdout());
--- a/crates/stackgw-sessions/src/marks.rs
+++ b/crates/stackgw-sessions/src/marks.rs
@@ -35,6 +35,8 @@
     /// In the order in which they came; one that came again stands here more than once.
     order: VecDeque<(Time, SessionKey)>,
     cells: BTreeMap<u16, Mark>,
+    /// When the cells were last gone through: that is too much for each mark.
+    cells_at: Time,
     pushed_out: u64,
 }
 
@@ -47,6 +49,7 @@
             marks: BTreeMap::new(),
             order: VecDeque::new(),
             cells: BTreeMap::new(),
+            cells_at: 0,
             pushed_out: 0,
         }
     }
@@ -94,7 +97,8 @@
                 self.marks.remove(&key);
             }
         }
-        if self.cells.values().any(|cell| cell.at < before) {
+        if !self.cells.is_empty() && now - self.cells_at > self.horizon / 16 {
+            self.cells_at = now;
             self.cells.retain(|_, cell| cell.at >= before);
         }
     }
--- a/crates/stackgw-sessions/src/source.rs
+++ b/crates/stackgw-sessions/src/source.rs
@@ -237,14 +237,13 @@
         marks
     }
 
-    /// The marks that a keeper owes an acknowledgement for before some answer may leave.
+    /// The marks that a keeper owes an acknowledgement for before some answer may leave. Danger: what is owed to a keeper that
+    /// has long been gone may be far more than what waits.
     pub(crate) fn urgent(&self, node: NodeId, since: Time, most: usize) -> Vec<(u64, SessionKey, Time)> {
         let Some(link) = self.links.get(&node) else { return Vec::new() };
-        let waits = |seq: &&u64| self.waiting.contains(*seq);
-        let own = link.owes.iter().filter(waits).filter_map(|seq| self.own.get(seq).map(|own| (*seq, own)));
-        own.filter(|(_, own)| own.told <= since)
-            .map(|(seq, own)| (seq, own.key, own.position))
-            .take(most)
-            .collect()
+        let owed = self.waiting.iter().filter(|seq| link.owes.contains(seq));
+        let own = owed.filter_map(|seq| self.own.get(seq).map(|own| (*seq, own)));
+        let due = own.filter(|(_, own)| own.told <= since);
+        due.map(|(seq, own)| (seq, own.key, own.position)).take(most).collect()
     }
 }
