The reducer's client side knows no protocol: any front asks, and one final answer is worded by each

Need: Arrow Flight SQL and later fronts must go through the same reducer and router; the reducer worded answers in the first protocol.

Change: Asker (a client's place or another front's call) and Final (served, refused, not yet, failed, malformed) in place of ready-made bytes; Input::Call, Input::CallGone, Effect::CallEnded.

--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -227,6 +227,7 @@
                     store.put(record);
                 }
             }
+            Effect::CallEnded(..) => {} // No other front runs yet.
             Effect::Told(asker, answer) => self.askers.tell(asker, answer),
             Effect::StopListening => self.stops_listening.set(true),
             Effect::Log(text) => info!(self.log, "{text}"),
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -71,7 +71,8 @@
 /// A request until it has its answer and its last attempt has ended.
 #[derive(Debug)]
 pub(super) struct Open {
-    pub(super) client: Option<ClientId>,
+    /// Who is still to be told.
+    pub(super) asker: Option<Asker>,
     pub(super) statement: Statement,
     pub(super) deadline: Time,
     pub(super) sent: u32,
@@ -302,7 +303,7 @@
 
     pub(super) fn abandon(&mut self, request: RequestId) {
         if let Some(open) = self.requests.get_mut(&request) {
-            (open.client, open.ended) = (None, true);
+            (open.asker, open.ended) = (None, true);
             self.counters.answered_gone += 1;
             let known = open.asks.take().is_none();
             let held = open.held.take();
@@ -446,34 +447,66 @@
             self.counters.turned_away += 1;
             return self.client_error(now, id, true, "53300", "too many connections", out);
         }
-        let statement = match Statement::parse(frame) {
-            Ok(statement) => statement,
-            Err(why) => return self.reject(now, id, why.0, out),
-        };
-        let Some(class) = self.names.classes.iter().position(|name| *name == statement.class) else {
-            return self.reject(now, id, "the class is unknown", out);
-        };
+        let asked = Statement::parse(frame).map_err(|why| Final::Malformed(why.0));
+        match asked.and_then(|statement| self.ask(now, came, Asker::Client(id), statement, out)) {
+            Ok(request) => {
+                self.client_used(id);
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.line.push_back(Place { request: Some(request), ..Place::default() });
+                    client.malformed = 0;
+                }
+                self.note_idle(now, id);
+            }
+            Err(Final::Malformed(why)) => self.reject(now, id, why, out),
+            Err(declined) => self.client_write(now, id, declined.worded(), false, out),
+        }
+    }
+
+    /// Another front's request.
+    pub(super) fn call(&mut self, now: Time, call: CallId, frame: Frame, out: &mut Vec<Effect>) {
+        self.counters.taken += 1;
+        let asked = Statement::parse(frame).map_err(|why| Final::Malformed(why.0));
+        match asked.and_then(|statement| self.ask(now, now, Asker::Call(call), statement, out)) {
+            Ok(request) => drop(self.calls.insert(call, request)),
+            Err(declined) => {
+                self.counters.malformed += u64::from(matches!(declined, Final::Malformed(_)));
+                out.push(Effect::CallEnded(call, declined));
+            }
+        }
+    }
+
+    /// Takes a request, by whichever front, and tells the router of it; else says at once why not.
+    fn ask(
+        &mut self,
+        now: Time,
+        came: Time,
+        asker: Asker,
+        statement: Statement,
+        out: &mut Vec<Effect>,
+    ) -> Result<RequestId, Final> {
+        let class = self.names.classes.iter().position(|name| *name == statement.class);
+        let class = class.ok_or(Final::Malformed("the class is unknown"))?;
         if self.members.is_empty() {
-            return self.refuse(now, id, "57P03", "no list of members is known yet", out);
+            return self.decline(Final::NotYet("no list of members is known yet"));
         }
         if !self.members.values().any(|m| m.group == statement.cluster) {
-            return self.reject(now, id, "the cluster is unknown", out);
+            return Err(Final::Malformed("the cluster is unknown"));
         }
         let need = self.classes[class].need;
         if (need == Need::Write) != statement.write {
-            return self.reject(now, id, "the class and the statement do not go together", out);
+            return Err(Final::Malformed("the class and the statement do not go together"));
         }
         if self.open_ids.contains(&statement.id) {
             // Danger: two requests under one id are one to the members, and the owner would get the other's answer.
             self.counters.ids_taken += 1;
             log_rarely(self.counters.ids_taken, "statements under the id of an open request:", out);
-            return self.reject(now, id, "a request with this id is open", out);
+            return Err(Final::Malformed("a request with this id is open"));
         }
         if self.requests.len() >= self.limits.requests {
-            return self.refuse(now, id, "53300", "too many requests are open", out);
+            return self.decline(Final::Refused("too many requests are open", None));
         }
         if let Some(why) = self.shared.as_ref().filter(|_| need == Need::Write).and_then(|s| s.shut()) {
-            return self.refuse(now, id, "53300", why, out);
+            return self.decline(Final::Refused(why, None));
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
@@ -491,9 +524,8 @@
         };
         self.counters.held_bytes += statement.held() as u64;
         self.open_ids.insert(statement.id.clone());
-        self.client_used(id);
         let open = Open {
-            client: Some(id),
+            asker: Some(asker),
             statement,
             deadline,
             sent: 0,
@@ -504,15 +536,18 @@
             held_until: None,
         };
         self.requests.insert(request, open);
-        if let Some(client) = self.clients.get_mut(&id) {
-            client.line.push_back(Place { request: Some(request), ..Place::default() });
-            client.malformed = 0;
-        }
-        self.note_idle(now, id);
         if need == Need::Session && self.shared.is_some() {
-            return self.ask_session(now, asked, out);
+            self.ask_session(now, asked, out);
+        } else {
+            self.events.push_back(Event::Request(asked));
         }
-        self.events.push_back(Event::Request(asked));
+        Ok(request)
+    }
+
+    /// Turned away before the router has seen it.
+    fn decline<T>(&mut self, declined: Final) -> Result<T, Final> {
+        self.counters.turned_away += 1;
+        Err(declined)
     }
 
     /// A client has asked something: it is no stranger any more.
@@ -535,46 +570,32 @@
         self.client_error(now, id, fatal, "42601", why, out);
     }
 
-    /// Turned away before the router has seen it.
-    pub(super) fn refuse(&mut self, now: Time, id: ClientId, code: &str, why: &str, out: &mut Vec<Effect>) {
-        self.counters.turned_away += 1;
-        self.client_error(now, id, false, code, why, out);
-    }
-
-    /// The final answer where no member gave one.
-    pub(super) fn answer_error(
-        &mut self,
-        now: Time,
-        request: RequestId,
-        code: &str,
-        text: &str,
-        detail: Option<&str>,
-        out: &mut Vec<Effect>,
-    ) -> bool {
-        self.answer(now, request, error_reply(false, code, text, detail), out)
-    }
-
     /// Gives a request its one answer; whether there was still somebody to give it to.
     pub(super) fn answer(
         &mut self,
         now: Time,
         request: RequestId,
-        reply: Vec<u8>,
+        ended: Final,
         out: &mut Vec<Effect>,
     ) -> bool {
         let Some(open) = self.requests.get_mut(&request) else { return false };
         open.ended = true;
-        let client = open.client.take();
+        let asker = open.asker.take();
         let held = open.held.take();
         self.counters.held_bytes -= held.map_or(0, |reply| reply.len() as u64);
         if open.asks.take().is_some() {
             self.unshared(request);
         }
-        if let Some(id) = client {
-            self.fill(now, id, request, reply, out);
+        match asker {
+            Some(Asker::Client(id)) => self.fill(now, id, request, ended.worded(), out),
+            Some(Asker::Call(call)) => {
+                self.calls.remove(&call);
+                out.push(Effect::CallEnded(call, ended));
+            }
+            None => {}
         }
         self.forget_request(request);
-        client.is_some()
+        asker.is_some()
     }
 
     /// Puts a request's answer in its place, and writes all that nothing is before.
@@ -604,7 +625,7 @@
 }
 
 /// An error, and that the gateway is ready again unless the connection ends with it.
-fn error_reply(fatal: bool, code: &str, text: &str, detail: Option<&str>) -> Vec<u8> {
+pub(super) fn error_reply(fatal: bool, code: &str, text: &str, detail: Option<&str>) -> Vec<u8> {
     let mut reply = Vec::new();
     write::error(&mut reply, fatal, code, text, detail);
     if !fatal {
--- a/crates/stackgw-gateway/src/reducer/ending.rs
+++ b/crates/stackgw-gateway/src/reducer/ending.rs
@@ -29,13 +29,14 @@
     /// The last moment before a SIGKILL: what is still in hand gets the answer that promises nothing. Danger: each answer
     /// may let a statement start that waited behind it, and that one has been taken too.
     pub(super) fn end(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let in_hand = |(id, open): (&RequestId, &Open)| open.client.map(|_| *id);
+        let in_hand = |(id, open): (&RequestId, &Open)| open.asker.map(|_| *id);
         let mut left: BTreeSet<_> = self.requests.iter().filter_map(in_hand).collect();
         while let Some(request) = left.pop_first() {
             // What was never sent may be asked for elsewhere.
             let sent = self.requests.get(&request).is_some_and(|open| open.sent > 0);
-            let code = if sent { "58000" } else { "57P03" };
-            let answered = self.answer_error(now, request, code, "the gateway ends", None, out);
+            let text = "the gateway ends";
+            let ended = if sent { Final::Failed(text) } else { Final::NotYet(text) };
+            let answered = self.answer(now, request, ended, out);
             self.counters.answered_failed += u64::from(answered && sent);
             self.counters.answered_refused += u64::from(answered && !sent);
             if left.is_empty() {
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -364,10 +364,9 @@
             (reply.primary, reply.position) = (None, None);
         }
         if outcome == Outcome::Served && !ended {
-            let mut row = std::mem::take(&mut reply.row);
-            write::ready(&mut row);
+            let row = std::mem::take(&mut reply.row);
             if let Some(row) = self.hold_write(now, request, reply.position, row, out) {
-                let answered = self.answer(now, request, row, out);
+                let answered = self.answer(now, request, Final::Served(row), out);
                 self.counters.answered_served += u64::from(answered);
             }
         }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -30,6 +30,50 @@
 /// A client's connection, numbered by the I/O side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientId(pub u64);
+/// A request that came by another way than a client's connection of our first protocol, numbered by the I/O side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+/// Who is to be told how a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Asker {
+    /// A client of our first protocol, in its place in that client's line.
+    Client(ClientId),
+    /// Another front.
+    Call(CallId),
+}
+
+/// A request's one final answer, before any protocol has worded it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Final {
+    /// The row's description, the row and its completion, as the member gave them.
+    Served(Vec<u8>),
+    /// Trying again is harmless; perhaps after so many milliseconds.
+    Refused(&'static str, Option<i64>),
+    /// No list of members is known, or the gateway ends; the same otherwise.
+    NotYet(&'static str),
+    /// Nothing is promised.
+    Failed(&'static str),
+    /// The request itself is at fault.
+    Malformed(&'static str),
+}
+
+impl Final {
+    /// The messages of our first protocol.
+    fn worded(self) -> Vec<u8> {
+        let (code, text, wait) = match self {
+            Final::Served(mut row) => {
+                write::ready(&mut row);
+                return row;
+            }
+            Final::Refused(text, wait) => ("53300", text, wait),
+            Final::NotYet(text) => ("57P03", text, None),
+            Final::Failed(text) => ("58000", text, None),
+            Final::Malformed(text) => ("42601", text, None),
+        };
+        clients::error_reply(false, code, text, wait.map(|ms| ms.to_string()).as_deref())
+    }
+}
+
 /// A connection to a member, numbered here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
@@ -82,6 +126,10 @@
     Datagram(SocketAddr, Vec<u8>),
     /// A datagram from another instance of the operator's cluster.
     Cluster(Vec<u8>),
+    /// A request by another front, whose statement is in the form of our first protocol.
+    Call(CallId, Frame),
+    /// Nobody waits for that request any more.
+    CallGone(CallId),
     /// Word of the disk.
     Disk(stackgw_store::Done),
     /// Somebody at the local socket asks.
@@ -141,6 +189,8 @@
     Datagram(SocketAddr, Vec<u8>),
     /// Send a datagram to another instance of the operator's cluster.
     Cluster(SocketAddr, Vec<u8>),
+    /// The end of another front's request.
+    CallEnded(CallId, Final),
     /// Keep a record on the disk.
     Store(stackgw_sessions::Record),
     /// The answer to a question at the local socket.
@@ -235,6 +285,8 @@
     /// The client last asked to make room.
     evicting: Option<ClientId>,
     requests: HashMap<RequestId, Open>,
+    /// Those of other fronts that are open.
+    calls: HashMap<CallId, RequestId>,
     /// The ids of these requests.
     open_ids: HashSet<String>,
     next_request: u64,
@@ -299,6 +351,7 @@
             accepting: false,
             evicting: None,
             requests: HashMap::new(),
+            calls: HashMap::new(),
             open_ids: HashSet::new(),
             next_request: 0,
             conns: HashMap::new(),
@@ -367,6 +420,12 @@
             }
             Input::Datagram(from, bytes) => self.datagram(now, from, &bytes),
             Input::Cluster(bytes) => self.cluster_datagram(now, &bytes, out),
+            Input::Call(call, frame) => self.call(now, call, frame, out),
+            Input::CallGone(call) => {
+                if let Some(request) = self.calls.remove(&call) {
+                    self.abandon(request);
+                }
+            }
             Input::Disk(done) => self.disk(now, done, out),
             Input::Question(asker, question) => {
                 let told = self.tell(now, question);
@@ -434,13 +493,13 @@
                 }
             }
             Action::Refuse { request, retry_after } => {
-                let wait = retry_after.map(|wait| ((wait + MS - 1) / MS).to_string());
-                let text = "not now, trying again is harmless";
-                let answered = self.answer_error(now, request, "53300", text, wait.as_deref(), out);
+                let wait = retry_after.map(|wait| (wait + MS - 1) / MS);
+                let refused = Final::Refused("not now, trying again is harmless", wait);
+                let answered = self.answer(now, request, refused, out);
                 self.counters.answered_refused += u64::from(answered);
             }
             Action::Fail(request) => {
-                let answered = self.answer_error(now, request, "58000", "the request failed", None, out);
+                let answered = self.answer(now, request, Final::Failed("the request failed"), out);
                 self.counters.answered_failed += u64::from(answered);
             }
             Action::Timer { after, token } => {
--- a/crates/stackgw-gateway/src/reducer/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -389,7 +389,7 @@
         out: &mut Vec<Effect>,
     ) -> Option<Vec<u8>> {
         let open =
-            self.requests.get_mut(&request).filter(|open| open.statement.write && open.client.is_some());
+            self.requests.get_mut(&request).filter(|open| open.statement.write && open.asker.is_some());
         let Some(open) = open.filter(|_| self.shared.is_some()) else { return Some(row) };
         let (key, deadline) = (key_of(&open.statement), open.deadline);
         (open.ended, open.held) = (true, Some(row));
@@ -418,7 +418,7 @@
             self.timers.remove(&until);
         }
         self.counters.held_bytes -= row.len() as u64;
-        let answered = self.answer(now, request, row, out);
+        let answered = self.answer(now, request, Final::Served(row), out);
         self.counters.answered_served += u64::from(answered);
     }
 
@@ -433,7 +433,7 @@
             log_rarely(shared.in_doubt, "writes served whose session could not be told in time:", out);
         }
         let text = "the write was sent and may have run, its answer could not be confirmed";
-        let answered = self.answer_error(now, request, "58000", text, None, out);
+        let answered = self.answer(now, request, Final::Failed(text), out);
         self.counters.answered_failed += u64::from(answered);
     }
 
