--- a/crates/stackgw-cli/tests/sessions.rs
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -182,6 +182,25 @@
     world.sure(2);
 }
 
+#[test]
+fn a_gateway_paused_past_its_lease_wakes_cautious() {
+    let world = World::new("pause", 2, 2, Mode::Shared, true);
+    world.sure(2);
+    for n in 0..2 {
+        world.gateways.pause(n, true);
+        // Meanwhile the other one lets writes out that the paused one was sure to hear of.
+        let clients = std::thread::scope(|scope| {
+            let run =
+                scope.spawn(|| world.run(&Trial { most: Duration::from_millis(8 * LEASE_MS), ..trial(40) }));
+            std::thread::sleep(Duration::from_millis(3 * LEASE_MS));
+            world.gateways.pause(n, false);
+            run.join()
+        });
+        let verdict = clients.expect("no panic");
+        assert!(verdict.good() && verdict.tally.pairs > 0, "{verdict:?}");
+    }
+}
+
 #[test]
 fn a_gateway_killed_between_the_commit_and_the_answer_doubles_nothing() {
     let world = World::new("commit", 2, 2, Mode::Shared, true);
