--- a/crates/stackgw-cli/tests/flight.rs
+++ b/crates/stackgw-cli/tests/flight.rs
@@ -237,6 +237,11 @@
         let batches: Vec<_> =
             client.do_get(ticket).await.expect("a stream").try_collect().await.expect("whole");
         assert_eq!(batches[0].column(0).as_string::<i32>().value(0), "stackgw");
+        let info = client.get_table_types().await.expect("types");
+        let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
+        let batches: Vec<_> =
+            client.do_get(ticket).await.expect("a stream").try_collect().await.expect("whole");
+        assert_eq!(batches[0].column(0).as_string::<i32>().value(0), "TABLE");
         let info = client.get_sql_info(vec![]).await.expect("info");
         let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
         let batches: Vec<_> =
--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -4,7 +4,7 @@
 use crate::sealed::{Sealed, Unusable};
 use crate::status::status;
 use arrow_array::cast::AsArray;
-use arrow_array::{Array, BinaryArray, RecordBatch};
+use arrow_array::{Array, BinaryArray, RecordBatch, StringArray};
 use arrow_flight::decode::FlightRecordBatchStream;
 use arrow_flight::encode::FlightDataEncoderBuilder;
 use arrow_flight::error::FlightError;
@@ -133,6 +133,11 @@
     Arc::new(Schema::new(vec![Field::new("val", DataType::Binary, true)]))
 }
 
+/// The answer to which types of tables there are, as the protocol has it.
+fn table_types() -> SchemaRef {
+    Arc::new(Schema::new(vec![Field::new("table_type", DataType::Utf8, false)]))
+}
+
 /// The parameters of a statement: a key, and a value for one that writes.
 fn parameters(asked: &Asked) -> Schema {
     let fields = [Field::new("uid", DataType::Utf8, false), Field::new("val", DataType::Binary, false)];
@@ -482,6 +487,24 @@
         Ok(stream(schema, builder.build()))
     }
 
+    async fn get_flight_info_table_types(
+        &self,
+        query: CommandGetTableTypes,
+        request: Request<FlightDescriptor>,
+    ) -> Result<Response<FlightInfo>, Status> {
+        info(&table_types(), query.as_any().encode_to_vec(), request.into_inner())
+    }
+
+    async fn do_get_table_types(
+        &self,
+        _: CommandGetTableTypes,
+        _: Request<Ticket>,
+    ) -> Result<Response<Stream>, Status> {
+        let types = Arc::new(StringArray::from(vec!["TABLE"]));
+        let batch = RecordBatch::try_new(table_types(), vec![types]).map_err(FlightError::from);
+        Ok(stream(table_types(), batch))
+    }
+
     async fn get_flight_info_sql_info(
         &self,
         query: CommandGetSqlInfo,
