A session read is not lost to word from another than the home that was asked

Found on reading the change over: a Sure or Unsure with the right number from the wrong keeper took the lookup away, and its read was never answered. One Reader::answered now checks the asked home before it takes anything; both arms call it.

Beside it, behaviour unchanged: tell() was two functions behind an Option, now tell and tell_again; Gate carried a moment that nobody read.

--- a/crates/stackgw-sessions/src/reader.rs
+++ b/crates/stackgw-sessions/src/reader.rs
@@ -38,6 +38,12 @@
         self.shunned.remove(&home);
     }
 
+    /// The lookup that this home has answered. Danger: taken away by word from anybody else it would never be answered.
+    pub(crate) fn answered(&mut self, nonce: u64, from: NodeId) -> Option<Lookup> {
+        self.lookups.get(&nonce).filter(|lookup| lookup.asked == from)?;
+        self.lookups.remove(&nonce)
+    }
+
     /// Lookups whose time is over.
     pub(crate) fn overdue(&self, now: Time) -> Vec<u64> {
         self.lookups.iter().filter(|(_, l)| l.until <= now).map(|(nonce, _)| *nonce).collect()
--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -428,7 +428,7 @@
             return true;
         }
         let seq = self.keep_own(now, key, position, Some(ticket), false, out);
-        self.tell(now, Time::MAX, Some(seq), out);
+        self.tell(seq, out);
         self.try_release(now, seq, out);
         true
     }
@@ -523,16 +523,14 @@
                 self.send(from, word, out);
             }
             Message::Sure { nonce, position } => {
-                let asked = self.reader.lookups.get(&nonce).is_some_and(|l| l.asked == from.node);
-                if let Some(lookup) = self.reader.lookups.remove(&nonce).filter(|_| asked) {
+                if let Some(lookup) = self.reader.answered(nonce, from.node) {
                     self.counts.sure_there += 1;
                     self.reader.forgive(from.node);
                     self.need(lookup.ticket, position, out);
                 }
             }
             Message::Unsure { nonce } => {
-                let asked = self.reader.lookups.get(&nonce).is_some_and(|l| l.asked == from.node);
-                if let Some(lookup) = self.reader.lookups.remove(&nonce).filter(|_| asked) {
+                if let Some(lookup) = self.reader.answered(nonce, from.node) {
                     self.reader.shun(now, from.node, self.set.resend);
                     self.look(now, lookup.ticket, lookup.key, lookup.next, Why::Unsure, out);
                 }
@@ -608,7 +606,7 @@
         }
         if self.tick_at <= now {
             self.tick_at = now + self.set.resend;
-            self.tell(now, now - self.set.resend, None, out);
+            self.tell_again(now, now - self.set.resend, out);
             for nonce in self.errands.keys().copied().collect::<Vec<_>>() {
                 self.run_errand(nonce, out);
             }
@@ -676,29 +674,29 @@
         self.source.add(now, &self.roster, Own { key, position, waits, at: now, told: now, record, owed })
     }
 
-    /// Sends homes the marks that answers wait for: one of them, or those last told of by then.
-    fn tell(&mut self, now: Time, since: Time, only: Option<u64>, out: &mut Vec<Output>) {
+    /// Sends its homes a mark that an answer waits for.
+    fn tell(&mut self, seq: u64, out: &mut Vec<Output>) {
+        let Some(mark) = self.source.own.get(&seq).map(|own| (seq, own.key, own.position)) else { return };
+        let owing = self.source.links.values().filter(|link| link.owes.contains(&seq));
+        for peer in owing.map(|link| link.peer).collect::<Vec<_>>() {
+            self.send(peer, Message::Marks(vec![mark]), out);
+        }
+    }
+
+    /// Sends them once more the marks that were last sent by then.
+    fn tell_again(&mut self, now: Time, since: Time, out: &mut Vec<Output>) {
         if self.source.waiting.is_empty() {
             return;
         }
-        for node in self.source.links.keys().copied().collect::<Vec<_>>() {
-            let marks = match only {
-                Some(seq) => {
-                    let owes = self.source.links[&node].owes.contains(&seq);
-                    let own = self.source.own.get(&seq).filter(|_| owes);
-                    own.map(|own| (seq, own.key, own.position)).into_iter().collect()
-                }
-                None => self.source.urgent(node, since, MARKS_PER_MESSAGE),
-            };
+        for peer in self.source.links.values().map(|link| link.peer).collect::<Vec<_>>() {
+            let marks = self.source.urgent(peer.node, since, MARKS_PER_MESSAGE);
             if !marks.is_empty() {
-                self.send(self.peer(node), Message::Marks(marks), out);
+                self.send(peer, Message::Marks(marks), out);
             }
         }
-        if only.is_none() {
-            for seq in &self.source.waiting {
-                if let Some(own) = self.source.own.get_mut(seq).filter(|own| own.told <= since) {
-                    own.told = now;
-                }
+        for seq in &self.source.waiting {
+            if let Some(own) = self.source.own.get_mut(seq).filter(|own| own.told <= since) {
+                own.told = now;
             }
         }
     }
@@ -737,7 +735,7 @@
                     (own.record, own.owed) = (Some(record), true);
                 }
             }
-            Gate::Until(_) | Gate::Disk => {}
+            Gate::Shut => {}
         }
     }
 
@@ -794,11 +792,9 @@
             return;
         }
         let before = now - self.set.horizon;
-        let whole =
-            |h: &&mut crate::keeper::Heard| h.known_from <= before && !h.on_disk && h.incarnation != 0;
         let mut peers = Vec::new();
-        for (node, heard) in self.keeper.heard.iter_mut() {
-            if let Some(heard) = Some(heard).filter(whole) {
+        for (node, heard) in &mut self.keeper.heard {
+            if heard.known_from <= before && !heard.on_disk && heard.incarnation != 0 {
                 heard.on_disk = true;
                 peers.push(Peer { node: *node, incarnation: heard.incarnation });
             }
@@ -950,7 +946,7 @@
         let seq = self.keep_own(now, key, position, Some(ticket), false, out);
         self.carried.insert((from, ticket), seq);
         self.carries.insert(seq, (from, ticket));
-        self.tell(now, Time::MAX, Some(seq), out);
+        self.tell(seq, out);
         self.try_release(now, seq, out);
     }
 }
--- a/crates/stackgw-sessions/src/source.rs
+++ b/crates/stackgw-sessions/src/source.rs
@@ -45,10 +45,8 @@
     Open,
     /// It may leave once the disk says that it is owed.
     Record,
-    /// A home must acknowledge it, or the pledge to that home must end, at the latest then.
-    Until(Time),
-    /// The disk must have a record.
-    Disk,
+    /// A home must acknowledge it or the pledge to that home must end, or the disk must have a record.
+    Shut,
 }
 
 /// All of it.
@@ -144,15 +142,10 @@
     /// What a write's answer still waits for.
     pub(crate) fn gate(&self, now: Time, seq: u64, stored: u64, disk: bool) -> Gate {
         let Some(own) = self.own.get(&seq) else { return Gate::Open };
-        if now < self.quiet_until {
-            return Gate::Until(self.quiet_until);
-        }
         let owing = || self.links.values().filter(|link| link.owes.contains(&seq));
-        if let Some(until) = owing().map(|link| link.until).max().filter(|until| *until > now) {
-            return Gate::Until(until);
-        }
-        if own.record.is_some_and(|record| record > stored) {
-            return Gate::Disk;
+        let bound = now < self.quiet_until || owing().any(|link| link.until > now);
+        if bound || own.record.is_some_and(|record| record > stored) {
+            return Gate::Shut;
         }
         if disk && !own.owed && owing().next().is_some() {
             return Gate::Record;
@@ -212,10 +205,8 @@
     pub(crate) fn pledge(&mut self, now: Time, node: NodeId, lease: Span, roster: &Roster) {
         let Some(link) = self.links.get_mut(&node) else { return };
         link.until = link.until.max(now + lease + lease / DRIFT_PART);
-        if link.roster != *roster {
-            // Those that wait were owed under the old one too, and stay so.
-            link.roster = roster.clone();
-        }
+        // Those that wait were owed under the old one too, and stay so.
+        link.roster.clone_from(roster);
     }
 
     /// A keeper holds these.
--- a/crates/stackgw-sessions/tests/histories.rs
+++ b/crates/stackgw-sessions/tests/histories.rs
@@ -341,3 +341,20 @@
     }
     assert!(sure_after > 1_000, "all are sure again: {sure_after}");
 }
+
+#[test]
+fn word_from_another_than_the_asked_home_takes_no_read_away() {
+    let mut world = settled(3, 1, true);
+    world.cut.extend([(0, 3), (1, 3), (2, 3)]);
+    world.read(3, 1);
+    for from in 0..3 {
+        for nonce in 0..50 {
+            let incarnation = world.instances[from].incarnation;
+            let to = Peer { node: node(3), incarnation: world.instances[3].incarnation };
+            let from = Peer { node: node(from), incarnation };
+            world.with(3, |s, now, out| s.heard(now, from, to, Message::Unsure { nonce }, out));
+        }
+    }
+    world.pass(SECOND);
+    assert_eq!((world.sure, world.cautious.values().sum::<u64>()), (0, 1), "it is answered, once");
+}
