What a disk had at start is not kept beside the marks made of it

Sessions held its whole Recovered for life and cloned it at start: a million marks stood in memory twice, only to be asked for the stamp. Now it takes it apart and keeps the stamp. One place records the roster. Behaviour unchanged, tests as before.

--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -289,6 +289,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Sessions {
     set: Settings,
+    /// The disk, as far as it had come when this life or the disk itself began; `None`: there is none, or no more.
+    disk: Option<Stamp>,
     roster: Roster,
     /// The record of the roster; no pledge before it is on the disk.
     roster_record: u64,
@@ -313,13 +315,15 @@
 
 impl Sessions {
     /// An instance that starts now.
-    pub fn new(now: Time, set: Settings, out: &mut Vec<Output>) -> Self {
+    pub fn new(now: Time, mut set: Settings, out: &mut Vec<Output>) -> Self {
         let roster = set.roster();
         let me = set.me.node;
         let mut keeper = Keeper::new(now, Marks::new(set.marks_most, set.horizon));
-        let unbroken = set.disk.as_ref().map_or(set.me.incarnation, |disk| disk.unbroken_since);
+        let disk = set.disk.as_ref().map(|disk| disk.stamp);
+        // Danger: kept beside the marks made of it, what the disk had would stand in memory twice.
+        let recovered = set.disk.take().unwrap_or_default();
+        let unbroken = if disk.is_some() { recovered.unbroken_since } else { set.me.incarnation };
         let mut source = Source::new(now, unbroken, now + set.bound());
-        let recovered = set.disk.clone().unwrap_or_default();
         let same = recovered.roster == Some(roster.digest());
         // A guest pledges nothing, so no earlier life of it binds this one. Where the disk shows the same roster, the homes
         // are those that an earlier life pledged to, and their links are bound; else nobody knows whom it pledged to.
@@ -339,6 +343,7 @@
             }
         }
         let mut sessions = Sessions {
+            disk,
             roster,
             roster_record: 0,
             source,
@@ -360,9 +365,8 @@
         for (key, position) in recovered.owed {
             sessions.keep_own(now, key, position, None, true, out);
         }
-        if sessions.set.disk.is_some() && !same {
-            let digest = sessions.roster.digest();
-            sessions.roster_record = sessions.store(Record::Roster(digest), out);
+        if !same {
+            sessions.record_roster(out);
         }
         sessions.due(now, out);
         sessions
@@ -399,9 +403,7 @@
         if !was && self.is_keeper() {
             self.keeper.own_from = self.keeper.own_from.max(now);
         }
-        if self.set.disk.is_some() {
-            self.roster_record = self.store(Record::Roster(self.roster.digest()), out);
-        }
+        self.record_roster(out);
         self.due(now, out);
     }
 
@@ -563,7 +565,7 @@
             self.keeper.acks.clear();
             return;
         }
-        self.set.disk = None;
+        self.disk = None;
         (self.records, self.stored, self.roster_record) = (0, 0, 0);
         for own in self.source.own.values_mut() {
             own.record = None;
@@ -647,6 +649,12 @@
         self.records
     }
 
+    fn record_roster(&mut self, out: &mut Vec<Output>) {
+        if self.disk.is_some() {
+            self.roster_record = self.store(Record::Roster(self.roster.digest()), out);
+        }
+    }
+
     fn peer(&self, node: NodeId) -> Peer {
         self.source.links.get(&node).map_or(Peer { node, incarnation: 0 }, |link| link.peer)
     }
@@ -666,7 +674,7 @@
         let mut record = None;
         if self.roster.is_home(key, self.set.me.node) {
             self.keeper.marks.add(now, key, position);
-            if self.set.disk.is_some() && !owed {
+            if self.disk.is_some() && !owed {
                 record = Some(self.store(Record::Held(key, position), out));
             }
         }
@@ -708,7 +716,7 @@
     }
 
     fn try_release(&mut self, now: Time, seq: u64, out: &mut Vec<Output>) {
-        let disk = self.set.disk.is_some();
+        let disk = self.disk.is_some();
         if !self.lets_out() {
             return;
         }
@@ -788,7 +796,7 @@
 
     /// Puts on the disk of which sources nothing is missing, so that a restart need not wait for a horizon.
     fn note_whole(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.set.disk.is_none() || self.keeper.broken || self.roster_record > self.stored {
+        if self.disk.is_none() || self.keeper.broken || self.roster_record > self.stored {
             return;
         }
         let before = now - self.set.horizon;
@@ -815,9 +823,9 @@
     }
 
     fn stamp(&self) -> Option<Stamp> {
-        let disk = self.set.disk.as_ref()?;
-        let records = disk.stamp.records.saturating_add(self.stored.saturating_sub(self.voided));
-        Some(Stamp { records, ..disk.stamp })
+        let disk = self.disk?;
+        let records = disk.records.saturating_add(self.stored.saturating_sub(self.voided));
+        Some(Stamp { records, ..disk })
     }
 
     /// Whether a keeper comes with a disk that an earlier life of it had brought further, or had left unused. Danger: it
@@ -844,15 +852,15 @@
 
     /// Others know this disk to be older than it was: it begins anew, and so does what this instance can be sure of.
     fn void(&mut self, now: Time, told: Stamp, out: &mut Vec<Output>) {
-        let Some(disk) = self.set.disk.as_mut().filter(|disk| disk.stamp.disk == told.disk) else { return };
+        let Some(disk) = self.disk.as_mut().filter(|disk| disk.disk == told.disk) else { return };
         let incarnation = self.set.me.incarnation;
-        disk.stamp = Stamp { disk: incarnation, records: 0, last: 0 };
+        *disk = Stamp { disk: incarnation, records: 0, last: 0 };
+        let begun = *disk;
         // Those that have believed this life already must not go on from that.
         self.source.unbroken_since = incarnation.saturating_add(1);
         self.keeper.void(now);
         self.counts.disks_old += 1;
-        self.voided =
-            self.store(Record::Void(Stamp { disk: incarnation, ..Stamp::default() }, incarnation + 1), out);
+        self.voided = self.store(Record::Void(begun, self.source.unbroken_since), out);
     }
 
     fn marks(&mut self, now: Time, from: Peer, marks: Vec<(u64, SessionKey, Time)>, out: &mut Vec<Output>) {
@@ -863,7 +871,7 @@
         let mut record = None;
         for (_, key, position) in marks {
             self.keeper.marks.add(now, key, position);
-            if self.set.disk.is_some() {
+            if self.disk.is_some() {
                 record = Some(self.store(Record::Held(key, position), out));
             }
         }
