One loop reads datagrams for both sockets; a store's database is always there

io/cluster.rs had written io/peers.rs again, with another size and another input: one run() takes both. File's Option was never None. Behaviour unchanged; the gateway's and the store's tests as before.

--- a/crates/stackgw-gateway/src/io/cluster.rs
+++ b/crates/stackgw-gateway/src/io/cluster.rs
@@ -1,16 +1,16 @@
-//! The operator's cluster: datagrams of the other instances, and the disk's word.
+//! The operator's cluster: its start, and the disk's word.
 
 use super::Shell;
 use crate::config::Config;
 use crate::reducer::{Input, Life};
 use async_channel::Receiver;
-use async_io::{Async, Timer};
+use async_io::Async;
 use slog::{info, Logger};
 use stackgw_sessions::NodeId;
 use stackgw_store::{Done, File, Owner, Writer};
 use std::net::UdpSocket;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What turns sessions across instances on.
 pub(super) struct Start {
@@ -46,20 +46,6 @@
     Ok(Some(Start { socket, life, writer, disk }))
 }
 
-/// Hands over each datagram.
-pub(super) async fn run(shell: Rc<Shell>, socket: Rc<Async<UdpSocket>>) {
-    let pause = Duration::from_nanos(shell.limits.error_pause as u64);
-    // One byte more than allowed shows that one is too long.
-    let mut buffer = vec![0; stackgw_cluster::MOST_BYTES + 1];
-    loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((n, _)) => shell.input(Input::Cluster(buffer[..n].to_vec())),
-            // Word of a datagram that did not arrive; it must not become a busy loop.
-            Err(_) => drop(Timer::after(pause).await),
-        }
-    }
-}
-
 /// Hands over the disk's word.
 pub(super) async fn disk(shell: Rc<Shell>, word: Receiver<Done>) {
     while let Ok(done) = word.recv().await {
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -321,10 +321,13 @@
     executor.spawn(signals::run(shell.clone(), signals)).detach();
     executor.spawn(timers::run(shell.clone())).detach();
     if let Some(socket) = shell.datagrams.clone() {
-        executor.spawn(peers::run(shell.clone(), socket)).detach();
+        executor
+            .spawn(peers::run(shell.clone(), socket, shell.limits.datagram_bytes, Input::Datagram))
+            .detach();
     }
     if let Some(socket) = shell.cluster.clone() {
-        executor.spawn(cluster::run(shell.clone(), socket)).detach();
+        let input = |_, bytes| Input::Cluster(bytes);
+        executor.spawn(peers::run(shell.clone(), socket, stackgw_cluster::MOST_BYTES, input)).detach();
     }
     if let Some(word) = disk {
         executor.spawn(cluster::disk(shell.clone(), word)).detach();
--- a/crates/stackgw-store/src/file.rs
+++ b/crates/stackgw-store/src/file.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub struct File {
     path: PathBuf,
-    database: Option<Database>,
+    database: Database,
     horizon_ms: u64,
     pruned_ms: u64,
 }
@@ -151,19 +151,13 @@
             Ok(())
         };
         begin().map_err(|e| Unusable::Failed(Failed(e.to_string())))?;
-        let file = File {
-            path: path.to_owned(),
-            database: Some(database),
-            horizon_ms: owner.horizon_ms,
-            pruned_ms: 0,
-        };
+        let file = File { path: path.to_owned(), database, horizon_ms: owner.horizon_ms, pruned_ms: 0 };
         Ok(Opened { file, incarnation, recovered, set_aside: None })
     }
 
     fn write(&mut self, records: &[Record]) -> Result<(), redb::Error> {
-        let Some(database) = &self.database else { return Ok(()) };
         let now = unix_ms();
-        let write = database.begin_write()?;
+        let write = self.database.begin_write()?;
         {
             let mut meta = write.open_table(META)?;
             let mut held = write.open_table(HELD)?;
