One wording of why a read is cautious, with whoever's names

The reducer had written Why's texts again to put names in, and looked names up in four places. Why::text takes the names; Shared::name and Shared::why serve all.

--- a/crates/stackgw-gateway/src/reducer/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -49,17 +49,6 @@
     SessionKey::of(statement.cluster, &statement.key)
 }
 
-/// A reason, with the names that the operator knows.
-fn named(why: Why, names: &Map<NodeId, String>) -> String {
-    let name = |node: &NodeId| names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"));
-    match why {
-        Why::NotPledged(node) => format!("no pledge from {}", name(&node)),
-        Why::OtherRoster(node) => format!("{} has other keepers or times in its file", name(&node)),
-        Why::TooShort(node) => format!("less than a horizon known of {}", name(&node)),
-        why => why.to_string(),
-    }
-}
-
 impl Shared {
     fn new(
         now: Time,
@@ -105,6 +94,16 @@
         }
     }
 
+    /// The name that the operator knows an instance by, if it is a keeper.
+    fn name(&self, node: &NodeId) -> String {
+        self.names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"))
+    }
+
+    /// A reason, in the operator's names.
+    fn why(&self, why: Why) -> String {
+        why.text(|node| self.name(node))
+    }
+
     /// Why no write is taken now, if none is: its answer could not leave.
     pub(super) fn shut(&self) -> Option<&'static str> {
         let keeper =
@@ -124,7 +123,7 @@
     pub(super) fn line(&self, now: Time) -> String {
         let status = self.sessions.status(now);
         let counts = status.counts;
-        let sure = status.unsure.map_or("sure".to_owned(), |why| named(why, &self.names));
+        let sure = status.unsure.map_or("sure".to_owned(), |why| self.why(why));
         let met = self.cluster.counts();
         format!(
             "sessions {sure}: marks={} own={} waiting={} pushed_out={} sure_here={} sure_there={} cautious={} released={} \
@@ -137,7 +136,7 @@
 
     fn tell(&self, now: Time) -> Value {
         let status = self.sessions.status(now);
-        let name = |node: &NodeId| self.names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"));
+        let name = |node: &NodeId| self.name(node);
         let other = |other: &Standing| {
             json!({"name": name(&other.node), "incarnation": other.incarnation,
                 "pledged_for_ms": other.pledged_for / MS, "bound_for_ms": other.bound_for / MS, "owed": other.owed})
@@ -148,11 +147,11 @@
         };
         let (counts, met) = (status.counts, self.cluster.counts());
         let cautious: serde_json::Map<String, Value> =
-            self.cautious.iter().map(|(why, n)| (named(*why, &self.names), json!(n))).collect();
+            self.cautious.iter().map(|(why, n)| (self.why(*why), json!(n))).collect();
         json!({
             "name": name(&status.me.node), "incarnation": status.me.incarnation, "keeper": status.keeper,
             "sure": status.unsure.is_none(),
-            "unsure_because": status.unsure.map(|why| named(why, &self.names)),
+            "unsure_because": status.unsure.map(|why| self.why(why)),
             "keepers": status.others.iter().map(other).collect::<Vec<_>>(),
             "instances": self.cluster.known().map(seen).collect::<Vec<_>>(), "epoch": self.cluster.epoch(),
             "marks": status.marks, "marks_pushed_out": status.pushed_out, "own_marks": status.own,
@@ -250,10 +249,7 @@
         use stackgw_cluster::Event;
         for event in events {
             let Some(shared) = self.shared.as_ref() else { return };
-            let name = |id: &Identity| match shared.names.get(&id.peer.node) {
-                Some(name) => name.clone(),
-                None => format!("{:?}", id.peer.node),
-            };
+            let name = |id: &Identity| shared.name(&id.peer.node);
             match event {
                 Event::Up(id) => {
                     out.push(Effect::Log(format!("instance {} is at {}", name(&id), id.address)))
@@ -330,7 +326,7 @@
         shared.said = Some((status.unsure, now));
         out.push(Effect::Log(match status.unsure {
             None => "session reads are sure".to_owned(),
-            Some(why) => format!("session reads are cautious: {}", named(why, &shared.names)),
+            Some(why) => format!("session reads are cautious: {}", shared.why(why)),
         }));
     }
 
@@ -454,7 +450,7 @@
             Question::Sessions => shared.tell(now),
             Question::Session(group, session) => {
                 let key = SessionKey::of(group, &session);
-                let name = |node| shared.names.get(&node).cloned().unwrap_or_else(|| format!("{node:?}"));
+                let name = |node| shared.name(&node);
                 let (seen, sure) = shared.sessions.held(now, key);
                 let position = |at: Time| {
                     if at == stackgw_sessions::UNKNOWN {
@@ -466,7 +462,7 @@
                 json!({
                     "group": group, "homes": shared.sessions.roster().homes(key).map(name).collect::<Vec<_>>(),
                     "sure_here": sure.is_ok(),
-                    "unsure_because": sure.err().map(|why| named(why, &shared.names)),
+                    "unsure_because": sure.err().map(|why| shared.why(why)),
                     "mark": seen.map(|seen| json!({"position_ms": position(seen.position),
                         "age_ms": (now - seen.at) / MS, "pushed_out": seen.pushed_out})),
                 })
--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -9,7 +9,6 @@
 use crate::UNKNOWN;
 use stackgw_router::api::{Span, Time};
 use std::collections::BTreeMap;
-use std::fmt;
 
 /// A write's answer or a read that waits, by the host's number.
 pub type Ticket = u64;
@@ -145,18 +144,19 @@
     Full,
 }
 
-impl fmt::Display for Why {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Why {
+    /// It in words, with the names that the host has for keepers.
+    pub fn text(&self, name: impl Fn(&NodeId) -> String) -> String {
         match self {
-            Why::NotPledged(node) => write!(f, "no pledge from {node:?}"),
-            Why::OtherRoster(node) => write!(f, "{node:?} has other keepers or times in its file"),
-            Why::TooShort(node) => write!(f, "less than a horizon known of {node:?}"),
-            Why::Started => f.write_str("started less than a horizon ago without what it held"),
-            Why::DiskFailed => f.write_str("the disk failed"),
-            Why::Silent => f.write_str("no home answered in time"),
-            Why::Unsure => f.write_str("the homes are not sure"),
-            Why::NoPosition => f.write_str("the session's write has no known position"),
-            Why::Full => f.write_str("too many reads wait for their homes"),
+            Why::NotPledged(node) => format!("no pledge from {}", name(node)),
+            Why::OtherRoster(node) => format!("{} has other keepers or times in its file", name(node)),
+            Why::TooShort(node) => format!("less than a horizon known of {}", name(node)),
+            Why::Started => "started less than a horizon ago without what it held".to_owned(),
+            Why::DiskFailed => "the disk failed".to_owned(),
+            Why::Silent => "no home answered in time".to_owned(),
+            Why::Unsure => "the homes are not sure".to_owned(),
+            Why::NoPosition => "the session's write has no known position".to_owned(),
+            Why::Full => "too many reads wait for their homes".to_owned(),
         }
     }
 }
