A held answer is taken away in one place, its timer with it

Three places took it and its bytes off, and only one of them its timer: the other two left it in the order until it fired for nothing. Behaviour towards clients unchanged, the reducer's tests as before.

--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -306,8 +306,7 @@
             (open.asker, open.ended) = (None, true);
             self.counters.answered_gone += 1;
             let known = open.asks.take().is_none();
-            let held = open.held.take();
-            self.counters.held_bytes -= held.map_or(0, |reply| reply.len() as u64);
+            self.take_held(request);
             self.unshared(request);
             if known {
                 self.events.push_back(Event::Abandoned(request));
@@ -584,9 +583,9 @@
         let Some(open) = self.requests.get_mut(&request) else { return false };
         open.ended = true;
         let asker = open.asker.take();
-        let held = open.held.take();
-        self.counters.held_bytes -= held.map_or(0, |reply| reply.len() as u64);
-        if open.asks.take().is_some() {
+        let asks = open.asks.take().is_some();
+        self.take_held(request);
+        if asks {
             self.unshared(request);
         }
         match asker {
--- a/crates/stackgw-gateway/src/reducer/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -407,13 +407,19 @@
         None
     }
 
-    fn release(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
-        let Some(open) = self.requests.get_mut(&request) else { return };
-        let Some(row) = open.held.take() else { return };
+    /// Takes a held answer away, with its room and its timer.
+    pub(super) fn take_held(&mut self, request: RequestId) -> Option<Vec<u8>> {
+        let open = self.requests.get_mut(&request)?;
+        let row = open.held.take()?;
+        self.counters.held_bytes -= row.len() as u64;
         if let Some(until) = open.held_until.take() {
             self.timers.remove(&until);
         }
-        self.counters.held_bytes -= row.len() as u64;
+        Some(row)
+    }
+
+    fn release(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
+        let Some(row) = self.take_held(request) else { return };
         let answered = self.answer(now, request, Final::Served(row), out);
         self.counters.answered_served += u64::from(answered);
     }
