One reading of a row's column, one check that only reads get tickets, nothing that nobody calls

stackgw-flight had written Reply::column again: pg::value serves both. The refusal of writes stood three times, of unbound parameters twice. Cluster::leave, Cluster::me and Marks::unknown were called by nobody.

--- a/crates/stackgw-cluster/src/cluster.rs
+++ b/crates/stackgw-cluster/src/cluster.rs
@@ -125,11 +125,6 @@
         }
     }
 
-    /// Itself, as others are to know it.
-    pub fn me(&self) -> Identity {
-        *self.foca.identity()
-    }
-
     /// Everyone that is or was there, this instance not included.
     pub fn known(&self) -> impl Iterator<Item = &Seen> {
         self.known.values()
@@ -224,12 +219,6 @@
         }
     }
 
-    /// Tells the others that this instance goes.
-    pub fn leave(&mut self, now: Time, effects: &mut Vec<Effect>, events: &mut Vec<Event>) {
-        let _ = self.foca.leave_cluster(&mut self.runtime);
-        self.settle(now, effects, events);
-    }
-
     fn settle(&mut self, now: Time, effects: &mut Vec<Effect>, events: &mut Vec<Event>) {
         while let Some((to, body)) = self.runtime.to_send() {
             self.counts.sent += 1;
--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -19,6 +19,7 @@
 use prost::Message;
 use slog::{info, Logger};
 use stackgw_cluster::Ring;
+use stackgw_gateway::pg::value;
 use stackgw_gateway::reducer::Final;
 use stackgw_gateway::Door;
 use std::net::{SocketAddr, TcpListener};
@@ -185,15 +186,10 @@
     }))
 }
 
-/// The value in a member's row: its description, then the row of one column.
-fn value(row: &[u8]) -> Option<Option<&[u8]>> {
-    let description = 1 + u32::from_be_bytes(*row.get(1..)?.first_chunk()?) as usize;
-    let row = row.get(description..)?;
-    let length = i32::from_be_bytes(*row.get(7..)?.first_chunk()?);
-    match usize::try_from(length) {
-        Ok(length) => Some(Some(row.get(11..)?.get(..length)?)),
-        Err(_) => Some(None),
-    }
+/// Danger: a ticket or a handle may be used more than once, and a write must not.
+fn reads(asked: &Asked) -> Result<(), Status> {
+    let wrong = || Status::invalid_argument("a statement that writes goes by DoPut");
+    (!asked.writes()).then_some(()).ok_or_else(wrong)
 }
 
 fn stream(schema: SchemaRef, batch: Result<RecordBatch, FlightError>) -> Response<Stream> {
@@ -253,6 +249,9 @@
 
     /// Runs a statement; gives its value. Dropped, it is called off.
     async fn run(&self, asked: &Asked, wait_ms: Option<u64>) -> Result<Option<Vec<u8>>, Status> {
+        if asked.parameters() > 0 {
+            return Err(Status::invalid_argument("parameters are not bound"));
+        }
         let Ok(_permit) = self.gate.try_acquire() else {
             return Err(status(&Final::Refused("too many requests are open", None)));
         };
@@ -268,9 +267,6 @@
     }
 
     async fn rows(&self, asked: &Asked, wait_ms: Option<u64>) -> Result<Response<Stream>, Status> {
-        if asked.parameters() > 0 {
-            return Err(Status::invalid_argument("parameters are not bound"));
-        }
         let value = self.run(asked, wait_ms).await?;
         let column = BinaryArray::from(vec![value.as_deref()]);
         Ok(stream(
@@ -283,9 +279,6 @@
         if !asked.writes() {
             return Err(Status::invalid_argument("a statement that reads goes by GetFlightInfo and DoGet"));
         }
-        if asked.parameters() > 0 {
-            return Err(Status::invalid_argument("parameters are not bound"));
-        }
         self.run(asked, wait_ms).await.map(|_| 1)
     }
 
@@ -322,10 +315,7 @@
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
         let asked = self.asked(&query.query, query.transaction_id.as_ref(), &request)?;
-        // Danger: a ticket may be used more than once, and a write must not.
-        if asked.writes() {
-            return Err(Status::invalid_argument("a statement that writes goes by DoPut"));
-        }
+        reads(&asked)?;
         let sealed = Sealed::Ticket(asked.without_id()).seal(&self.set.ring, self.until());
         let ticket = TicketStatementQuery { statement_handle: sealed.into() };
         info(&schema(), ticket.as_any().encode_to_vec(), request.into_inner())
@@ -405,9 +395,7 @@
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
         let asked = self.prepared(&query.prepared_statement_handle)?;
-        if asked.writes() {
-            return Err(Status::invalid_argument("a statement that writes goes by DoPut"));
-        }
+        reads(&asked)?;
         info(&schema(), query.as_any().encode_to_vec(), request.into_inner())
     }
 
@@ -417,9 +405,7 @@
         request: Request<Ticket>,
     ) -> Result<Response<Stream>, Status> {
         let asked = self.prepared(&query.prepared_statement_handle)?;
-        if asked.writes() {
-            return Err(Status::invalid_argument("a statement that writes goes by DoPut"));
-        }
+        reads(&asked)?;
         self.rows(&asked, timeout_ms(request.metadata())?).await
     }
 
--- a/crates/stackgw-gateway/src/pg/mod.rs
+++ b/crates/stackgw-gateway/src/pg/mod.rs
@@ -7,7 +7,7 @@
 pub mod write;
 
 pub use frame::{BadFrame, Frame, Frames};
-pub use reply::{load_report, Ended, OutOfPlace, Reply};
+pub use reply::{load_report, value, Ended, OutOfPlace, Reply};
 pub use statement::{Malformed, Statement};
 
 /// Codes that stand where a startup packet has its version.
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -97,11 +97,7 @@
 
     /// The text of the one column of the row, as probes get it.
     pub fn column(&self) -> Option<&str> {
-        let description = 1 + u32::from_be_bytes(*self.row.get(1..)?.first_chunk()?) as usize;
-        // Type, length, number of columns, length of the column.
-        let row = self.row.get(description..)?;
-        let length = u32::from_be_bytes(*row.get(7..)?.first_chunk()?) as usize;
-        std::str::from_utf8(row.get(11..)?.get(..length)?).ok()
+        std::str::from_utf8(value(&self.row)??).ok()
     }
 
     /// A value that cannot be read tells nothing; it is no reason to drop the row beside it.
@@ -120,6 +116,17 @@
     }
 }
 
+/// The one column of a row whose description stands before it; `Some(None)`: it is null.
+pub fn value(row: &[u8]) -> Option<Option<&[u8]>> {
+    let description = 1 + u32::from_be_bytes(*row.get(1..)?.first_chunk()?) as usize;
+    // Type, length, number of columns, length of the column.
+    let row = row.get(description..)?;
+    match usize::try_from(i32::from_be_bytes(*row.get(7..)?.first_chunk()?)) {
+        Ok(length) => Some(Some(row.get(11..)?.get(..length)?)),
+        Err(_) => Some(None),
+    }
+}
+
 /// The row has one column, and its length is that of the row.
 fn one_column(body: &[u8]) -> bool {
     let [0, 1, a, b, c, d, value @ ..] = body else { return false };
--- a/crates/stackgw-sessions/src/marks.rs
+++ b/crates/stackgw-sessions/src/marks.rs
@@ -1,7 +1,6 @@
 //! The marks that a keeper holds: bounded by count, with a horizon.
 
 use crate::roster::SessionKey;
-use crate::UNKNOWN;
 use stackgw_router::api::{Span, Time};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -17,7 +16,7 @@
 /// What is held of one session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Seen {
-    /// Its reads must see this; [`UNKNOWN`]: every commit.
+    /// Its reads must see this; [`crate::UNKNOWN`]: every commit.
     pub position: Time,
     /// When the mark came, or for a pushed out one when its cell last grew.
     pub at: Time,
@@ -128,9 +127,4 @@
     pub fn pushed_out(&self) -> u64 {
         self.pushed_out
     }
-
-    /// Sessions whose write has no known position.
-    pub fn unknown(&self) -> usize {
-        self.marks.values().filter(|mark| mark.position == UNKNOWN).count()
-    }
 }
