--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -415,6 +415,15 @@
         &self.set.classes[entry.request.class]
     }
 
+    /// What its class needs, unless it must see every commit whatever that is.
+    fn need(&self, entry: &Entry) -> Need {
+        if entry.request.fresh {
+            Need::Fresh
+        } else {
+            self.class(entry).need
+        }
+    }
+
     /// Until when a request may wait: to its end where no refusal is allowed, else so that a retry has time.
     fn hold_until(&self, entry: &Entry, reserve: f64) -> Time {
         let class = self.class(entry);
@@ -462,13 +471,13 @@
         // Danger: a primary by the list alone may be a replica by now; it must show that it holds the write.
         let claimed = self.groups.get(&group).and_then(|g| g.primary);
         let holds = |id: &MemberId, write| claimed == Some(*id) || self.nodes[id].position >= write;
-        let need = if entry.request.fresh { Need::Fresh } else { self.class(entry).need };
+        let need = self.need(entry);
         let floor = match need {
             Need::Write if primary.is_some() => return at_primary(1.0),
             // A write met by a member that is not the primary tries the next, then waits for a probe.
             Need::Write if entry.tried.is_empty() || entry.sent * 2 >= most => return None,
             Need::Write => return self.members(group).map(|m| m.0).find(fits),
-            Need::Fresh => return at_primary(1.0).filter(|id| holds(id, Time::MAX)),
+            Need::Fresh => return at_primary(1.0).filter(|id| claimed == Some(*id)),
             Need::Session => {
                 let write = entry.request.last_write.unwrap_or(0);
                 // Departure: a primary without room leaves even these to replicas that cover the write.
@@ -649,10 +658,7 @@
         let Some(state) = self.groups.get(&group).filter(|_| self.set.limits.probes) else { return };
         let read = |id: &RequestId| self.class(&self.entries[id]).need != Need::Write;
         // Danger: a read held for a primary's own word would wait in vain where only the list names one.
-        let proof = |id: &RequestId| {
-            let entry = &self.entries[id];
-            entry.request.fresh || matches!(self.class(entry).need, Need::Fresh | Need::Session)
-        };
+        let proof = |id: &RequestId| matches!(self.need(&self.entries[id]), Need::Fresh | Need::Session);
         let proven = |id: &MemberId| state.primary == Some(*id) || !state.held.iter().any(proof);
         let primary = self.primary(now, group).filter(|id| !self.nodes[id].out && proven(id));
         let pace = (SEEK_PACE as f64 * self.crowd * self.stretch) as Span;
