A void disk's record leaves the life that wrote last as it is

Recovered::apply took the stamp of a Void record whole, its last incarnation along: what a program held in memory after a void record differed from what the file recovered at the next start. A test applies every kind of record to both and compares; it fails without the change.

--- a/crates/stackgw-sessions/src/sessions.rs
+++ b/crates/stackgw-sessions/src/sessions.rs
@@ -91,7 +91,9 @@
                 self.seen.push((peer, stamp));
             }
             Record::Void(stamp, unbroken_since) => {
-                (self.stamp, self.unbroken_since, self.whole) = (stamp, unbroken_since, Vec::new());
+                // The life that wrote to it last stays the same one.
+                self.stamp = Stamp { last: self.stamp.last, ..stamp };
+                (self.unbroken_since, self.whole) = (unbroken_since, Vec::new());
                 return;
             }
             Record::Whole(peer) => {
--- a/crates/stackgw-store/tests/store.rs
+++ b/crates/stackgw-store/tests/store.rs
@@ -90,6 +90,34 @@
     }
 }
 
+#[test]
+fn the_file_recovers_what_the_records_come_to() {
+    let folder = Folder::new("same");
+    let mut first = open(&folder.file());
+    let mut wanted = first.recovered.clone();
+    wanted.stamp.last = first.incarnation;
+    let peer = |incarnation| Peer { node: NodeId(7), incarnation };
+    let stamp = |records| Stamp { disk: 9, records, last: 0 };
+    let records = [
+        Record::Roster(5),
+        mark(1),
+        Record::Whole(peer(3)),
+        Record::Roster(5),
+        Record::Owed(SessionKey(4), 9),
+        Record::Seen(peer(3), stamp(4)),
+        Record::Void(stamp(0), first.incarnation),
+        mark(2),
+        Record::Whole(peer(4)),
+        Record::Seen(peer(4), stamp(8)),
+    ];
+    for record in records {
+        first.file.commit(std::slice::from_ref(&record)).expect("room");
+        wanted.apply(record);
+    }
+    drop(first.file);
+    assert_eq!(open(&folder.file()).recovered, wanted);
+}
+
 #[test]
 fn a_file_that_is_not_its_own_is_set_aside_and_kept() {
     let folder = Folder::new("foreign");
