--- a/crates/stackgw-cli/src/cmd/run.rs
+++ b/crates/stackgw-cli/src/cmd/run.rs
@@ -2,6 +2,8 @@
 
 use clap::Args;
 use stackgw_gateway::config::Config;
+#[cfg(feature = "flight")]
+use stackgw_router::api::MS;
 use std::path::PathBuf;
 
 /// Run a gateway in the foreground.
@@ -27,15 +29,18 @@
             Some(file) => config.with_operator(&file)?,
             None => config,
         };
-        let fronts = fronts(&config)?;
-        stackgw_gateway::run_with(config, fronts)
+        let front = front(&config)?;
+        stackgw_gateway::run_with(config, front)
     }
 }
 
-/// The fronts beside the first protocol's that the operator's file turns on.
+/// The front beside the first protocol's, and the back, that the operator's file turns on.
 #[cfg(feature = "flight")]
-fn fronts(config: &Config) -> Result<Vec<stackgw_gateway::Front>, String> {
-    let Some((file, ring)) = config.operator.flight.clone() else { return Ok(Vec::new()) };
+fn front(config: &Config) -> Result<Option<stackgw_gateway::Front>, String> {
+    let Some((file, ring)) = config.operator.flight.clone() else { return Ok(None) };
+    let ms =
+        |duration: stackgw_config::Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX) * MS;
+    let bulk = &file.bulk;
     let settings = stackgw_flight::Settings {
         listen: file.listen,
         ring,
@@ -43,17 +48,32 @@
         wait_ms: file.wait.as_millis(),
         requests: file.requests,
         streams: file.streams,
+        bulk: stackgw_flight::Rules {
+            streams: bulk.streams,
+            each: bulk.each_kib << 10,
+            all: bulk.all_kib << 10,
+            stall: ms(bulk.stall),
+            silence: ms(bulk.silence),
+        },
+        members: stackgw_flight::Members {
+            connect_ms: u64::try_from(config.limits.connect / MS).unwrap_or(1).max(1),
+            per_channel: bulk.per_channel,
+            message_bytes: bulk.message_kib << 10,
+            value_bytes: config.limits.answer_bytes,
+            outcome_ms: file.wait.as_millis(),
+        },
     };
-    Ok(vec![Box::new(move |door, log| {
-        stackgw_flight::start(settings, door, log).map(|running| Box::new(running) as Box<dyn std::any::Any>)
-    })])
+    Ok(Some(Box::new(move |door, behind, log| {
+        stackgw_flight::start(settings, door, behind, log)
+            .map(|running| Box::new(running) as Box<dyn std::any::Any>)
+    })))
 }
 
 /// A build without Flight SQL says so where it is asked for.
 #[cfg(not(feature = "flight"))]
-fn fronts(config: &Config) -> Result<Vec<stackgw_gateway::Front>, String> {
+fn front(config: &Config) -> Result<Option<stackgw_gateway::Front>, String> {
     match config.operator.flight {
         Some(_) => Err("flight: this build has no Arrow Flight SQL".to_owned()),
-        None => Ok(Vec::new()),
+        None => Ok(None),
     }
 }
--- a/crates/stackgw-config/src/lib.rs
+++ b/crates/stackgw-config/src/lib.rs
@@ -65,6 +65,60 @@
     #[serde(default = "default_streams")]
     #[garde(range(min = 1, max = 10_000))]
     pub streams: u32,
+    /// Groups whose members speak Flight SQL at the addresses that discovery gives.
+    #[serde(default)]
+    #[garde(length(max = 4_096))]
+    pub groups: Vec<u32>,
+    /// Members that do, by the names that discovery gives.
+    #[serde(default)]
+    #[garde(length(max = 4_096), inner(length(min = 1, max = 256)))]
+    pub members: Vec<String>,
+    /// Bulk answers that pass through.
+    #[serde(default)]
+    #[garde(dive)]
+    pub bulk: Bulk,
+}
+
+/// Bulk answers: streams from members that speak Flight SQL to clients that do.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields, default)]
+#[garde(allow_unvalidated)]
+pub struct Bulk {
+    /// Streams that may be open at once; more are UNAVAILABLE.
+    #[garde(range(min = 1, max = 10_000))]
+    pub streams: usize,
+    /// Streams and requests on one connection to a member, before another is opened.
+    #[garde(range(min = 1, max = 1_000))]
+    pub per_channel: usize,
+    /// KiB that one stream holds before its member is read no further.
+    #[garde(range(min = 64, max = 65_536))]
+    pub each_kib: usize,
+    /// KiB that all of them hold together. Past it a stream is read on only once its reader has all that came before.
+    #[garde(range(min = 256, max = 4_194_304))]
+    pub all_kib: usize,
+    /// KiB of one message; a larger one ends its stream.
+    #[garde(range(min = 64, max = 262_144))]
+    pub message_kib: usize,
+    /// A reader that takes nothing for this long is ended.
+    #[garde(custom(between("100ms", "10min")))]
+    pub stall: Duration,
+    /// A member that sends nothing for this long, while its stream is wanted, is given up.
+    #[garde(custom(between("50ms", "10min")))]
+    pub silence: Duration,
+}
+
+impl Default for Bulk {
+    fn default() -> Self {
+        Bulk {
+            streams: 200,
+            per_channel: 64,
+            each_kib: 1_024,
+            all_kib: 32_768,
+            message_kib: 4_096,
+            stall: Duration::from_millis(10_000),
+            silence: Duration::from_millis(3_000),
+        }
+    }
 }
 
 fn default_ticket() -> Duration {
--- a/crates/stackgw-flight/src/asked.rs
+++ b/crates/stackgw-flight/src/asked.rs
@@ -176,6 +176,11 @@
         text + " */"
     }
 
+    /// How long its client waits, by the statement's word and the call's; the shorter one counts.
+    pub fn wait_ms(&self, call: Option<u64>) -> Option<u64> {
+        [self.wait_ms, call].into_iter().flatten().min()
+    }
+
     /// The same without an id of its own: each execution then is a request of its own.
     pub fn without_id(self) -> Self {
         Asked { id: None, ..self }
--- /dev/null
+++ b/crates/stackgw-flight/src/back.rs
@@ -0,0 +1,495 @@
+//! The back: members that speak Flight SQL, behind the same pool, limits and router as all others.
+//!
+//! To the gateway each request in hand is a connection, as with our first protocol; here many of them share one HTTP/2
+//! connection, as [`Channels`] places them. A statement goes out as it stands, by GetFlightInfo and DoGet. What comes back is
+//! one value for whoever asked for one, and a stream that passes through unread for whoever can take it.
+
+use crate::pass::{lock, Reader, Streams, Writer};
+use crate::server::NEVER;
+use arrow_array::cast::AsArray;
+use arrow_array::{Array, RecordBatch};
+use arrow_flight::decode::FlightRecordBatchStream;
+use arrow_flight::error::FlightError;
+use arrow_flight::flight_service_client::FlightServiceClient;
+use arrow_flight::sql::{CommandStatementQuery, ProstMessageExt};
+use arrow_flight::{Action, CancelFlightInfoRequest, FlightData, FlightDescriptor, FlightInfo, Ticket};
+use arrow_ipc::MessageHeader;
+use arrow_schema::DataType;
+use futures::StreamExt;
+use prost::Message;
+use slog::{info, Logger};
+use stackgw_gateway::pg::{write, Frame, Frames, Reply};
+use stackgw_gateway::reducer::{Asked, Closed, ConnId, Said};
+use stackgw_gateway::{Behind, FromBack, ToBack};
+use stackgw_router::api::Outcome;
+use stackgw_streams::{ChannelId, Channels};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, OnceCell};
+use tonic::metadata::MetadataMap;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, ConnectError, Request, Status, Streaming};
+
+/// What the back is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Members {
+    /// A connection that is not up by then has failed, in milliseconds.
+    pub connect_ms: u64,
+    /// Requests on one connection.
+    pub per_channel: usize,
+    /// Bytes of one message.
+    pub message_bytes: usize,
+    /// Bytes of one value.
+    pub value_bytes: usize,
+    /// How long a write whose client has left is waited for, in milliseconds.
+    pub outcome_ms: u64,
+}
+
+/// Bytes of one stream that HTTP/2 holds beside what the flow allows; of one connection, as many for each request.
+/// Danger: a connection with less would stand still once some of its streams are not read.
+const WINDOW: u32 = 128 << 10;
+/// A member is told of a cancel; its answer is of no use.
+const CANCEL: Duration = Duration::from_millis(500);
+
+pub(crate) struct Back {
+    set: Members,
+    behind: Behind,
+    streams: Arc<Streams>,
+    channels: Mutex<Channels<SocketAddr>>,
+    links: Mutex<HashMap<ChannelId, Arc<OnceCell<Channel>>>>,
+    log: Logger,
+    /// Writes that ran to their end with nobody left to be told.
+    alone: AtomicU64,
+}
+
+/// One connection as the gateway sees it.
+struct Handle {
+    asks: mpsc::UnboundedSender<Asked>,
+    /// Dropped, it is closed.
+    _open: oneshot::Sender<()>,
+}
+
+/// How a request ended.
+enum Ended {
+    /// The connection takes another one.
+    Ready,
+    /// It takes none.
+    Closed(Closed),
+}
+
+impl Back {
+    pub(crate) fn new(set: Members, behind: Behind, streams: Arc<Streams>, log: Logger) -> Arc<Self> {
+        let channels = Mutex::new(Channels::new(set.per_channel));
+        Arc::new(Back {
+            set,
+            behind,
+            streams,
+            channels,
+            links: Mutex::default(),
+            log,
+            alone: AtomicU64::new(0),
+        })
+    }
+
+    /// Does what the gateway asks, until it ends.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut handles: HashMap<ConnId, Handle> = HashMap::new();
+        while let Ok(word) = self.behind.asked.recv().await {
+            match word {
+                ToBack::Open(id, at) => {
+                    let (asks, asked) = mpsc::unbounded_channel();
+                    let (open, gone) = oneshot::channel();
+                    handles.insert(id, Handle { asks, _open: open });
+                    tokio::spawn(self.clone().carry(id, at, asked, gone));
+                }
+                ToBack::Ask(id, ask) => {
+                    if let Some(handle) = handles.get(&id) {
+                        let _ = handle.asks.send(ask);
+                    }
+                }
+                ToBack::Close(id) => drop(handles.remove(&id)),
+            }
+        }
+    }
+
+    async fn tell(&self, word: FromBack) {
+        let _ = self.behind.tells.send(word).await;
+    }
+
+    /// One connection, from its opening to its end.
+    async fn carry(
+        self: Arc<Self>,
+        id: ConnId,
+        at: SocketAddr,
+        mut asked: mpsc::UnboundedReceiver<Asked>,
+        mut gone: oneshot::Receiver<()>,
+    ) {
+        let on = lock(&self.channels).place(&at).channel;
+        let up = tokio::select! {
+            up = self.connect(on, at) => up,
+            _ = &mut gone => Err(None),
+        };
+        match up {
+            Ok(channel) => {
+                self.tell(FromBack::Up(id)).await;
+                while let Some(ask) = asked.recv().await {
+                    match self.ask(id, channel.clone(), ask, &mut gone).await {
+                        Some(Ended::Ready) => {}
+                        Some(Ended::Closed(why)) => {
+                            // What broke under one request is given no others.
+                            lock(&self.channels).broke(on);
+                            self.tell(FromBack::Closed(id, why)).await;
+                            break;
+                        }
+                        None => break,
+                    }
+                }
+            }
+            Err(why) => {
+                lock(&self.channels).broke(on);
+                if let Some(why) = why {
+                    self.tell(FromBack::Closed(id, why)).await;
+                }
+            }
+        }
+        if lock(&self.channels).freed(on) {
+            lock(&self.links).remove(&on);
+        }
+    }
+
+    async fn connect(&self, on: ChannelId, at: SocketAddr) -> Result<Channel, Option<Closed>> {
+        let link = lock(&self.links).entry(on).or_default().clone();
+        let wait = Duration::from_millis(self.set.connect_ms);
+        let opens = async {
+            let requests = u32::try_from(self.set.per_channel).unwrap_or(u32::MAX).saturating_add(1);
+            Endpoint::from_shared(format!("http://{at}"))?
+                .connect_timeout(wait)
+                .tcp_nodelay(true)
+                .initial_stream_window_size(WINDOW)
+                .initial_connection_window_size(WINDOW.saturating_mul(requests).min(i32::MAX as u32))
+                .connect()
+                .await
+        };
+        // A host that takes the connection and then says nothing is none that is up.
+        let up = tokio::time::timeout(wait, link.get_or_try_init(|| opens)).await;
+        match up {
+            Ok(Ok(channel)) => Ok(channel.clone()),
+            _ => Err(Some(Closed::Lost)),
+        }
+    }
+
+    /// One request; `None`: the connection is closed from the gateway's side.
+    async fn ask(
+        self: &Arc<Self>,
+        id: ConnId,
+        channel: Channel,
+        ask: Asked,
+        gone: &mut oneshot::Receiver<()>,
+    ) -> Option<Ended> {
+        let info = Mutex::new(None);
+        let mut client =
+            FlightServiceClient::new(channel.clone()).max_decoding_message_size(self.set.message_bytes);
+        if !ask.writes {
+            let work = self.read(id, &mut client, &ask, &info);
+            return tokio::select! {
+                ended = work => Some(ended),
+                _ = gone => {
+                    let info = lock(&info).take();
+                    self.call_off(channel, info);
+                    None
+                }
+            };
+        }
+        // Danger: a write that was asked may run whatever is done here. It runs to its end, so that what became of it is known.
+        let mut work = std::pin::pin!(self.value(id, &mut client, &ask, &info));
+        tokio::select! {
+            ended = &mut work => return Some(ended),
+            _ = gone => {}
+        }
+        let wait = Duration::from_millis(ask.wait_ms.max(self.set.outcome_ms));
+        let count = self.alone.fetch_add(1, Ordering::Relaxed) + 1;
+        let known = tokio::time::timeout(wait, work).await.is_ok();
+        if count.is_power_of_two() {
+            let end = if known { "ended" } else { "did not end in time" };
+            info!(self.log, "writes whose client had left by their end: {count}; the last one {end}");
+        }
+        None
+    }
+
+    /// Asks and gives what comes back before the first message, or how that ended.
+    async fn begin(
+        &self,
+        client: &mut FlightServiceClient<Channel>,
+        ask: &Asked,
+        kept: &Mutex<Option<FlightInfo>>,
+    ) -> Result<(MetadataMap, Streaming<FlightData>), Status> {
+        let command = CommandStatementQuery { query: ask.statement.clone(), transaction_id: None };
+        let asked = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+        let mut request = Request::new(asked);
+        request.set_timeout(Duration::from_millis(ask.wait_ms));
+        let info = client.get_flight_info(request).await?.into_inner();
+        let ticket = ticket(&info).ok_or_else(|| Status::internal("the answer is not in one place"))?;
+        *lock(kept) = Some(info);
+        let mut request = Request::new(ticket);
+        if !ask.streams {
+            request.set_timeout(Duration::from_millis(ask.wait_ms));
+        }
+        let response = client.do_get(request).await?;
+        let (said, stream, _) = response.into_parts();
+        Ok((said, stream))
+    }
+
+    async fn read(
+        self: &Arc<Self>,
+        id: ConnId,
+        client: &mut FlightServiceClient<Channel>,
+        ask: &Asked,
+        info: &Mutex<Option<FlightInfo>>,
+    ) -> Ended {
+        if ask.streams {
+            self.stream(id, client, ask, info).await
+        } else {
+            self.value(id, client, ask, info).await
+        }
+    }
+
+    /// A request whose answer is one value.
+    async fn value(
+        &self,
+        id: ConnId,
+        client: &mut FlightServiceClient<Channel>,
+        ask: &Asked,
+        info: &Mutex<Option<FlightInfo>>,
+    ) -> Ended {
+        let gathered = async {
+            let (said, stream) = self.begin(client, ask, info).await?;
+            let batches =
+                FlightRecordBatchStream::new_from_flight_data(stream.map(|d| d.map_err(FlightError::from)));
+            let value = one_value(batches, self.set.value_bytes).await?;
+            Ok((said, value))
+        };
+        match gathered.await {
+            Ok((said, Some(value))) => {
+                let mut answer = Vec::new();
+                write::row(&mut answer, value.as_deref());
+                statuses(&mut answer, &said);
+                self.answer(id, answer).await
+            }
+            // An answer of another shape is no value: it may have run, and it is served to nobody.
+            Ok((said, None)) => {
+                let mut answer = Vec::new();
+                write::empty(&mut answer);
+                statuses(&mut answer, &said);
+                self.answer(id, answer).await
+            }
+            Err(status) => self.failed(id, &status).await,
+        }
+    }
+
+    /// A request whose answer passes through.
+    async fn stream(
+        self: &Arc<Self>,
+        id: ConnId,
+        client: &mut FlightServiceClient<Channel>,
+        ask: &Asked,
+        info: &Mutex<Option<FlightInfo>>,
+    ) -> Ended {
+        let begun = async {
+            let (said, mut stream) = self.begin(client, ask, info).await?;
+            let first = stream.message().await?;
+            Ok((said, first, stream))
+        };
+        let (said, first, mut stream) = match begun.await {
+            Ok(begun) => begun,
+            Err(status) => return self.failed(id, &status).await,
+        };
+        let Some(first) = first.filter(|data| kind(data) == Some(MessageHeader::Schema)) else {
+            return self.failed(id, &Status::internal("the stream does not begin with its schema")).await;
+        };
+        let told = told(&said);
+        let Some((writer, reader)) = self.streams.open() else {
+            // The member has done nothing wrong, and neither is it asked again: its client is told.
+            self.tell(FromBack::Streams(id, told, Box::new(None::<Reader>))).await;
+            self.tell(FromBack::StreamOver(id, Outcome::Cancelled)).await;
+            return Ended::Closed(Closed::Lost);
+        };
+        writer.put(first);
+        self.tell(FromBack::Streams(id, told, Box::new(Some(reader)))).await;
+        let outcome = pump(writer, &mut stream).await;
+        drop(stream);
+        if outcome != Outcome::Served {
+            let info = lock(info).take();
+            self.call_off_by(client.clone(), info);
+        }
+        self.tell(FromBack::StreamOver(id, outcome)).await;
+        match outcome {
+            Outcome::Served => Ended::Ready,
+            _ => Ended::Closed(Closed::Lost),
+        }
+    }
+
+    /// Hands over an answer in the messages of our first protocol.
+    async fn answer(&self, id: ConnId, mut answer: Vec<u8>) -> Ended {
+        write::ready(&mut answer);
+        for frame in frames(&answer) {
+            self.tell(FromBack::Frame(id, frame)).await;
+        }
+        Ended::Ready
+    }
+
+    /// What a status of the member means: see the table in `docs/design/flight.md`.
+    async fn failed(&self, id: ConnId, status: &Status) -> Ended {
+        if let Some(lost) = lost(status) {
+            return Ended::Closed(lost);
+        }
+        let never = status.metadata().get(NEVER).is_some_and(|word| word == "never");
+        let code = match status.code() {
+            Code::FailedPrecondition if never => "25006",
+            Code::ResourceExhausted | Code::Unavailable if never => "53300",
+            _ => "XX000",
+        };
+        let mut answer = Vec::new();
+        write::error(&mut answer, false, code, status.message(), None);
+        statuses(&mut answer, status.metadata());
+        self.answer(id, answer).await
+    }
+
+    /// Has the member stop what nobody waits for; dropping its stream has told it already, if it listens to that.
+    fn call_off(self: &Arc<Self>, channel: Channel, info: Option<FlightInfo>) {
+        self.call_off_by(FlightServiceClient::new(channel), info);
+    }
+
+    fn call_off_by(self: &Arc<Self>, mut client: FlightServiceClient<Channel>, info: Option<FlightInfo>) {
+        let Some(info) = info else { return };
+        let body = CancelFlightInfoRequest { info: Some(info) }.encode_to_vec();
+        let action = Action { r#type: "CancelFlightInfo".to_owned(), body: body.into() };
+        tokio::spawn(async move { drop(tokio::time::timeout(CANCEL, client.do_action(action)).await) });
+    }
+}
+
+/// Reads on as the flow allows, until the stream has ended one way or another.
+async fn pump(writer: Writer, stream: &mut Streaming<FlightData>) -> Outcome {
+    loop {
+        if let Err(outcome) = writer.ready().await {
+            return outcome;
+        }
+        let next = tokio::select! {
+            next = stream.message() => next,
+            outcome = writer.end() => return outcome,
+        };
+        match next {
+            Ok(Some(data)) if matches!(kind(&data), Some(MessageHeader::Schema) | None) => {
+                writer.broken("its schema changed, or a message could not be read");
+                return Outcome::Spoilt;
+            }
+            Ok(Some(data)) => writer.put(data),
+            Ok(None) => {
+                writer.whole();
+                return Outcome::Served;
+            }
+            Err(status) => {
+                let gone = lost(&status).is_some();
+                writer.broken(status.message());
+                return if gone { Outcome::Broken } else { Outcome::Error };
+            }
+        }
+    }
+}
+
+/// What kind of message it is; nothing else of it is read.
+fn kind(data: &FlightData) -> Option<MessageHeader> {
+    if data.data_header.is_empty() && !data.app_metadata.is_empty() {
+        return Some(MessageHeader::NONE);
+    }
+    arrow_ipc::root_as_message(&data.data_header).ok().map(|message| message.header_type())
+}
+
+/// The ticket of an answer that is all in one place, and that place the member itself.
+fn ticket(info: &FlightInfo) -> Option<Ticket> {
+    let [endpoint] = &info.endpoint[..] else { return None };
+    endpoint.ticket.clone().filter(|_| endpoint.location.is_empty())
+}
+
+/// Whether a status was made here because the connection is no more: a member's own have no source.
+fn lost(status: &Status) -> Option<Closed> {
+    let mut next = std::error::Error::source(status);
+    next?;
+    while let Some(error) = next {
+        if error.is::<ConnectError>() {
+            return Some(Closed::Unsent);
+        }
+        next = error.source();
+    }
+    Some(Closed::Lost)
+}
+
+/// What a member says of itself beside an answer, as parameters of our first protocol.
+fn statuses(answer: &mut Vec<u8>, said: &MetadataMap) {
+    for (header, name) in [
+        ("x-stackgw-role", "node_role"),
+        ("x-stackgw-position", "replay_position"),
+        ("x-stackgw-load", "server_load"),
+    ] {
+        if let Some(value) = said.get(header).and_then(|value| value.to_str().ok()) {
+            write::status(answer, name, value);
+        }
+    }
+}
+
+/// The same as the reducer takes it, read by the one reader that there is.
+fn told(said: &MetadataMap) -> Said {
+    let (mut bytes, mut reply) = (Vec::new(), Reply::default());
+    statuses(&mut bytes, said);
+    for frame in frames(&bytes) {
+        let _ = reply.take(&frame, usize::MAX);
+    }
+    Said { primary: reply.primary, position: reply.position, report: reply.report }
+}
+
+fn frames(bytes: &[u8]) -> Vec<Frame> {
+    let mut frames = Frames::typed(bytes.len());
+    frames.feed(bytes);
+    std::iter::from_fn(|| frames.next_frame()?.ok()).collect()
+}
+
+/// The one value of one row of one column; `None`: the answer has another shape.
+async fn one_value(
+    mut batches: FlightRecordBatchStream,
+    most: usize,
+) -> Result<Option<Option<Vec<u8>>>, Status> {
+    let (mut value, mut rows) = (None, 0);
+    while let Some(batch) = batches.next().await {
+        let batch: RecordBatch = batch.map_err(|e| match e {
+            FlightError::Tonic(status) => *status,
+            other => Status::internal(other.to_string()),
+        })?;
+        rows += batch.num_rows();
+        if rows > 1 || batch.num_columns() != 1 || batch.get_array_memory_size() > most.saturating_mul(2) {
+            return Ok(None);
+        }
+        if batch.num_rows() == 1 {
+            let Some(found) = text_or_bytes(batch.column(0)) else { return Ok(None) };
+            value = Some(found);
+        }
+    }
+    Ok(value.filter(|value| value.as_ref().is_none_or(|bytes| bytes.len() <= most)))
+}
+
+/// A first row's bytes, where they are text or bytes.
+pub(crate) fn text_or_bytes(column: &dyn Array) -> Option<Option<Vec<u8>>> {
+    if column.is_null(0) {
+        return Some(None);
+    }
+    Some(Some(match column.data_type() {
+        DataType::Binary => column.as_binary::<i32>().value(0).to_vec(),
+        DataType::LargeBinary => column.as_binary::<i64>().value(0).to_vec(),
+        DataType::BinaryView => column.as_binary_view().value(0).to_vec(),
+        DataType::Utf8 => column.as_string::<i32>().value(0).as_bytes().to_vec(),
+        DataType::LargeUtf8 => column.as_string::<i64>().value(0).as_bytes().to_vec(),
+        DataType::Utf8View => column.as_string_view().value(0).as_bytes().to_vec(),
+        _ => return None,
+    }))
+}
--- a/crates/stackgw-flight/src/lib.rs
+++ b/crates/stackgw-flight/src/lib.rs
@@ -1,16 +1,20 @@
-//! Arrow Flight SQL as a front of the gateway.
+//! Arrow Flight SQL as a front of the gateway, and the back to members that speak it.
 //!
-//! Nothing is decided here. A statement and its headers become one statement of our first protocol ([`Asked`]), which goes
+//! Nothing is decided here: that is the router's, the reducer's and, for bulk streams, `stackgw_streams`'. A statement and its headers become one statement of our first protocol ([`Asked`]), which goes
 //! through the same reducer and router by a [`stackgw_gateway::Door`]; the one final answer becomes a stream or a status
 //! ([`status`]). Tickets and prepared statements are sealed and hold all that is needed ([`Sealed`]), so that any instance
 //! serves them, also after a restart. `docs/design/flight.md` says why it is built so.
 
 mod asked;
+mod back;
+mod pass;
 mod sealed;
 mod server;
 mod status;
 
 pub use asked::{Asked, Headers, Value, Wrong};
+pub use back::Members;
 pub use sealed::{Sealed, Unusable};
 pub use server::{start, Running, Settings};
+pub use stackgw_streams::Rules;
 pub use status::status;
--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -1,6 +1,8 @@
 //! The server: gRPC on a thread of its own, one request a call through the door.
 
 use crate::asked::{Asked, Headers, Value, Wrong};
+use crate::back::{Back, Members};
+use crate::pass::{Keeps, Reader, Streams};
 use crate::sealed::{Sealed, Unusable};
 use crate::status::status;
 use arrow_array::cast::AsArray;
@@ -21,12 +23,13 @@
 use stackgw_cluster::Ring;
 use stackgw_gateway::pg::value;
 use stackgw_gateway::reducer::Final;
-use stackgw_gateway::Door;
+use stackgw_gateway::{Answered, Behind, Door};
+use stackgw_streams::Rules;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Semaphore};
+use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::metadata::MetadataMap;
 use tonic::transport::Server;
@@ -37,7 +40,10 @@
 const SCHEMA: &str = "public";
 const TABLE: &str = "state";
 
-/// What a front is told.
+/// A member's trailer beside a status: `never` where what was asked has had no effect and will have none.
+pub(crate) const NEVER: &str = "x-stackgw-ran";
+
+/// What a front and its back are told.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Where clients connect.
@@ -52,6 +58,10 @@
     pub requests: usize,
     /// Streams of one connection.
     pub streams: u32,
+    /// What bulk answers may take.
+    pub bulk: Rules,
+    /// How members that speak Flight SQL are reached.
+    pub members: Members,
 }
 
 /// A front that runs; dropped, it ends.
@@ -73,7 +83,7 @@
 }
 
 /// Starts the front. A port in use is one plain line.
-pub fn start(set: Settings, door: Door, log: Logger) -> Result<Running, String> {
+pub fn start(set: Settings, door: Door, behind: Behind, log: Logger) -> Result<Running, String> {
     let listen = set.listen;
     let wrong = |e: std::io::Error| format!("flight.listen: {listen}: {e}");
     let listener = TcpListener::bind(listen).map_err(wrong)?;
@@ -85,6 +95,9 @@
     let serve = async move {
         let incoming = tokio::net::TcpListener::from_std(listener).map(TcpListenerStream::new);
         let Ok(incoming) = incoming else { return };
+        let passing = Streams::new(set.bulk);
+        tokio::spawn(passing.clone().watch());
+        tokio::spawn(Back::new(set.members.clone(), behind, passing, log.clone()).run());
         let front = Front { gate: Arc::new(Semaphore::new(set.requests)), door, sql: sql_info(), set };
         let streams = front.set.streams;
         let served = Server::builder()
@@ -192,6 +205,22 @@
     (!asked.writes()).then_some(()).ok_or_else(wrong)
 }
 
+fn bound(asked: &Asked) -> Result<(), Status> {
+    let open = || Status::invalid_argument("parameters are not bound");
+    (asked.parameters() == 0).then_some(()).ok_or_else(open)
+}
+
+/// The value of a served request; else its status.
+fn served(ended: Final) -> Result<Option<Vec<u8>>, Status> {
+    match ended {
+        Final::Served(row) => match value(&row) {
+            Some(value) => Ok(value.map(<[u8]>::to_vec)),
+            None => Err(Status::aborted("the member's row has no value")),
+        },
+        ended => Err(status(&ended)),
+    }
+}
+
 fn stream(schema: SchemaRef, batch: Result<RecordBatch, FlightError>) -> Response<Stream> {
     let encoded = FlightDataEncoderBuilder::new()
         .with_schema(schema)
@@ -249,25 +278,40 @@
 
     /// Runs a statement; gives its value. Dropped, it is called off.
     async fn run(&self, asked: &Asked, wait_ms: Option<u64>) -> Result<Option<Vec<u8>>, Status> {
-        if asked.parameters() > 0 {
-            return Err(Status::invalid_argument("parameters are not bound"));
-        }
-        let Ok(_permit) = self.gate.try_acquire() else {
-            return Err(status(&Final::Refused("too many requests are open", None)));
-        };
+        bound(asked)?;
+        let _permit = self.permit()?;
+        served(self.door.ask(self.statement(asked, wait_ms)).await)
+    }
+
+    fn permit(&self) -> Result<OwnedSemaphorePermit, Status> {
+        let full = |_| status(&Final::Refused("too many requests are open", None));
+        self.gate.clone().try_acquire_owned().map_err(full)
+    }
+
+    fn statement(&self, asked: &Asked, wait_ms: Option<u64>) -> String {
         let wait = wait_ms.unwrap_or(self.set.wait_ms).min(self.set.wait_ms);
-        let id = format!("f{:032x}", rand::random::<u128>());
-        match self.door.ask(asked.statement(&id, wait)).await {
-            Final::Served(row) => match value(&row) {
-                Some(value) => Ok(value.map(<[u8]>::to_vec)),
-                None => Err(Status::aborted("the member's row has no value")),
-            },
-            ended => Err(status(&ended)),
-        }
+        asked.statement(&format!("f{:032x}", rand::random::<u128>()), wait)
     }
 
+    /// Runs a statement that reads: a member's stream as it comes, or one value as a row of its own.
     async fn rows(&self, asked: &Asked, wait_ms: Option<u64>) -> Result<Response<Stream>, Status> {
-        let value = self.run(asked, wait_ms).await?;
+        bound(asked)?;
+        let permit = self.permit()?;
+        let (answer, waits) = self.door.ask_streaming(self.statement(asked, wait_ms)).await;
+        let value = match answer {
+            Answered::Final(ended) => served(ended)?,
+            Answered::Stream(passed) => {
+                let reader = passed.downcast::<Option<Reader>>().ok().and_then(|reader| *reader);
+                let full = || status(&Final::Refused("too many streams are open", None));
+                let mut reader = reader.ok_or_else(full)?;
+                // A client that named no time reads for as long as it goes on.
+                if let Some(wait) = asked.wait_ms(wait_ms) {
+                    reader.limit(Duration::from_millis(wait));
+                }
+                reader.keep(Keeps { _waits: waits, _permit: permit });
+                return Ok(Response::new(reader.boxed()));
+            }
+        };
         let column = BinaryArray::from(vec![value.as_deref()]);
         Ok(stream(
             schema(),
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -26,6 +26,10 @@
     malformed,
     /// Requests answered with a member's row.
     answered_served,
+    /// Of these, the ones whose answer is a stream.
+    streams_begun,
+    /// Streams that ended before they were whole.
+    streams_broken,
     /// Requests answered with a refusal.
     answered_refused,
     /// Requests answered with a failure.
--- /dev/null
+++ b/crates/stackgw-gateway/src/io/backs.rs
@@ -0,0 +1,110 @@
+//! Members that speak another front's protocol: what is asked of them goes out by one line, what they say comes by another.
+//! The other side of both runs on threads of its own and shares nothing else with this one.
+
+use super::Shell;
+use crate::pg::Frame;
+use crate::reducer::{Asked, Closed, ConnId, Input, Said};
+use async_channel::{Receiver, Sender};
+use stackgw_router::api::Outcome;
+use std::any::Any;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A stream on its way from the side that has it to the side that wants it: both know what it is, the gateway does not.
+pub type Passed = Box<dyn Any + Send>;
+
+/// What the gateway asks of a back.
+#[derive(Debug)]
+pub enum ToBack {
+    /// A connection to a member.
+    Open(ConnId, SocketAddr),
+    /// A request on it, one at a time.
+    Ask(ConnId, Asked),
+    /// The end of a connection and of what is asked on it; a write that has been asked runs to its end all the same.
+    Close(ConnId),
+}
+
+/// What a back tells the gateway.
+pub enum FromBack {
+    /// A connection is up.
+    Up(ConnId),
+    /// A message of an answer, in our first protocol.
+    Frame(ConnId, Frame),
+    /// The answer comes as a stream, and this is it.
+    Streams(ConnId, Said, Passed),
+    /// That stream is over.
+    StreamOver(ConnId, Outcome),
+    /// A connection is over, or never came up.
+    Closed(ConnId, Closed),
+}
+
+/// A back's end of the two lines.
+pub struct Behind {
+    /// What it is asked.
+    pub asked: Receiver<ToBack>,
+    /// Where it tells.
+    pub tells: Sender<FromBack>,
+}
+
+/// Word of members that waits to be taken; past it the back does.
+const WAITING: usize = 256;
+
+/// Both lines: the back's ends, then the gateway's.
+pub(super) fn lines() -> (Behind, Sender<ToBack>, Receiver<FromBack>) {
+    // As many questions as there are connections to members, and these are bounded.
+    let (asks, asked) = async_channel::unbounded();
+    let (tells, told) = async_channel::bounded(WAITING);
+    (Behind { asked, tells }, asks, told)
+}
+
+/// Hands over what members say.
+pub(super) async fn run(shell: Rc<Shell>, told: Receiver<FromBack>) {
+    while let Ok(word) = told.recv().await {
+        let (FromBack::Up(id)
+        | FromBack::Frame(id, _)
+        | FromBack::Streams(id, ..)
+        | FromBack::StreamOver(id, _)
+        | FromBack::Closed(id, _)) = &word;
+        // What it says of a connection that has been closed here is no news.
+        if !shell.backs.borrow().contains(id) {
+            continue;
+        }
+        match word {
+            FromBack::Up(id) => shell.input(Input::MemberUp(id)),
+            FromBack::Frame(id, frame) => shell.input(Input::MemberFrame(id, frame)),
+            FromBack::Streams(id, said, stream) => {
+                shell.streams.borrow_mut().insert(id, stream);
+                shell.input(Input::MemberStreams(id, said));
+                shell.streams.borrow_mut().remove(&id);
+            }
+            FromBack::StreamOver(id, outcome) => shell.input(Input::MemberStreamOver(id, outcome)),
+            FromBack::Closed(id, why) => {
+                shell.backs.borrow_mut().remove(&id);
+                shell.input(Input::MemberClosed(id, why));
+            }
+        }
+    }
+}
+
+impl Shell {
+    /// Tells the back; whether there is one.
+    pub(super) fn ask_back(&self, word: ToBack) -> bool {
+        self.to_back.as_ref().is_some_and(|back| back.try_send(word).is_ok())
+    }
+
+    /// Closes a connection that the back has.
+    pub(super) fn close_back(&self, conn: ConnId) {
+        if self.backs.borrow_mut().remove(&conn) {
+            self.ask_back(ToBack::Close(conn));
+        }
+    }
+
+    /// Whether what is told of this connection is wanted at all.
+    pub(super) fn open_back(&self, conn: ConnId, address: SocketAddr) {
+        if self.ask_back(ToBack::Open(conn, address)) {
+            self.backs.borrow_mut().insert(conn);
+        } else {
+            self.later(Input::MemberClosed(conn, Closed::Lost));
+        }
+    }
+}
--- a/crates/stackgw-gateway/src/io/calls.rs
+++ b/crates/stackgw-gateway/src/io/calls.rs
@@ -1,6 +1,6 @@
 //! Other fronts' requests: from threads of their own, through a door, to the reducer and back.
 
-use super::Shell;
+use super::{Passed, Shell};
 use crate::pg::{write, Frame};
 use crate::reducer::{CallId, Final, Input};
 use async_channel::{Receiver, Sender};
@@ -10,10 +10,18 @@
 
 /// What comes through the door.
 pub(super) enum Knock {
-    Ask(CallId, String, Sender<Final>),
+    Ask(CallId, String, bool, Sender<Answered>),
     Gone(CallId),
 }
 
+/// How another front's request is answered.
+pub enum Answered {
+    /// By its one final answer.
+    Final(Final),
+    /// By a stream, which is its own from here on.
+    Stream(Passed),
+}
+
 /// The way to the reducer for another front. Clones lead to the same one.
 #[derive(Clone)]
 pub struct Door {
@@ -21,13 +29,13 @@
     next: Arc<AtomicU64>,
 }
 
-/// Tells the reducer that nobody waits any more, unless the answer has come.
-struct Waits<'a> {
-    door: &'a Door,
+/// Dropped, it tells the reducer that nobody waits any more, unless the answer has come and was no stream.
+pub struct Waits {
+    door: Door,
     call: Option<CallId>,
 }
 
-impl Drop for Waits<'_> {
+impl Drop for Waits {
     fn drop(&mut self) {
         if let Some(call) = self.call.take() {
             let _ = self.door.knocks.try_send(Knock::Gone(call));
@@ -44,16 +52,31 @@
     /// Asks with a statement in the form of our first protocol; gives its one final answer. Dropped before that, the client
     /// is gone. How many may ask at once is the caller's to bound.
     pub async fn ask(&self, statement: String) -> Final {
-        const OVER: Final = Final::NotYet("the gateway ends");
+        match self.knock(statement, false).await {
+            (Answered::Final(ended), _) => ended,
+            (Answered::Stream(_), _) => Final::Failed("a stream came where one value was asked for"),
+        }
+    }
+
+    /// The same where the answer may be a stream. What comes beside it is kept for as long as the stream is read.
+    pub async fn ask_streaming(&self, statement: String) -> (Answered, Waits) {
+        self.knock(statement, true).await
+    }
+
+    async fn knock(&self, statement: String, streams: bool) -> (Answered, Waits) {
+        const OVER: Answered = Answered::Final(Final::NotYet("the gateway ends"));
         let call = CallId(self.next.fetch_add(1, Ordering::Relaxed));
         let (told, word) = async_channel::bounded(1);
-        if self.knocks.send(Knock::Ask(call, statement, told)).await.is_err() {
-            return OVER;
+        let mut waits = Waits { door: self.clone(), call: None };
+        if self.knocks.send(Knock::Ask(call, statement, streams, told)).await.is_err() {
+            return (OVER, waits);
+        }
+        waits.call = Some(call);
+        let ended = word.recv().await.unwrap_or(OVER);
+        if matches!(ended, Answered::Final(_)) {
+            waits.call = None;
         }
-        let mut waits = Waits { door: self, call: Some(call) };
-        let ended = word.recv().await;
-        waits.call = None;
-        ended.unwrap_or(OVER)
+        (ended, waits)
     }
 }
 
@@ -61,11 +84,11 @@
 pub(super) async fn run(shell: Rc<Shell>, line: Receiver<Knock>) {
     while let Ok(knock) = line.recv().await {
         match knock {
-            Knock::Ask(call, statement, told) => {
+            Knock::Ask(call, statement, streams, told) => {
                 let mut bytes = Vec::new();
                 write::query(&mut bytes, &statement);
                 shell.calls.borrow_mut().insert(call, told);
-                shell.input(Input::Call(call, Frame { kind: b'Q', bytes }));
+                shell.input(Input::Call(call, Frame { kind: b'Q', bytes }, streams));
             }
             Knock::Gone(call) => {
                 shell.calls.borrow_mut().remove(&call);
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -1,6 +1,7 @@
 //! The I/O side: tasks that read and hand inputs to the reducer, and the shell that carries its effects out. Nothing
 //! here decides. One thread, one executor.
 
+mod backs;
 mod calls;
 mod clients;
 mod cluster;
@@ -14,16 +15,17 @@
 
 use crate::config::{Config, Reread};
 use crate::limits::Limits;
-use crate::reducer::{CallId, ClientId, Closed, ConnId, Effect, Final, Input, Reducer};
+use crate::reducer::{CallId, ClientId, Closed, ConnId, Effect, Input, Reducer};
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
-pub use calls::Door;
+pub use backs::{Behind, FromBack, Passed, ToBack};
+pub use calls::{Answered, Door, Waits};
 use futures_lite::future;
 use link::{Budget, Link, Written};
 use slog::{info, Logger};
 use stackgw_router::api::Time;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::task::Waker;
@@ -116,7 +118,12 @@
     store: Option<stackgw_store::Writer>,
     askers: control::Askers,
     /// Other fronts' requests that are open, and who waits for each.
-    calls: RefCell<HashMap<CallId, async_channel::Sender<Final>>>,
+    calls: RefCell<HashMap<CallId, async_channel::Sender<Answered>>>,
+    /// Members that speak another front's protocol: the way to them, the connections to them, and the stream that has just
+    /// begun on one.
+    to_back: Option<async_channel::Sender<ToBack>>,
+    backs: RefCell<HashSet<ConnId>>,
+    streams: RefCell<HashMap<ConnId, Passed>>,
     accepts: Gate,
     stops_listening: Gate,
     alarm: timers::Alarm,
@@ -205,7 +212,16 @@
                     self.later(Input::MemberClosed(conn, why));
                 }
             }
-            Effect::MemberClose(conn) => drop(self.members.borrow_mut().remove(&conn)),
+            Effect::BackOpen(conn, address) => self.open_back(conn, address),
+            Effect::BackAsk(conn, asked) => {
+                // From here on it may have run; what is known not to have left says so itself.
+                self.ask_back(ToBack::Ask(conn, asked));
+                self.later(Input::MemberWritten(conn));
+            }
+            Effect::MemberClose(conn) => {
+                drop(self.members.borrow_mut().remove(&conn));
+                self.close_back(conn);
+            }
             Effect::Watch(at, after) => {
                 let task = self.executor.spawn(discovery::watch(self.clone(), at, after));
                 *self.watch.borrow_mut() = Some(task);
@@ -234,7 +250,14 @@
             Effect::CallEnded(call, ended) => {
                 let told = self.calls.borrow_mut().remove(&call);
                 if let Some(told) = told {
-                    let _ = told.try_send(ended);
+                    let _ = told.try_send(Answered::Final(ended));
+                }
+            }
+            Effect::CallStreams(call, conn) => {
+                let told = self.calls.borrow_mut().remove(&call);
+                let stream = self.streams.borrow_mut().remove(&conn);
+                if let (Some(told), Some(stream)) = (told, stream) {
+                    let _ = told.try_send(Answered::Stream(stream));
                 }
             }
             Effect::Told(asker, answer) => self.askers.tell(asker, answer),
@@ -254,17 +277,17 @@
 }
 
 /// Serves until told to end.
-pub(crate) fn serve(config: Config, fronts: Vec<crate::Front>, log: Logger) -> Result<(), String> {
+pub(crate) fn serve(config: Config, front: Option<crate::Front>, log: Logger) -> Result<(), String> {
     // First of all: a signal that came before would end the program.
     let signals = signals::listen().map_err(|e| format!("signals: {e}"))?;
     let control = config.operator.control.as_deref().map(control::listen).transpose()?;
     let mut shared = cluster::start(&config, &log)?;
-    let line = (!fronts.is_empty()).then(calls::Door::new);
-    let mut running = Vec::new();
-    if let Some((door, _)) = &line {
-        for front in fronts {
-            running.push(front(door.clone(), log.clone())?);
-        }
+    let (mut running, mut line, mut to_back) = (None, None, None);
+    if let Some(front) = front {
+        let (door, knocks) = calls::Door::new();
+        let (behind, asks, told) = backs::lines();
+        running = Some(front(door, behind, log.clone())?);
+        (line, to_back) = (Some((knocks, told)), Some(asks));
     }
     let bind = |what: &str, address: SocketAddr, e: std::io::Error| format!("{what}: {address}: {e}");
     let listener = Async::<TcpListener>::bind(config.listen).map_err(|e| bind("listen", config.listen, e))?;
@@ -310,6 +333,9 @@
         store,
         askers: control::Askers::default(),
         calls: RefCell::default(),
+        to_back,
+        backs: RefCell::default(),
+        streams: RefCell::default(),
         accepts: Gate::default(),
         stops_listening: Gate::default(),
         alarm: timers::Alarm::default(),
@@ -335,8 +361,9 @@
     if let Some(listener) = control {
         executor.spawn(control::run(shell.clone(), listener)).detach();
     }
-    if let Some((_, line)) = line {
-        executor.spawn(calls::run(shell.clone(), line)).detach();
+    if let Some((knocks, told)) = line {
+        executor.spawn(calls::run(shell.clone(), knocks)).detach();
+        executor.spawn(backs::run(shell.clone(), told)).detach();
     }
     executor.spawn(clients::accept(shell.clone(), listener)).detach();
     effects.into_iter().for_each(|effect| shell.carry_out(effect));
--- a/crates/stackgw-gateway/src/pg/write.rs
+++ b/crates/stackgw-gateway/src/pg/write.rs
@@ -6,6 +6,24 @@
     out.extend_from_slice(body);
 }
 
+/// One row of one column `val`, with its description and its completion.
+pub fn row(out: &mut Vec<u8>, value: Option<&[u8]>) {
+    let mut description = vec![0, 1];
+    description.extend(b"val\0");
+    description.extend([0; 18]);
+    message(out, b'T', &description);
+    let mut data = vec![0, 1];
+    data.extend(value.map_or(-1, |value| value.len() as i32).to_be_bytes());
+    data.extend_from_slice(value.unwrap_or_default());
+    message(out, b'D', &data);
+    message(out, b'C', b"SELECT 1\0");
+}
+
+/// ParameterStatus.
+pub fn status(out: &mut Vec<u8>, name: &str, value: &str) {
+    message(out, b'S', format!("{name}\0{value}\0").as_bytes());
+}
+
 /// ReadyForQuery, outside a transaction.
 pub fn ready(out: &mut Vec<u8>) {
     message(out, b'Z', b"I");
@@ -27,7 +45,7 @@
         ("integer_datetimes", "on"),
         ("standard_conforming_strings", "on"),
     ] {
-        message(out, b'S', format!("{name}\0{value}\0").as_bytes());
+        status(out, name, value);
     }
     let mut key = process.to_be_bytes().to_vec();
     key.extend(secret.to_be_bytes());
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -84,6 +84,8 @@
     pub(super) held: Option<Vec<u8>>,
     /// When that is given up.
     pub(super) held_until: Option<TimerKey>,
+    /// Its answer may come as a stream.
+    pub(super) streams: bool,
 }
 
 impl Reducer {
@@ -462,14 +464,26 @@
     }
 
     /// Another front's request.
-    pub(super) fn call(&mut self, now: Time, call: CallId, frame: Frame, out: &mut Vec<Effect>) {
+    pub(super) fn call(
+        &mut self,
+        now: Time,
+        call: CallId,
+        frame: Frame,
+        streams: bool,
+        out: &mut Vec<Effect>,
+    ) {
         if self.listener_closed {
             return out.push(Effect::CallEnded(call, Final::NotYet("the gateway ends")));
         }
         self.counters.taken += 1;
         let asked = Statement::parse(frame).map_err(|why| Final::Malformed(why.0));
         match asked.and_then(|statement| self.ask(now, now, Asker::Call(call), statement, out)) {
-            Ok(request) => drop(self.calls.insert(call, request)),
+            Ok(request) => {
+                if let Some(open) = self.requests.get_mut(&request) {
+                    open.streams = streams && !open.statement.write;
+                }
+                self.calls.insert(call, request);
+            }
             Err(declined) => {
                 self.counters.malformed += u64::from(matches!(declined, Final::Malformed(_)));
                 out.push(Effect::CallEnded(call, declined));
@@ -536,6 +550,7 @@
             asks: None,
             held: None,
             held_until: None,
+            streams: false,
         };
         self.requests.insert(request, open);
         if need == Need::Session && self.shared.is_some() {
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -8,6 +8,8 @@
     pub(super) name: String,
     pub(super) group: u32,
     pub(super) address: SocketAddr,
+    /// It speaks another front's protocol.
+    pub(super) back: bool,
     /// Since when the list has had it draining or gone, in a way that binds.
     pub(super) told: Option<Time>,
 }
@@ -83,7 +85,8 @@
                 self.next_member += 1;
                 let (name, group) = (entry.id.clone(), entry.cell);
                 self.member_ids.insert(name.clone(), id);
-                self.members.insert(id, Listed { name, group, address: entry.address, told: None });
+                let back = self.backs.speaks(entry);
+                self.members.insert(id, Listed { name, group, address: entry.address, back, told: None });
                 self.digests.add(id, &entry.id);
                 self.counters.members_known += 1;
                 id
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -34,6 +34,11 @@
     Writing,
     /// They are written.
     Waiting,
+    /// The answer has begun and belongs to its client; it took so long until then.
+    Streaming {
+        began: Span,
+        call: CallId,
+    },
 }
 
 /// A connection to a member.
@@ -41,6 +46,8 @@
 pub(super) struct Conn {
     pub(super) member: MemberId,
     pub(super) phase: Phase,
+    /// It speaks another front's protocol.
+    pub(super) back: bool,
     pub(super) job: Option<Job>,
     /// It had stood idle before this job.
     pub(super) reused: bool,
@@ -75,7 +82,7 @@
 
     /// Gives a job to an idle connection, the one used last, or to a new one.
     pub(super) fn employ(&mut self, now: Time, member: MemberId, job: Job, out: &mut Vec<Effect>) {
-        let Some(address) = self.members.get(&member).map(|m| m.address) else {
+        let Some((address, back)) = self.members.get(&member).map(|m| (m.address, m.back)) else {
             return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
         };
         if let Some(id) = self.pool.take(member) {
@@ -102,10 +109,11 @@
         let timer = Some(self.set_timer(now + self.limits.connect, Due::Conn(id)));
         let phase = Phase::Connecting;
         let reply = Reply::default();
-        let conn = Conn { member, phase, job: None, reused: false, reply, partial: false, until: 0, timer };
+        let conn =
+            Conn { member, phase, back, job: None, reused: false, reply, partial: false, until: 0, timer };
         self.conns.insert(id, conn);
         self.bind(id, job);
-        out.push(Effect::MemberOpen(id, address));
+        out.push(if back { Effect::BackOpen(id, address) } else { Effect::MemberOpen(id, address) });
     }
 
     /// Closes the idle connections to a member.
@@ -127,9 +135,13 @@
         }
     }
 
-    pub(super) fn member_up(&mut self, id: ConnId, out: &mut Vec<Effect>) {
-        let Some(conn) = self.conns.get_mut(&id) else { return };
+    pub(super) fn member_up(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|c| c.phase == Phase::Connecting) else { return };
         conn.phase = Phase::Starting;
+        if conn.back {
+            self.counters.members_up += 1;
+            return self.write_job(now, id, out);
+        }
         let mut bytes = Vec::new();
         write::startup(&mut bytes, "stackgw", "core");
         out.push(Effect::MemberWrite(id, bytes));
@@ -145,14 +157,20 @@
             out.push(Effect::MemberClose(id));
             return self.end_job(now, id, Outcome::Unsent, out);
         }
+        let back = conn.back;
+        let (mut asked, mut streams) = (Asked::default(), false);
         let (bytes, until) = match conn.job {
             Some(Job::Attempt { request, give_up, .. }) => {
                 let Some(open) = self.requests.get(&request) else { return };
-                (open.statement.with_wait(((give_up - now) / MS).max(1) as u64), give_up)
+                let wait_ms = ((give_up - now) / MS).max(1) as u64;
+                streams = open.streams;
+                asked = Asked { wait_ms, writes: open.statement.write, ..asked };
+                (open.statement.with_wait(wait_ms), give_up)
             }
             Some(Job::Probe { sent }) => {
                 let mut bytes = Vec::new();
                 write::query(&mut bytes, "SHOW server_load");
+                asked.wait_ms = (self.limits.probe / MS).max(1) as u64;
                 (bytes, sent + self.limits.probe)
             }
             None => return,
@@ -160,7 +178,10 @@
         (conn.phase, conn.reply, conn.partial) = (Phase::Writing, Reply::default(), false);
         conn.until = until;
         self.set_conn_timer(id, until);
-        out.push(Effect::MemberWrite(id, bytes));
+        out.push(match back {
+            true => Effect::BackAsk(id, Asked { streams, ..asked.with(&bytes) }),
+            false => Effect::MemberWrite(id, bytes),
+        });
     }
 
     /// Sets a connection's one timer.
@@ -185,6 +206,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let greeting = |kind| matches!(kind, b'R' | b'S' | b'K' | b'N' | b'v' | b'E' | b'Z');
         match (conn.phase, conn.reply.take(frame, most)) {
+            (Phase::Streaming { .. }, _) => {}
             // Danger: a second copy or noise behind an answer would be taken for the next request's answer. Nothing
             // is in place between requests, but a member that closes an idle connection may say why.
             (Phase::Idle, _) => {
@@ -270,6 +292,8 @@
                 return self.reopen(now, id, job.map(Job::once_more), out);
             }
             Phase::Connecting => Outcome::NoConnection,
+            Phase::Streaming { .. } => return self.member_stream_over(now, id, Outcome::Broken, out),
+            Phase::Waiting if why == Closed::Unsent && ended.is_none() => Outcome::NoConnection,
             Phase::Starting | Phase::Writing if ended == Some(Outcome::Shed) => Outcome::Shed,
             Phase::Starting | Phase::Writing => Outcome::NoConnection,
             Phase::Waiting if why == Closed::Bad => Outcome::Spoilt,
@@ -297,7 +321,7 @@
             Phase::Connecting | Phase::Starting | Phase::Writing => Outcome::NoConnection,
             Phase::Waiting if conn.partial && now < conn.until => Outcome::Spoilt,
             Phase::Waiting => Outcome::TimedOut,
-            Phase::Idle => return,
+            Phase::Idle | Phase::Streaming { .. } => return,
         };
         out.push(Effect::MemberClose(id));
         self.end_job(now, id, outcome, out);
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 mod members;
 mod reload;
 mod sessions;
+mod streams;
 
 use crate::config::Config;
 use crate::counters::Counters;
@@ -22,10 +23,11 @@
 
 use clients::{Client, Open};
 use list::Listed;
-use members::{Conn, Job};
+use members::{Conn, Job, Phase};
 use reload::Fixed;
 pub use sessions::Life;
 use sessions::Shared;
+pub use streams::{Asked, Said};
 
 /// A client's connection, numbered by the I/O side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -83,6 +85,8 @@
 pub enum Closed {
     /// The other side closed or broke it, or it never came up.
     Lost,
+    /// The same, and what was asked on it is known never to have left.
+    Unsent,
     /// Its bytes are no protocol.
     Bad,
     /// Something was on it that nobody had asked for.
@@ -126,8 +130,12 @@
     Datagram(SocketAddr, Vec<u8>),
     /// A datagram from another instance of the operator's cluster.
     Cluster(Vec<u8>),
-    /// A request by another front, whose statement is in the form of our first protocol.
-    Call(CallId, Frame),
+    /// A member's answer comes as a stream and has begun; what it says of the member came before it.
+    MemberStreams(ConnId, Said),
+    /// A member's stream is over; its connection is idle again where it is [`Outcome::Served`].
+    MemberStreamOver(ConnId, Outcome),
+    /// A request by another front, whose statement is in the form of our first protocol; whether its answer may be a stream.
+    Call(CallId, Frame, bool),
     /// Nobody waits for that request any more.
     CallGone(CallId),
     /// Word of the disk.
@@ -175,6 +183,10 @@
     ClientRetire(ClientId),
     /// Open a connection to a member.
     MemberOpen(ConnId, SocketAddr),
+    /// Open a connection to a member that speaks another front's protocol.
+    BackOpen(ConnId, SocketAddr),
+    /// Ask on such a connection. It counts as written at once.
+    BackAsk(ConnId, Asked),
     /// Write to a member.
     MemberWrite(ConnId, Vec<u8>),
     /// Close a connection to a member.
@@ -191,6 +203,8 @@
     Cluster(SocketAddr, Vec<u8>),
     /// The end of another front's request.
     CallEnded(CallId, Final),
+    /// Another front's request is answered by the stream on this connection; [`Input::CallGone`] ends it.
+    CallStreams(CallId, ConnId),
     /// Keep a record on the disk.
     Store(stackgw_sessions::Record),
     /// The answer to a question at the local socket.
@@ -293,6 +307,8 @@
     conns: HashMap<ConnId, Conn>,
     next_conn: u64,
     pool: Pool,
+    /// Which members speak another front's protocol.
+    backs: streams::Backs,
     moments: Moments,
     timers: BTreeMap<TimerKey, Due>,
     next_timer: u64,
@@ -324,6 +340,7 @@
         Reducer {
             fixed,
             discovery: config.discovery,
+            backs: streams::Backs::new(&config.operator),
             fetching: false,
             limits: config.limits,
             names: config.settings.names,
@@ -406,11 +423,13 @@
             Input::ClientFlushed(id) => self.client_flushed(now, id, out),
             Input::ClientClosed(id, Closed::Bad) => self.client_bad(now, id, out),
             Input::ClientClosed(id, _) => self.client_gone(id),
-            Input::MemberUp(id) => self.member_up(id, out),
+            Input::MemberUp(id) => self.member_up(now, id, out),
             Input::MemberWritten(id) => self.member_written(id),
             Input::MemberFrame(id, frame) => self.member_frame(now, id, &frame, out),
             Input::MemberPartial(id) => self.member_partial(now, id, out),
             Input::MemberClosed(id, why) => self.member_closed(now, id, why, out),
+            Input::MemberStreams(id, said) => self.member_streams(now, id, said, out),
+            Input::MemberStreamOver(id, outcome) => self.member_stream_over(now, id, outcome, out),
             Input::List(list) => self.list(now, list, out),
             Input::WatchAlive => self.watch_heard = now,
             Input::WatchLost(why) => self.watch_lost(now, why, out),
@@ -420,12 +439,8 @@
             }
             Input::Datagram(from, bytes) => self.datagram(now, from, &bytes),
             Input::Cluster(bytes) => self.cluster_datagram(now, &bytes, out),
-            Input::Call(call, frame) => self.call(now, call, frame, out),
-            Input::CallGone(call) => {
-                if let Some(request) = self.calls.remove(&call) {
-                    self.abandon(request);
-                }
-            }
+            Input::Call(call, frame, streams) => self.call(now, call, frame, streams, out),
+            Input::CallGone(call) => self.call_gone(now, call, out),
             Input::Disk(done) => self.disk(now, done, out),
             Input::Question(asker, question) => {
                 let told = self.tell(now, question);
--- /dev/null
+++ b/crates/stackgw-gateway/src/reducer/streams.rs
@@ -0,0 +1,155 @@
+//! Members that speak another front's protocol, and answers that come as streams: from the first message on such an answer
+//! belongs to its client, is never begun again elsewhere, and counts as load at its member until it is over.
+
+use super::*;
+use crate::config::Operator;
+
+/// What is asked of a member that speaks another front's protocol.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Asked {
+    /// The statement with its comment, as our first protocol has it.
+    pub statement: String,
+    /// How long this gateway will wait, in milliseconds.
+    pub wait_ms: u64,
+    /// It writes: once asked it runs to its end, whoever leaves.
+    pub writes: bool,
+    /// Its answer may come as a stream; else it is one value.
+    pub streams: bool,
+}
+
+impl Asked {
+    /// The same with the statement of a query message.
+    pub(super) fn with(self, query: &[u8]) -> Self {
+        let text = query.get(5..).and_then(|body| body.strip_suffix(b"\0")).unwrap_or_default();
+        Asked { statement: String::from_utf8_lossy(text).into_owned(), ..self }
+    }
+}
+
+/// What a stream's beginning says of its member.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Said {
+    /// It is the primary, or it is not.
+    pub primary: Option<bool>,
+    /// Its position.
+    pub position: Option<Time>,
+    /// The load report that rode along.
+    pub report: Report,
+}
+
+/// Which members speak another front's protocol, by the operator's file.
+#[derive(Debug, Default)]
+pub(super) struct Backs {
+    groups: BTreeSet<u32>,
+    members: BTreeSet<String>,
+}
+
+impl Backs {
+    pub(super) fn new(operator: &Operator) -> Self {
+        let Some((flight, _)) = &operator.flight else { return Backs::default() };
+        Backs {
+            groups: flight.groups.iter().copied().collect(),
+            members: flight.members.iter().cloned().collect(),
+        }
+    }
+
+    pub(super) fn speaks(&self, entry: &ListEntry) -> bool {
+        self.groups.contains(&entry.cell) || self.members.contains(&entry.id)
+    }
+}
+
+impl Reducer {
+    /// An answer has begun. It is its client's from here on: what else is out for it is called off, the router is told that
+    /// nothing is owed any more, and nothing of it is asked for again.
+    pub(super) fn member_streams(&mut self, now: Time, id: ConnId, said: Said, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|c| c.phase == Phase::Waiting) else { return };
+        let (member, job) = (conn.member, conn.job);
+        let Some(Job::Attempt { request, sent, .. }) = job else {
+            // A probe is answered by one value.
+            out.push(Effect::MemberClose(id));
+            return self.end_job(now, id, Outcome::Spoilt, out);
+        };
+        let open = self.requests.get_mut(&request).filter(|open| !open.ended && open.streams);
+        let asker = open.and_then(|open| open.asker.filter(|asker| matches!(asker, Asker::Call(_))));
+        let Some(Asker::Call(call)) = asker else {
+            out.push(Effect::MemberClose(id));
+            return self.end_job(now, id, Outcome::Cancelled, out);
+        };
+        let timer = conn.timer.take();
+        conn.phase = Phase::Streaming { began: now - sent, call };
+        if let Some(timer) = timer {
+            self.timers.remove(&timer);
+        }
+        self.say(now, id, said);
+        let mut others = Vec::new();
+        if let Some(open) = self.requests.get_mut(&request) {
+            (open.ended, open.asker) = (true, None);
+            others.extend(open.out.iter().map(|(_, conn)| *conn).filter(|conn| *conn != id));
+        }
+        self.counters.answered_served += 1;
+        self.counters.streams_begun += 1;
+        out.push(Effect::CallStreams(call, id));
+        self.events.push_back(Event::Started { request, member });
+        for other in others {
+            out.push(Effect::MemberClose(other));
+            self.end_job(now, other, Outcome::Cancelled, out);
+        }
+    }
+
+    /// Keeps what a stream's beginning said until its end, when the router is told; what cannot be is dropped.
+    fn say(&mut self, now: Time, id: ConnId, said: Said) {
+        let Said { mut primary, mut position, mut report } = said;
+        if !self.can_be(now, position) {
+            (primary, position) = (None, None);
+        }
+        if !self.can_be(now, report.position) {
+            report = Report::default();
+        }
+        if let Some(conn) = self.conns.get_mut(&id) {
+            (conn.reply.primary, conn.reply.position, conn.reply.report) = (primary, position, report);
+        }
+    }
+
+    /// A stream is over. The router learns from the time until it began, not from how long its reader took.
+    pub(super) fn member_stream_over(
+        &mut self,
+        now: Time,
+        id: ConnId,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let Phase::Streaming { began: took, call } = conn.phase else { return };
+        let (member, Reply { primary, position, report, .. }) =
+            (conn.member, std::mem::take(&mut conn.reply));
+        let whole = outcome == Outcome::Served;
+        let job = self.unbind(id);
+        if let Some(conn) = self.conns.get_mut(&id).filter(|_| whole) {
+            conn.phase = Phase::Idle;
+            self.pool.put(member, id, now);
+        } else {
+            self.counters.streams_broken += 1;
+            out.push(Effect::MemberClose(id));
+            self.forget(id);
+        }
+        self.count(outcome);
+        let Some(Job::Attempt { request, number: attempt, .. }) = job else { return };
+        let finished = true;
+        let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
+        self.events.push_back(Event::Answer(answer));
+        self.calls.remove(&call);
+        self.forget_request(request);
+    }
+
+    /// Nobody waits for another front's request any more. A read's stream ends at its member; a write runs to its end there.
+    pub(super) fn call_gone(&mut self, now: Time, call: CallId, out: &mut Vec<Effect>) {
+        let Some(request) = self.calls.remove(&call) else { return };
+        let streaming = |id: &ConnId| {
+            self.conns.get(id).is_some_and(|conn| matches!(conn.phase, Phase::Streaming { .. }))
+        };
+        let open = self.requests.get(&request);
+        match open.and_then(|open| open.out.iter().map(|(_, id)| *id).find(streaming)) {
+            Some(conn) => self.member_stream_over(now, conn, Outcome::Cancelled, out),
+            None => self.abandon(request),
+        }
+    }
+}
--- a/crates/stackgw-gateway/tests/calls.rs
+++ b/crates/stackgw-gateway/tests/calls.rs
@@ -16,7 +16,7 @@
 
 /// A call that is out on a connection.
 fn out(rig: &mut Rig, call: u64, frame: stackgw_gateway::pg::Frame) -> ConnId {
-    let mut effects = rig.input(Input::Call(CallId(call), frame));
+    let mut effects = rig.input(Input::Call(CallId(call), frame, false));
     effects.extend(rig.pass(400 * MS));
     statements(&effects).first().map(|(conn, _)| *conn).expect("an attempt")
 }
@@ -46,12 +46,12 @@
 fn what_cannot_be_served_is_refused_with_a_time_to_come_back() {
     let mut rig = Rig::new(&list_text(1, true, &[entry(1, "ready", "leader")]));
     rig.connects = false;
-    let mut effects = rig.input(Input::Call(CallId(7), read(900)));
+    let mut effects = rig.input(Input::Call(CallId(7), read(900), false));
     effects.extend(rig.pass(SECOND));
     let told = ended(&effects);
     assert!(matches!(told[..], [(CallId(7), Final::Refused(_, Some(wait)))] if wait > 0), "{told:?}");
     let mut empty = Rig::new("null");
-    let told = ended(&empty.input(Input::Call(CallId(8), read(900))));
+    let told = ended(&empty.input(Input::Call(CallId(8), read(900), false)));
     assert!(matches!(told[..], [(CallId(8), Final::NotYet(_))]), "{told:?}");
 }
 
@@ -59,7 +59,7 @@
 fn what_is_malformed_is_told_so() {
     let mut rig = Rig::new(&three());
     for text in ["SELECT 1", "SELECT val FROM state WHERE uid = 'k' /* id=z,c=nothing,d=5,cluster=2 */"] {
-        let told = ended(&rig.input(Input::Call(CallId(7), query(text))));
+        let told = ended(&rig.input(Input::Call(CallId(7), query(text), false)));
         assert!(matches!(told[..], [(CallId(7), Final::Malformed(_))]), "{told:?}");
     }
     assert_eq!(rig.reducer.counters().malformed, 2);
