--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -99,6 +99,7 @@
             relays: true,
             flight: false,
             speaks: Speaks::First,
+            auth: None,
         })?;
         if self.kill_every_ms == 0 && !self.off {
             // A calm run is to show what it is like once all are sure of each other.
--- a/crates/stackgw-cli/src/cmd/measure.rs
+++ b/crates/stackgw-cli/src/cmd/measure.rs
@@ -17,6 +17,9 @@
 enum What {
     /// Sessions across instances: off, always cautious, on without disks, on with disks.
     Sessions(SessionsCost),
+    /// Flight SQL: bulk streams against a direct connection, cancels, slow readers, small statements.
+    #[cfg(feature = "flight")]
+    Flight(super::measure_flight::FlightCost),
 }
 
 #[derive(Args)]
@@ -61,7 +64,11 @@
 impl Measure {
     /// Runs it and prints the figures.
     pub fn run(self) -> Result<(), String> {
-        let What::Sessions(cost) = self.what;
+        let cost = match self.what {
+            What::Sessions(cost) => cost,
+            #[cfg(feature = "flight")]
+            What::Flight(cost) => return cost.run(),
+        };
         let mut lines = Vec::new();
         for instances in &cost.instances {
             for round in 0..cost.rounds {
@@ -121,6 +128,7 @@
             relays: false,
             flight: false,
             speaks: Speaks::First,
+            auth: None,
         })?;
         std::thread::sleep(Duration::from_millis(4_000));
         let seed = round * 1_000 + u64::from(instances) * 10 + 1;
@@ -166,7 +174,7 @@
 }
 
 /// The processor time of a process so far, in microseconds; its clock ticks a hundred times a second.
-fn cpu_us(pid: u32) -> Option<f64> {
+pub(super) fn cpu_us(pid: u32) -> Option<f64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     let (_, rest) = text.rsplit_once(')')?;
     let fields: Vec<_> = rest.split_whitespace().collect();
@@ -175,8 +183,18 @@
 }
 
 fn memory_mb(pid: u32) -> Option<f64> {
+    status_mb(pid, "VmRSS:")
+}
+
+/// The most resident memory that a process has had, in MiB.
+#[cfg(feature = "flight")]
+pub(super) fn peak_mb(pid: u32) -> Option<f64> {
+    status_mb(pid, "VmHWM:")
+}
+
+fn status_mb(pid: u32, name: &str) -> Option<f64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
     line.trim().strip_suffix(" kB")?.trim().parse::<f64>().ok().map(|kb| kb / 1_024.0)
 }
 
--- a/crates/stackgw-cli/src/cmd/mod.rs
+++ b/crates/stackgw-cli/src/cmd/mod.rs
@@ -3,5 +3,9 @@
 pub mod check;
 pub mod demo;
 pub mod measure;
+#[cfg(feature = "flight")]
+pub mod measure_flight;
+#[cfg(feature = "flight")]
+pub mod query;
 pub mod run;
 pub mod sessions;
--- a/crates/stackgw-cli/src/main.rs
+++ b/crates/stackgw-cli/src/main.rs
@@ -30,6 +30,9 @@
     Sessions(cmd::sessions::Ask),
     /// Stand-ins, gateways and clients on loopback; gateways are killed, and the audit says what sessions saw.
     Demo(cmd::demo::Demo),
+    /// Ask a gateway, or a member, by Arrow Flight SQL.
+    #[cfg(feature = "flight")]
+    Query(Box<cmd::query::Query>),
     /// Measure what a subsystem costs, on against off in one run.
     Measure(cmd::measure::Measure),
     /// Print completions for a shell.
@@ -47,6 +50,8 @@
         Some(Command::Schema) => cmd::check::schema(),
         Some(Command::Sessions(ask)) => ask.run(),
         Some(Command::Demo(demo)) => demo.run(),
+        #[cfg(feature = "flight")]
+        Some(Command::Query(query)) => query.run(),
         Some(Command::Measure(measure)) => measure.run(),
         Some(Command::Completions { shell }) => {
             let mut command = <Arguments as clap::CommandFactory>::command();
--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -43,6 +43,7 @@
             relays: false,
             flight: true,
             speaks,
+            auth: None,
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
--- a/crates/stackgw-cli/tests/flight.rs
+++ b/crates/stackgw-cli/tests/flight.rs
@@ -9,7 +9,7 @@
 use arrow_flight::{FlightInfo, Ticket};
 use arrow_schema::{DataType, Field, Schema};
 use futures::TryStreamExt;
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, USER};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::Ordering;
@@ -28,6 +28,10 @@
 
 impl World {
     fn new(name: &str) -> Self {
+        World::with(name, None)
+    }
+
+    fn with(name: &str, auth: Option<&'static str>) -> Self {
         let folder = std::env::temp_dir().join(format!("stackgw-flight-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let (store, agent) = Store::start(&[20]).expect("members");
@@ -44,6 +48,7 @@
             relays: false,
             flight: true,
             speaks: Speaks::First,
+            auth,
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
@@ -266,3 +271,83 @@
     });
     assert_eq!(world.store.audit().writes.len(), 1);
 }
+
+#[test]
+fn who_asks_shows_it_or_is_told_nothing() {
+    for way in ["basic", "bearer"] {
+        let world = World::with(way, Some(way));
+        run(async {
+            let mut stranger = client(world.at(0), "look").await;
+            let error = stranger.execute(SELECT.to_owned(), None).await.expect_err("nobody");
+            assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
+            stranger.set_token("not a token".to_owned());
+            let error = stranger.get_catalogs().await.expect_err("nobody");
+            assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
+            let mut known = client(world.at(0), "buy").await;
+            if way == "basic" {
+                let error = known.handshake(USER.0, "another secret").await.expect_err("a wrong one");
+                assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
+                known.handshake(USER.0, USER.1).await.expect("welcome");
+            } else {
+                known.set_token(USER.1.to_owned());
+            }
+            written(&mut known, INSERT).await;
+            // What one gateway gave is good at the other, and after a restart.
+            world.gateways.restart(0).expect("it starts");
+            let token = known.token().cloned().expect("a token");
+            for n in 0..2 {
+                let mut other = client(world.at(n), "look").await;
+                other.set_token(token.clone());
+                let info = other.execute(SELECT.to_owned(), None).await.expect("a ticket");
+                patiently(&mut other, info).await;
+            }
+        });
+    }
+}
+
+/// What `stackgw query` prints, and what it complains of.
+fn query(args: &[&str]) -> (String, String) {
+    let program = env!("CARGO_BIN_EXE_stackgw");
+    let done = std::process::Command::new(program).arg("query").args(args).output().expect("it runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (text(&done.stdout), text(&done.stderr))
+}
+
+#[test]
+fn the_query_command_writes_answers_in_each_form_and_errors_in_a_line() {
+    let world = World::new("query");
+    run(async { written(&mut client(world.at(0), "buy").await, INSERT).await });
+    let at = world.at(0).to_string();
+    let (group, file) = (["--class", "mine", "--group", "2"], world.folder.join("answer.parquet"));
+    let ask = |more: &[&str]| {
+        let since = Instant::now();
+        loop {
+            let (out, err) = query(&[&[at.as_str()], &group[..], more].concat());
+            if !err.contains("temporarily") && !err.contains("unavailable") || since.elapsed().as_secs() > 5 {
+                return (out, err);
+            }
+        }
+    };
+    let key = ["--key", "k1"];
+    let (table, _) = ask(&key);
+    assert!(table.contains("| val") && table.contains("| 36383639"), "{table}");
+    let (csv, _) = ask(&[&key[..], &["--format", "csv"]].concat());
+    assert_eq!(csv, "val\n6869\n");
+    let (json, _) = ask(&[&key[..], &["--format", "json"]].concat());
+    assert_eq!(json.trim(), r#"{"val":"36383639"}"#);
+    let path = file.display().to_string();
+    let (_, problem) = ask(&[&key[..], &["--format", "parquet", "--output", &path]].concat());
+    let bytes = std::fs::read(&file).expect("a file");
+    assert!(problem.is_empty() && bytes.starts_with(b"PAR1") && bytes.ends_with(b"PAR1"), "{problem}");
+    let (row, _) = query(&[&at, "--class", "buy", "--group", "2", INSERT]);
+    assert_eq!(row, "1 row written\n");
+    for (args, problem) in [
+        (&[at.as_str(), "--key", "k1"][..], "x-stackgw-class is missing"),
+        (&[at.as_str(), "--class", "look", "--group", "2", "--key", "k'1"], "--key: holds a quote"),
+        (&["127.0.0.1:1", "--key", "k1"], "127.0.0.1:1: "),
+        (&[at.as_str(), "--key", "k1", "--user", "/nowhere/at/all"], "/nowhere/at/all: No such file"),
+    ] {
+        let (out, err) = query(args);
+        assert!(out.is_empty() && err.contains(problem) && err.lines().count() == 1, "{err}");
+    }
+}
--- a/crates/stackgw-cli/tests/sessions.rs
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -36,6 +36,7 @@
             relays: true,
             flight: false,
             speaks: Speaks::First,
+            auth: None,
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
--- a/crates/stackgw-standin/src/agent.rs
+++ b/crates/stackgw-standin/src/agent.rs
@@ -35,6 +35,10 @@
         Ok((agent, at))
     }
 
+    pub(crate) fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
     pub(crate) fn announce(&self, n: usize, phase: &'static str) {
         let mut phases = lock(&self.phases);
         let version = phases.0 + 1;
--- a/crates/stackgw-standin/src/gateways.rs
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -48,8 +48,13 @@
     pub flight: bool,
     /// What the members speak.
     pub speaks: Speaks,
+    /// Flight SQL clients show who they are, `basic` or `bearer`: the one user is [`USER`].
+    pub auth: Option<&'static str>,
 }
 
+/// Name and secret of the user whom gateways know where clients show who they are.
+pub const USER: (&str, &str) = ("depot", "a secret of this trial");
+
 struct Gateway {
     child: Option<Child>,
     address: Arc<Mutex<Option<SocketAddr>>>,
@@ -102,6 +107,14 @@
             let flight =
                 format!("flight:\n  listen: 127.0.0.1:0\n  keys: [{}]\n  ticket: 5s\n", key.display());
             let file = if setup.flight { file + &flight } else { file };
+            let users = setup.folder.join("flight.users");
+            let file = match setup.auth {
+                Some(way) => {
+                    std::fs::write(&users, format!("# one\n{}:{}\n", USER.0, USER.1)).map_err(wrong)?;
+                    format!("{file}  auth: {{{way}: {}}}\n", users.display())
+                }
+                None => file,
+            };
             let back = setup.speaks != Speaks::First;
             let file = if back {
                 // Short, so that tests see their ends.
--- a/crates/stackgw-standin/src/lib.rs
+++ b/crates/stackgw-standin/src/lib.rs
@@ -14,7 +14,7 @@
 mod trial;
 
 pub use client::{Answer, Client};
-pub use gateways::{Gateways, Mode, Setup};
+pub use gateways::{Gateways, Mode, Setup, USER};
 pub use net::Net;
 pub use store::{Audit, Member, Speaks, Store, GROUP};
 pub use trial::{Tally, Trial, Troubles, Verdict};
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -178,6 +178,11 @@
         lock(&self.data).log.get(key)?.last().map(|(_, value)| value.clone())
     }
 
+    /// Where the members listen.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        self.agent.addresses()
+    }
+
     /// The list tells that a member is in this phase: `ready`, `draining` or `gone`.
     pub fn announce(&self, n: usize, phase: &'static str) {
         self.agent.announce(n, phase);
