--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict, GROUP};
 use std::time::Duration;
 
 /// Stand-ins, gateways and clients on loopback; gateways are killed.
@@ -44,6 +44,13 @@
     /// Sessions are not shared: shows what is missed without.
     #[arg(long)]
     off: bool,
+    /// The members speak Arrow Flight SQL, and the gateways offer it beside the first protocol.
+    #[cfg(feature = "flight")]
+    #[arg(long, conflicts_with = "off")]
+    flight: bool,
+    /// Afterwards say where the gateways listen and go on until standard input ends.
+    #[arg(long)]
+    hold: bool,
     /// For the choices by chance.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -82,7 +89,11 @@
     }
 
     fn play(&self, folder: &std::path::Path) -> Result<Verdict, String> {
-        let (store, agent) = Store::start(&self.lag_ms).map_err(|e| e.to_string())?;
+        #[cfg(feature = "flight")]
+        let (flight, speaks) = (self.flight, if self.flight { Speaks::Flight } else { Speaks::First });
+        #[cfg(not(feature = "flight"))]
+        let (flight, speaks) = (false, Speaks::First);
+        let (store, agent) = Store::start_speaking(&self.lag_ms, speaks).map_err(|e| e.to_string())?;
         let gateways = usize::from(self.gateways);
         let keepers = usize::from(self.keepers.unwrap_or(self.gateways)).clamp(1, gateways);
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
@@ -97,8 +108,8 @@
             lease_ms: self.lease_ms,
             horizon_ms: self.horizon_ms,
             relays: true,
-            flight: false,
-            speaks: Speaks::First,
+            flight,
+            speaks,
             auth: None,
         })?;
         if self.kill_every_ms == 0 && !self.off {
@@ -132,10 +143,24 @@
             bar.set_message(format!("{} misses", tally.misses));
         });
         bar.finish_and_clear();
+        if self.hold {
+            hold(&gateways);
+        }
         Ok(verdict)
     }
 }
 
+/// Says where the gateways listen, and waits until standard input ends.
+fn hold(gateways: &Gateways) {
+    for n in 0..gateways.len() {
+        let at = |at: Option<std::net::SocketAddr>| at.map_or("not there".to_owned(), |at| at.to_string());
+        let flight = gateways.flight(n).map(|at| format!(", flight sql at {at}")).unwrap_or_default();
+        println!("g{n}: listens at {}{flight}", at(gateways.address(n)));
+    }
+    println!("classes look, mine and buy; group {GROUP}; the end of standard input ends it");
+    let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+}
+
 fn print(verdict: &Verdict) {
     let tally = &verdict.tally;
     let [primary, replicas] = verdict.reads_at;
--- /dev/null
+++ b/crates/stackgw-cli/tests/floods.rs
@@ -0,0 +1,198 @@
+//! Bytes that no driver sends, at the front of Flight SQL: broken and oversized messages, floods of frames, header bombs. What
+//! they do to their own connection is theirs; all others are served, and memory stays within the limits.
+#![cfg(feature = "flight")]
+
+mod driver;
+
+use driver::{served, Ask, World};
+use stackgw_standin::Speaks;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const DATA: u8 = 0;
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const SETTINGS: u8 = 4;
+const PING: u8 = 6;
+const GOAWAY: u8 = 7;
+const CONTINUATION: u8 = 9;
+const END_STREAM: u8 = 1;
+const END_HEADERS: u8 = 4;
+
+/// An HTTP/2 connection by hand.
+struct Raw(TcpStream);
+
+/// A header as HPACK has it, without any table.
+fn header(name: &str, value: &str) -> Vec<u8> {
+    let text = |out: &mut Vec<u8>, text: &str| {
+        assert!(text.len() < 127);
+        out.push(text.len() as u8);
+        out.extend(text.as_bytes());
+    };
+    let mut out = vec![0];
+    text(&mut out, name);
+    text(&mut out, value);
+    out
+}
+
+/// The headers of a call.
+fn call(method: &str) -> Vec<u8> {
+    let path = format!("/arrow.flight.protocol.FlightService/{method}");
+    [
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", &path),
+        (":authority", "gateway"),
+        ("content-type", "application/grpc"),
+        ("te", "trailers"),
+    ]
+    .iter()
+    .flat_map(|(name, value)| header(name, value))
+    .collect()
+}
+
+impl Raw {
+    fn new(at: SocketAddr) -> Self {
+        let socket = TcpStream::connect(at).expect("a connection");
+        socket.set_write_timeout(Some(Duration::from_secs(5))).expect("a limit");
+        let mut raw = Raw(socket);
+        raw.0.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").expect("the preface");
+        raw.send(SETTINGS, 0, 0, &[]).expect("settings");
+        raw
+    }
+
+    fn frame(kind: u8, flags: u8, stream: u32, body: &[u8]) -> Vec<u8> {
+        let mut frame = (body.len() as u32).to_be_bytes()[1..].to_vec();
+        frame.extend([kind, flags]);
+        frame.extend(stream.to_be_bytes());
+        frame.extend(body);
+        frame
+    }
+
+    fn send(&mut self, kind: u8, flags: u8, stream: u32, body: &[u8]) -> std::io::Result<()> {
+        self.0.write_all(&Self::frame(kind, flags, stream, body))
+    }
+
+    /// What the other side says until it closes, falls silent, or says a frame of this kind; the kinds, in order.
+    fn hears(&mut self, until: u8) -> Vec<u8> {
+        self.0.set_read_timeout(Some(Duration::from_secs(2))).expect("a limit");
+        let (mut kinds, mut held, mut buffer) = (Vec::new(), Vec::new(), [0; 16 << 10]);
+        loop {
+            while held.len() >= 9 {
+                let length = u32::from_be_bytes([0, held[0], held[1], held[2]]) as usize;
+                if held.len() < 9 + length {
+                    break;
+                }
+                kinds.push(held[3]);
+                held.drain(..9 + length);
+            }
+            if kinds.contains(&until) {
+                return kinds;
+            }
+            match self.0.read(&mut buffer) {
+                Ok(0) => return kinds,
+                Ok(n) => held.extend(&buffer[..n]),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return kinds,
+            }
+        }
+    }
+}
+
+/// Does something to a gateway; afterwards, and while that connection is still there, others are served and memory holds.
+fn bears(name: &str, does: impl FnOnce(SocketAddr) -> Option<Raw>) {
+    let world = World::new(name, &[20], Speaks::First);
+    let mut driver = world.driver(0, Speaks::Flight);
+    assert_eq!(driver.patiently(&Ask::write("k", 1)), served(1));
+    let _open = does(world.flight(0));
+    let since = Instant::now();
+    assert_eq!(driver.patiently(&Ask::write("k", 2)), served(2));
+    assert_eq!(driver.patiently(&Ask::read("mine", "k")), served(2));
+    assert_eq!(world.driver(0, Speaks::First).patiently(&Ask::read("mine", "k")), served(2));
+    assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
+    let status = std::fs::read_to_string(format!("/proc/{}/status", world.gateways.pid(0).expect("it runs")));
+    let status = status.expect("it runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+    let mb = peak.trim().trim_end_matches(" kB").trim().parse::<u64>().expect("a number") >> 10;
+    assert!(mb < 96, "{name}: {mb} MB");
+}
+
+#[test]
+fn a_message_that_ends_too_soon_is_an_error_of_its_call() {
+    bears("truncated", |at| {
+        let mut raw = Raw::new(at);
+        raw.send(HEADERS, END_HEADERS, 1, &call("GetFlightInfo")).expect("taken");
+        raw.send(DATA, END_STREAM, 1, &[0, 0, 0, 0, 100, 1, 2, 3]).expect("taken");
+        let kinds = raw.hears(HEADERS);
+        assert!(kinds.contains(&HEADERS) && !kinds.contains(&GOAWAY), "{kinds:?}");
+        Some(raw)
+    });
+}
+
+#[test]
+fn a_message_that_claims_a_gigabyte_is_refused_at_its_head() {
+    bears("oversized", |at| {
+        let mut raw = Raw::new(at);
+        raw.send(HEADERS, END_HEADERS, 1, &call("GetFlightInfo")).expect("taken");
+        raw.send(DATA, 0, 1, &[&[0, 0x40, 0, 0, 0][..], &[7; 8_000]].concat()).expect("taken");
+        let kinds = raw.hears(HEADERS);
+        assert!(kinds.contains(&HEADERS), "{kinds:?}");
+        Some(raw)
+    });
+}
+
+#[test]
+fn headers_without_end_end_their_connection_or_their_call() {
+    bears("bomb", |at| {
+        let mut raw = Raw::new(at);
+        raw.send(HEADERS, 0, 1, &call("GetFlightInfo")).expect("taken");
+        let more: Vec<u8> = (0..60).flat_map(|n| header(&format!("x-{n}"), &"y".repeat(100))).collect();
+        // A hundred megabytes, if it were let.
+        let ended = (0..16_000).any(|_| raw.send(CONTINUATION, 0, 1, &more).is_err());
+        assert!(ended, "it took them all");
+        None
+    });
+}
+
+#[test]
+fn streams_that_are_reset_as_fast_as_they_are_opened_run_nothing() {
+    bears("resets", |at| {
+        let mut raw = Raw::new(at);
+        let headers = call("DoGet");
+        for n in 0..20_000_u32 {
+            let stream = 2 * n + 1;
+            let opened = raw.send(HEADERS, END_HEADERS, stream, &headers);
+            let reset = raw.send(RST_STREAM, 0, stream, &8_u32.to_be_bytes());
+            if opened.is_err() || reset.is_err() {
+                return None;
+            }
+        }
+        Some(raw)
+    });
+}
+
+#[test]
+fn floods_of_settings_and_pings_hold_up_nobody() {
+    for (name, kind, body) in [("settings", SETTINGS, &[][..]), ("pings", PING, &[1; 8][..])] {
+        bears(name, |at| {
+            let mut raw = Raw::new(at);
+            // Nobody reads the answers.
+            raw.0.set_write_timeout(Some(Duration::from_millis(500))).expect("a limit");
+            let many = Raw::frame(kind, 0, 0, body).repeat(1_000);
+            let _ = (0..1_000).all(|_| raw.0.write_all(&many).is_ok());
+            Some(raw)
+        });
+    }
+}
+
+#[test]
+fn noise_and_silence_hold_a_connection_and_no_more() {
+    bears("noise", |at| {
+        let mut noise = TcpStream::connect(at).expect("a connection");
+        noise.write_all(&b"GET / HTTP/1.0\r\n\r\n".repeat(1_000)).expect("taken");
+        let silent: Vec<_> = (0..50).map(|_| TcpStream::connect(at).expect("a connection")).collect();
+        drop(silent);
+        Some(Raw::new(at))
+    });
+}
