--- a/crates/stackgw-cli/src/cmd/measure.rs
+++ b/crates/stackgw-cli/src/cmd/measure.rs
@@ -64,33 +64,36 @@
 impl Measure {
     /// Runs it and prints the figures.
     pub fn run(self) -> Result<(), String> {
-        let cost = match self.what {
-            What::Sessions(cost) => cost,
+        match self.what {
+            What::Sessions(cost) => cost.run(),
             #[cfg(feature = "flight")]
-            What::Flight(cost) => return cost.run(),
-        };
+            What::Flight(cost) => cost.run(),
+        }
+    }
+}
+
+impl SessionsCost {
+    fn run(self) -> Result<(), String> {
         let mut lines = Vec::new();
-        for instances in &cost.instances {
-            for round in 0..cost.rounds {
+        for instances in &self.instances {
+            for round in 0..self.rounds {
                 for (case, mode, disks, horizon_ms) in CASES {
-                    let line = cost.case(*instances, round, case, (mode, disks, horizon_ms))?;
-                    if cost.json {
+                    let line = self.case(*instances, round, case, (mode, disks, horizon_ms))?;
+                    if self.json {
                         println!("{}", serde_json::to_string(&line).map_err(|e| e.to_string())?);
                     }
                     lines.push(line);
                 }
             }
         }
-        if !cost.json {
-            for instances in &cost.instances {
+        if !self.json {
+            for instances in &self.instances {
                 table(*instances, &lines);
             }
         }
         Ok(())
     }
-}
 
-impl SessionsCost {
     fn case(
         &self,
         instances: u16,
--- a/crates/stackgw-cli/src/cmd/run.rs
+++ b/crates/stackgw-cli/src/cmd/run.rs
@@ -54,6 +54,7 @@
         wait_ms: file.wait.as_millis(),
         requests: file.requests,
         streams: file.streams,
+        threads: file.threads,
         bulk: stackgw_flight::Rules {
             streams: bulk.streams,
             each: bulk.each_kib << 10,
--- a/crates/stackgw-config/src/lib.rs
+++ b/crates/stackgw-config/src/lib.rs
@@ -65,6 +65,10 @@
     #[serde(default = "default_streams")]
     #[garde(range(min = 1, max = 10_000))]
     pub streams: u32,
+    /// Threads that serve clients and members that speak it.
+    #[serde(default = "default_threads")]
+    #[garde(range(min = 1, max = 64))]
+    pub threads: usize,
     /// Groups whose members speak Flight SQL at the addresses that discovery gives.
     #[serde(default)]
     #[garde(length(max = 4_096))]
@@ -146,6 +150,10 @@
     1_000
 }
 
+fn default_threads() -> usize {
+    2
+}
+
 fn default_streams() -> u32 {
     100
 }
--- a/crates/stackgw-flight/src/back.rs
+++ b/crates/stackgw-flight/src/back.rs
@@ -50,7 +50,7 @@
 
 /// Bytes of one stream that HTTP/2 holds beside what the flow allows; of one connection, as many for each request.
 /// Danger: a connection with less would stand still once some of its streams are not read.
-const WINDOW: u32 = 128 << 10;
+const WINDOW: u32 = 512 << 10;
 /// A member is told of a cancel; its answer is of no use.
 const CANCEL: Duration = Duration::from_millis(500);
 
--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -64,6 +64,8 @@
     pub requests: usize,
     /// Streams of one connection.
     pub streams: u32,
+    /// Threads that serve it.
+    pub threads: usize,
     /// What bulk answers may take.
     pub bulk: Rules,
     /// How members that speak Flight SQL are reached.
@@ -101,12 +103,23 @@
     let listener = TcpListener::bind(listen).map_err(wrong)?;
     listener.set_nonblocking(true).map_err(wrong)?;
     let at = listener.local_addr().map_err(wrong)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(wrong)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(set.threads)
+        .thread_name("flight")
+        .enable_all()
+        .build()
+        .map_err(wrong)?;
     let (stop, stopped) = oneshot::channel::<()>();
     info!(log, "flight sql at {at}");
     let serve = async move {
         let incoming = tokio::net::TcpListener::from_std(listener).map(TcpListenerStream::new);
         let Ok(incoming) = incoming else { return };
+        // Danger: an answer's last small frame would else wait for the client's word on the one before it, 40 ms.
+        let incoming = incoming.map(|socket| {
+            let socket = socket?;
+            socket.set_nodelay(true)?;
+            Ok::<_, std::io::Error>(socket)
+        });
         let passing = Streams::new(set.bulk);
         tokio::spawn(passing.clone().watch());
         tokio::spawn(Back::new(set.members.clone(), behind, passing, log.clone()).run());
@@ -129,7 +142,7 @@
     };
     // What is still open when the gateway ends has had its answer by then; nobody waits for idle connections.
     let thread = std::thread::Builder::new().name("flight".to_owned()).spawn(move || {
-        runtime.block_on(serve);
+        let _ = runtime.block_on(runtime.spawn(serve));
         runtime.shutdown_timeout(Duration::from_millis(100));
     });
     Ok(Running { at, stop: Some(stop), thread: Some(thread.map_err(wrong)?) })
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -26,10 +26,6 @@
     malformed,
     /// Requests answered with a member's row.
     answered_served,
-    /// Of these, the ones whose answer is a stream.
-    streams_begun,
-    /// Streams that ended before they were whole.
-    streams_broken,
     /// Requests answered with a refusal.
     answered_refused,
     /// Requests answered with a failure.
@@ -38,6 +34,10 @@
     answered_gone,
     /// Requests turned away unseen: too many were open or connected, or no list was known yet.
     turned_away,
+    /// Served requests whose answer is a stream.
+    streams_begun,
+    /// Streams that ended before they were whole.
+    streams_broken,
     /// Attempts asked for by the router.
     attempts,
     /// Attempts whose last byte was written to a member.
