--- a/crates/stackgw-standin/src/trial.rs
+++ b/crates/stackgw-standin/src/trial.rs
@@ -259,13 +259,17 @@
                 std::thread::sleep(Duration::from_millis(5));
             }
         };
+        // The first one is a kill: a short trial may be over before chance gives one.
+        let mut first = true;
         while !done() {
             wait(troubles.kill_every);
             if done() {
                 return;
             }
             let n = rng.random_range(0..gateways.len());
+            let kills = std::mem::replace(&mut first, false);
             match rng.random_range(0..10) {
+                _ if kills => {}
                 0 if troubles.all => {
                     (0..gateways.len()).for_each(|n| gateways.kill(n));
                     shared.kills.fetch_add(gateways.len() as u64, Ordering::Relaxed);
