One driver and one world under all tests of Flight SQL

flight.rs had its own world, client and reading of codes beside the conformance suite's; peaks of memory were read twice.

--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -20,12 +20,17 @@
 pub struct World {
     pub store: Arc<Store>,
     pub gateways: Gateways,
-    folder: PathBuf,
+    pub folder: PathBuf,
 }
 
 impl World {
     /// Replicas that are so far behind, all members speaking this.
     pub fn new(name: &str, lags_ms: &[u64], speaks: Speaks) -> Self {
+        Self::with(name, lags_ms, speaks, None)
+    }
+
+    /// The same where clients of Flight SQL show who they are.
+    pub fn with(name: &str, lags_ms: &[u64], speaks: Speaks, auth: Option<&'static str>) -> Self {
         let folder =
             std::env::temp_dir().join(format!("stackgw-conf-{}-{name}-{speaks:?}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -43,7 +48,7 @@
             relays: false,
             flight: true,
             speaks,
-            auth: None,
+            auth,
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
@@ -67,6 +72,14 @@
         self.store.members.iter().map(running).sum()
     }
 
+    /// The most memory that a gateway has had, in MB.
+    pub fn peak_mb(&self, n: usize) -> u64 {
+        let pid = self.gateways.pid(n).expect("it runs");
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+        line.trim().trim_end_matches(" kB").trim().parse::<u64>().expect("a number") >> 10
+    }
+
     /// Waits until no member works on anything; gives how long that took.
     pub fn rests(&self, most: Duration) -> Duration {
         let since = Instant::now();
--- a/crates/stackgw-cli/tests/flight.rs
+++ b/crates/stackgw-cli/tests/flight.rs
@@ -2,67 +2,23 @@
 //! first protocol, under the same audit.
 #![cfg(feature = "flight")]
 
+mod driver;
+
 use arrow_array::cast::AsArray;
 use arrow_array::{ArrayRef, BinaryArray, RecordBatch, StringArray};
-use arrow_flight::error::FlightError;
-use arrow_flight::sql::client::FlightSqlServiceClient;
 use arrow_flight::{FlightInfo, Ticket};
 use arrow_schema::{DataType, Field, Schema};
+use driver::{code, fetch, sql, Sql, World};
 use futures::TryStreamExt;
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, USER};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use stackgw_standin::{Speaks, USER};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tonic::transport::{Channel, Endpoint};
 use tonic::Code;
 
-type Client = FlightSqlServiceClient<Channel>;
-
-struct World {
-    store: Arc<Store>,
-    gateways: Gateways,
-    folder: PathBuf,
-}
-
-impl World {
-    fn new(name: &str) -> Self {
-        World::with(name, None)
-    }
-
-    fn with(name: &str, auth: Option<&'static str>) -> Self {
-        let folder = std::env::temp_dir().join(format!("stackgw-flight-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let (store, agent) = Store::start(&[20]).expect("members");
-        let gateways = Gateways::start(Setup {
-            program: env!("CARGO_BIN_EXE_stackgw").into(),
-            folder: folder.clone(),
-            agent,
-            gateways: 2,
-            keepers: 2,
-            mode: Mode::Shared,
-            disks: false,
-            lease_ms: 300,
-            horizon_ms: 2_000,
-            relays: false,
-            flight: true,
-            speaks: Speaks::First,
-            auth,
-        });
-        World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
-    }
-
-    fn at(&self, n: usize) -> SocketAddr {
-        self.gateways.flight(n).expect("it speaks Flight SQL")
-    }
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        (0..2).for_each(|n| self.gateways.kill(n));
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
+/// Members of our first protocol, one replica.
+fn world(name: &str, auth: Option<&'static str>) -> World {
+    World::with(name, &[20], Speaks::First, auth)
 }
 
 fn run<T>(work: impl std::future::Future<Output = T>) -> T {
@@ -70,37 +26,19 @@
     runtime.block_on(async { tokio::time::timeout(Duration::from_secs(30), work).await.expect("in time") })
 }
 
-async fn client(at: SocketAddr, class: &str) -> Client {
-    let channel = Endpoint::from_shared(format!("http://{at}")).expect("an address").connect().await;
-    let mut client = FlightSqlServiceClient::new(channel.expect("a connection"));
-    client.set_header("x-stackgw-class", class);
-    client.set_header("x-stackgw-group", "2");
-    client
-}
-
-async fn fetch(client: &mut Client, info: FlightInfo) -> Result<Vec<Option<Vec<u8>>>, FlightError> {
-    let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
-    let stream = client.do_get(ticket).await.map_err(|e| FlightError::ExternalError(Box::new(e)))?;
-    let batches: Vec<RecordBatch> = stream.try_collect().await?;
-    let value = |batch: &RecordBatch| {
-        batch.column(0).as_binary::<i32>().iter().map(|v| v.map(<[u8]>::to_vec)).collect::<Vec<_>>()
-    };
-    Ok(batches.iter().flat_map(value).collect())
-}
-
 /// Comes again while it is refused: a gateway that has just started may not know its members yet.
-async fn patiently(client: &mut Client, info: FlightInfo) -> Vec<Option<Vec<u8>>> {
+async fn patiently(client: &mut Sql, info: FlightInfo) -> Vec<Vec<u8>> {
     loop {
         match fetch(client, info.clone()).await {
             Ok(values) => return values,
-            Err(e) => assert_eq!(code(&e), Some(Code::Unavailable), "{e:?}"),
+            Err(e) => assert_eq!(code(&*e), Some(Code::Unavailable), "{e:?}"),
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
 
 /// As [`patiently`], for a write.
-async fn written(client: &mut Client, text: &str) {
+async fn written(client: &mut Sql, text: &str) {
     loop {
         match client.execute_update(text.to_owned(), None).await {
             Ok(rows) => return assert_eq!(rows, 1),
@@ -110,38 +48,20 @@
     }
 }
 
-/// The gRPC code of whatever went wrong.
-fn code(error: &(dyn std::error::Error + 'static)) -> Option<Code> {
-    let mut next = Some(error);
-    while let Some(error) = next {
-        if let Some(status) = error.downcast_ref::<tonic::Status>() {
-            return Some(status.code());
-        }
-        if let Some(FlightError::Tonic(status)) = error.downcast_ref::<FlightError>() {
-            return Some(status.code());
-        }
-        next = error.source();
-    }
-    let text = error.to_string();
-    let codes =
-        [Code::InvalidArgument, Code::Unauthenticated, Code::Unimplemented, Code::Unavailable, Code::Aborted];
-    codes.into_iter().find(|code| text.contains(&format!("{code:?}")) || text.contains(code.description()))
-}
-
 const INSERT: &str = "INSERT INTO state (uid, val) VALUES ('k1', '\\x6869') RETURNING val";
 const SELECT: &str = "SELECT val FROM state WHERE uid = 'k1'";
 
 #[test]
 fn a_write_is_read_back_through_either_gateway_and_runs_once() {
-    let world = World::new("write");
+    let world = world("write", None);
     run(async {
         for round in 0..5 {
-            let mut writer = client(world.at(round % 2), "buy").await;
+            let mut writer = sql(world.flight(round % 2), "buy").await;
             written(&mut writer, INSERT).await;
             for n in 0..2 {
-                let mut reader = client(world.at(n), "mine").await;
+                let mut reader = sql(world.flight(n), "mine").await;
                 let info = reader.execute(SELECT.to_owned(), None).await.expect("a ticket");
-                assert_eq!(patiently(&mut reader, info).await, [Some(b"6869".to_vec())]);
+                assert_eq!(patiently(&mut reader, info).await, [b"6869".to_vec()]);
             }
         }
     });
@@ -151,9 +71,9 @@
 
 #[test]
 fn prepared_statements_take_their_parameters() {
-    let world = World::new("prepared");
+    let world = world("prepared", None);
     run(async {
-        let mut writer = client(world.at(0), "buy").await;
+        let mut writer = sql(world.flight(0), "buy").await;
         let text = "INSERT INTO state (uid, val) VALUES (?, ?) RETURNING val";
         let mut insert = writer.prepare(text.to_owned(), None).await.expect("prepared");
         let names: Vec<_> =
@@ -168,43 +88,43 @@
         insert.set_parameters(row).expect("they fit");
         written(&mut writer, INSERT).await; // So that the primary is known.
         assert_eq!(insert.execute_update().await.expect("served"), 1);
-        let mut reader = client(world.at(0), "mine").await;
+        let mut reader = sql(world.flight(0), "mine").await;
         let mut select =
             reader.prepare("SELECT val FROM state WHERE uid = ?".to_owned(), None).await.expect("prepared");
         let fields = vec![Field::new("uid", DataType::Utf8, false)];
         let row = RecordBatch::try_new(Arc::new(Schema::new(fields)), vec![key]).expect("a row");
         select.set_parameters(row).expect("they fit");
         let info = select.execute().await.expect("a ticket");
-        assert_eq!(patiently(&mut reader, info).await, [Some(b"01ff".to_vec())]);
+        assert_eq!(patiently(&mut reader, info).await, [b"01ff".to_vec()]);
         select.close().await.expect("closed");
     });
 }
 
 #[test]
 fn a_ticket_is_good_at_another_instance_and_after_a_restart_but_not_for_ever_and_not_if_forged() {
-    let world = World::new("ticket");
+    let world = world("ticket", None);
     run(async {
-        let mut first = client(world.at(0), "look").await;
+        let mut first = sql(world.flight(0), "look").await;
         let info = first.execute(SELECT.to_owned(), None).await.expect("a ticket");
         world.gateways.restart(0).expect("it starts");
         for n in 0..2 {
-            let mut other = client(world.at(n), "look").await;
+            let mut other = sql(world.flight(n), "look").await;
             assert_eq!(fetch(&mut other, info.clone()).await.expect("served").len(), 1);
         }
-        let mut other = client(world.at(1), "look").await;
+        let mut other = sql(world.flight(1), "look").await;
         let mut forged = info.clone();
         let bytes = forged.endpoint[0].ticket.as_ref().expect("a ticket").ticket.to_vec();
         let middle = bytes.len() / 2;
         let mut changed = bytes.clone();
         changed[middle] ^= 1;
         forged.endpoint[0].ticket = Some(Ticket::new(changed));
-        assert_eq!(code(&fetch(&mut other, forged).await.expect_err("forged")), Some(Code::Unauthenticated));
+        assert_eq!(code(&*fetch(&mut other, forged).await.expect_err("forged")), Some(Code::Unauthenticated));
         let since = Instant::now();
         loop {
             match fetch(&mut other, info.clone()).await {
-                Err(e) if code(&e) == Some(Code::Unavailable) => {}
+                Err(e) if code(&*e) == Some(Code::Unavailable) => {}
                 Ok(_) => assert!(since.elapsed() < Duration::from_secs(20), "it never expires"),
-                Err(e) => break assert_eq!(code(&e), Some(Code::Unauthenticated), "{e:?}"),
+                Err(e) => break assert_eq!(code(&*e), Some(Code::Unauthenticated), "{e:?}"),
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
@@ -213,9 +133,9 @@
 
 #[test]
 fn what_is_missing_or_contradicts_is_named() {
-    let world = World::new("wrong");
+    let world = world("wrong", None);
     run(async {
-        let mut client = client(world.at(0), "look").await;
+        let mut client = sql(world.flight(0), "look").await;
         for (statement, names) in [
             ("SELECT val FROM state WHERE uid = 'k' /* c=mine */", "class"),
             ("SELECT val FROM state WHERE uid = 'k' /* cluster=3 */", "group"),
@@ -235,9 +155,9 @@
 
 #[test]
 fn catalogs_and_sql_info_are_told() {
-    let world = World::new("catalogs");
+    let world = world("catalogs", None);
     run(async {
-        let mut client = client(world.at(0), "look").await;
+        let mut client = sql(world.flight(0), "look").await;
         let info = client.get_catalogs().await.expect("catalogs");
         let ticket = info.endpoint[0].ticket.clone().expect("a ticket");
         let batches: Vec<_> =
@@ -258,10 +178,10 @@
 
 #[test]
 fn a_silent_primary_fails_a_write_in_time_and_it_is_not_sent_again() {
-    let world = World::new("silent");
+    let world = world("silent", None);
     run(async {
         // First a write, so that the primary is known.
-        let mut writer = client(world.at(0), "buy").await;
+        let mut writer = sql(world.flight(0), "buy").await;
         written(&mut writer, INSERT).await;
         world.store.members[0].silent.store(true, Ordering::Relaxed);
         let since = Instant::now();
@@ -275,15 +195,15 @@
 #[test]
 fn who_asks_shows_it_or_is_told_nothing() {
     for way in ["basic", "bearer"] {
-        let world = World::with(way, Some(way));
+        let world = world(way, Some(way));
         run(async {
-            let mut stranger = client(world.at(0), "look").await;
+            let mut stranger = sql(world.flight(0), "look").await;
             let error = stranger.execute(SELECT.to_owned(), None).await.expect_err("nobody");
             assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
             stranger.set_token("not a token".to_owned());
             let error = stranger.get_catalogs().await.expect_err("nobody");
             assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
-            let mut known = client(world.at(0), "buy").await;
+            let mut known = sql(world.flight(0), "buy").await;
             if way == "basic" {
                 let error = known.handshake(USER.0, "another secret").await.expect_err("a wrong one");
                 assert_eq!(code(&error), Some(Code::Unauthenticated), "{error:?}");
@@ -296,7 +216,7 @@
             world.gateways.restart(0).expect("it starts");
             let token = known.token().cloned().expect("a token");
             for n in 0..2 {
-                let mut other = client(world.at(n), "look").await;
+                let mut other = sql(world.flight(n), "look").await;
                 other.set_token(token.clone());
                 let info = other.execute(SELECT.to_owned(), None).await.expect("a ticket");
                 patiently(&mut other, info).await;
@@ -315,9 +235,9 @@
 
 #[test]
 fn the_query_command_writes_answers_in_each_form_and_errors_in_a_line() {
-    let world = World::new("query");
-    run(async { written(&mut client(world.at(0), "buy").await, INSERT).await });
-    let at = world.at(0).to_string();
+    let world = world("query", None);
+    run(async { written(&mut sql(world.flight(0), "buy").await, INSERT).await });
+    let at = world.flight(0).to_string();
     let (group, file) = (["--class", "mine", "--group", "2"], world.folder.join("answer.parquet"));
     let ask = |more: &[&str]| {
         let since = Instant::now();
--- a/crates/stackgw-cli/tests/floods.rs
+++ b/crates/stackgw-cli/tests/floods.rs
@@ -111,10 +111,7 @@
     assert_eq!(driver.patiently(&Ask::read("mine", "k")), served(2));
     assert_eq!(world.driver(0, Speaks::First).patiently(&Ask::read("mine", "k")), served(2));
     assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
-    let status = std::fs::read_to_string(format!("/proc/{}/status", world.gateways.pid(0).expect("it runs")));
-    let status = status.expect("it runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
-    let mb = peak.trim().trim_end_matches(" kB").trim().parse::<u64>().expect("a number") >> 10;
+    let mb = world.peak_mb(0);
     assert!(mb < 96, "{name}: {mb} MB");
 }
 
--- a/crates/stackgw-cli/tests/streams.rs
+++ b/crates/stackgw-cli/tests/streams.rs
@@ -250,17 +250,10 @@
         }
     });
     world.rests(Duration::from_secs(1));
-    let memory = peak_mb(world.gateways.pid(0).expect("it runs"));
+    let memory = world.peak_mb(0);
     assert!(memory < 192, "{memory} MB");
 }
 
-/// The most memory that a process has had, in MB.
-fn peak_mb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
-    line.trim().trim_end_matches(" kB").trim().parse::<u64>().expect("a number") >> 10
-}
-
 #[test]
 fn a_clients_time_ends_its_stream() {
     let (world, runtime) = world("late", &[20]);
