Flight SQL: cold members in the suite, broken channels and what a reload leaves are said

Need: the suite lacked cold members, a member that speaks something else left no line, and SIGHUP was silent on a changed flight part. A case has a member start anew before both protocols on both sides: it gets less than half of a warm one's reads; without the word of its start the case fails. Connections by Flight SQL that broke or never came up are a line at the first, second, fourth one, with address and cause.

--- a/crates/stackgw-cli/tests/conformance.rs
+++ b/crates/stackgw-cli/tests/conformance.rs
@@ -160,6 +160,29 @@
     });
 }
 
+#[test]
+fn a_member_that_has_just_started_gets_less_than_the_others() {
+    everywhere("cold", &[20, 20], |world, at| {
+        let asked = |n: usize| world.store.members[n].asked.load(Ordering::Relaxed);
+        world.store.announce_start(2);
+        std::thread::sleep(Duration::from_millis(100));
+        let before = [asked(1), asked(2)];
+        let readers: Vec<_> = (0..8)
+            .map(|n| {
+                let mut driver = at(n % 2);
+                std::thread::spawn(move || {
+                    for _ in 0..60 {
+                        assert_eq!(driver.patiently(&Ask::read("look", "warm0")), served(1));
+                    }
+                })
+            })
+            .collect();
+        readers.into_iter().for_each(|reader| reader.join().expect("all are served"));
+        let [warm, cold] = [asked(1) - before[0], asked(2) - before[1]];
+        assert!(warm > 100 && cold * 2 < warm, "warm {warm}, cold {cold}");
+    });
+}
+
 #[test]
 fn a_member_that_dies_costs_reads_nothing_and_writes_run_once_at_most() {
     everywhere("dies", &[20, 20], |world, at| {
--- a/crates/stackgw-flight/src/back.rs
+++ b/crates/stackgw-flight/src/back.rs
@@ -63,6 +63,8 @@
     log: Logger,
     /// Writes that ran to their end with nobody left to be told.
     alone: AtomicU64,
+    /// Connections that broke or never came up.
+    lost: AtomicU64,
 }
 
 /// One connection as the gateway sees it.
@@ -76,8 +78,8 @@
 enum Ended {
     /// The connection takes another one.
     Ready,
-    /// It takes none.
-    Closed(Closed),
+    /// It takes none, and why not; nothing where that was asked for.
+    Closed(Closed, String),
 }
 
 impl Back {
@@ -91,6 +93,7 @@
             links: Mutex::default(),
             log,
             alone: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
         })
     }
 
@@ -138,9 +141,10 @@
                 while let Some(ask) = asked.recv().await {
                     match self.ask(id, channel.clone(), ask, &mut gone).await {
                         Some(Ended::Ready) => {}
-                        Some(Ended::Closed(why)) => {
+                        Some(Ended::Closed(why, said)) => {
                             // What broke under one request is given no others.
                             lock(&self.channels).broke(on);
+                            self.broke(at, &said);
                             self.tell(FromBack::Closed(id, why)).await;
                             break;
                         }
@@ -160,6 +164,17 @@
         }
     }
 
+    /// A line for connections that broke or never came up, at the first, second, fourth, eighth one and so on.
+    fn broke(&self, at: SocketAddr, why: &str) {
+        if why.is_empty() {
+            return;
+        }
+        let count = self.lost.fetch_add(1, Ordering::Relaxed) + 1;
+        if count.is_power_of_two() {
+            info!(self.log, "connections to members by flight sql that broke or never came up: {count}; the last one to {at}: {why}");
+        }
+    }
+
     async fn connect(&self, on: ChannelId, at: SocketAddr) -> Result<Channel, Option<Closed>> {
         let link = lock(&self.links).entry(on).or_default().clone();
         let wait = Duration::from_millis(self.set.connect_ms);
@@ -176,9 +191,11 @@
         // A host that takes the connection and then says nothing is none that is up.
         let up = tokio::time::timeout(wait, link.get_or_try_init(|| opens)).await;
         match up {
-            Ok(Ok(channel)) => Ok(channel.clone()),
-            _ => Err(Some(Closed::Lost)),
+            Ok(Ok(channel)) => return Ok(channel.clone()),
+            Ok(Err(why)) => self.broke(at, &root(&why)),
+            Err(_) => self.broke(at, "not up in time"),
         }
+        Err(Some(Closed::Lost))
     }
 
     /// One request; `None`: the connection is closed from the gateway's side.
@@ -314,7 +331,7 @@
             // The member has done nothing wrong, and neither is it asked again: its client is told.
             self.tell(FromBack::Streams(id, told, Box::new(None::<Reader>))).await;
             self.tell(FromBack::StreamOver(id, Outcome::Cancelled)).await;
-            return Ended::Closed(Closed::Lost);
+            return Ended::Closed(Closed::Lost, String::new());
         };
         writer.put(first);
         self.tell(FromBack::Streams(id, told, Box::new(Some(reader)))).await;
@@ -327,7 +344,9 @@
         self.tell(FromBack::StreamOver(id, outcome)).await;
         match outcome {
             Outcome::Served => Ended::Ready,
-            _ => Ended::Closed(Closed::Lost),
+            // What was ended from here is nothing to complain of.
+            Outcome::Cancelled => Ended::Closed(Closed::Lost, String::new()),
+            _ => Ended::Closed(Closed::Lost, format!("a stream ended as {outcome:?}")),
         }
     }
 
@@ -382,7 +401,7 @@
     /// What a status of the member means: see the table in `docs/design/flight.md`.
     async fn failed(&self, id: ConnId, status: &Status) -> Ended {
         if let Some(lost) = lost(status) {
-            return Ended::Closed(lost);
+            return Ended::Closed(lost, root(status));
         }
         let never = status.metadata().get(NEVER).is_some_and(|word| word == "never");
         let code = match status.code() {
@@ -436,6 +455,15 @@
     Some(Closed::Lost)
 }
 
+/// The last of what caused an error: the first says little more than that there was one.
+fn root(error: &dyn std::error::Error) -> String {
+    let mut last = error;
+    while let Some(next) = last.source() {
+        last = next;
+    }
+    last.to_string()
+}
+
 /// What a member says of itself beside an answer, as parameters of our first protocol.
 fn statuses(answer: &mut Vec<u8>, said: &MetadataMap) {
     for (header, name) in [
--- a/crates/stackgw-gateway/src/reducer/reload.rs
+++ b/crates/stackgw-gateway/src/reducer/reload.rs
@@ -10,6 +10,8 @@
     pub(super) peer_listen: Option<SocketAddr>,
     pub(super) settings: HostSettings,
     pub(super) limits: Limits,
+    /// What another front runs by: its thread has it from its start on.
+    flight: Option<(stackgw_config::Flight, stackgw_cluster::Ring)>,
 }
 
 impl Fixed {
@@ -20,6 +22,7 @@
             peer_listen: config.peer_listen,
             settings: config.settings.clone(),
             limits: config.limits.clone(),
+            flight: config.operator.flight.clone(),
         }
     }
 
@@ -30,6 +33,7 @@
             ("listen", self.listen != other.listen),
             ("peer_listen", self.peer_listen != other.peer_listen),
             ("settings", self.settings != other.settings),
+            ("flight", self.flight != other.flight),
             ("limits", self.settings == other.settings && self.limits != other.limits),
         ];
         parts.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
--- a/crates/stackgw-gateway/tests/streams.rs
+++ b/crates/stackgw-gateway/tests/streams.rs
@@ -4,16 +4,31 @@
 
 use common::*;
 use stackgw_cluster::{Key, Ring};
+use stackgw_gateway::config::Config;
 use stackgw_gateway::reducer::{Asked, CallId, Closed, ConnId, Effect, Final, Input, Said};
 use stackgw_router::api::{Outcome, MS, SECOND};
 
 /// A reducer whose members all speak another front's protocol, with connections that come up at once.
 fn rig() -> Rig {
+    Rig::with(configured("127.0.0.1:0"))
+}
+
+fn configured(listen: &str) -> Config {
     let mut config = config(&three());
-    let file = r#"{"listen": "127.0.0.1:0", "keys": ["k"], "groups": [2]}"#;
+    let file = format!(r#"{{"listen": "{listen}", "keys": ["k"], "groups": [2]}}"#);
     let ring = Ring::new(vec![Key::new("flight", b"a secret of this test").expect("a key")]).expect("keys");
-    config.operator.flight = Some((serde_json::from_str(file).expect("a part"), ring));
-    Rig::with(config)
+    config.operator.flight = Some((serde_json::from_str(&file).expect("a part"), ring));
+    config
+}
+
+#[test]
+fn what_another_front_runs_by_holds_until_a_restart_and_that_is_said() {
+    let mut rig = rig();
+    for (listen, named) in [("127.0.0.1:0", false), ("127.0.0.1:1", true)] {
+        let effects = rig.input(Input::Reload(Ok(Box::new(configured(listen)))));
+        let said = |e: &Effect| matches!(e, Effect::Log(line) if line.contains("until a restart: flight"));
+        assert_eq!(effects.iter().any(said), named, "{effects:?}");
+    }
 }
 
 /// Brings connections up and answers probes until a statement is asked; gives it.
--- a/crates/stackgw-standin/src/agent.rs
+++ b/crates/stackgw-standin/src/agent.rs
@@ -10,18 +10,20 @@
 /// A list that changes.
 pub(crate) struct Agent {
     addresses: Vec<SocketAddr>,
-    /// By member: its phase, and the version that it came with.
-    phases: Mutex<(u64, Vec<(&'static str, u64)>)>,
+    /// By member: its phase, since when it has been up in Unix milliseconds (0: long ago), and the version that this came with.
+    phases: Mutex<(u64, Vec<Entry>)>,
     changed: Condvar,
 }
 
+type Entry = (&'static str, u64, u64);
+
 /// Between empty lines of a watch.
 const BLANK: Duration = Duration::from_secs(2);
 
 impl Agent {
     /// Lists members at these addresses, the first one as the primary, at the address that it gives.
     pub(crate) fn start(addresses: &[SocketAddr]) -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        let phases = Mutex::new((1, vec![("ready", 1); addresses.len()]));
+        let phases = Mutex::new((1, vec![("ready", 0, 1); addresses.len()]));
         let agent = Arc::new(Agent { addresses: addresses.to_vec(), phases, changed: Condvar::new() });
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let at = listener.local_addr()?;
@@ -39,11 +41,11 @@
         &self.addresses
     }
 
-    pub(crate) fn announce(&self, n: usize, phase: &'static str) {
+    pub(crate) fn announce(&self, n: usize, phase: &'static str, up_since_ms: u64) {
         let mut phases = lock(&self.phases);
         let version = phases.0 + 1;
         if let Some(entry) = phases.1.get_mut(n) {
-            *entry = (phase, version);
+            *entry = (phase, up_since_ms, version);
             phases.0 = version;
         }
         drop(phases);
@@ -53,11 +55,11 @@
     /// What has changed after a version, and the version it is then.
     fn list(&self, after: u64) -> (u64, String) {
         let phases = lock(&self.phases);
-        let news = phases.1.iter().enumerate().filter(|(_, (_, version))| *version > after);
-        let entry = |(n, (phase, _)): (usize, &(&str, u64))| {
+        let news = phases.1.iter().enumerate().filter(|(_, (.., version))| *version > after);
+        let entry = |(n, (phase, since, _)): (usize, &Entry)| {
             let (at, role) = (self.addresses[n], if n == 0 { "leader" } else { "follower" });
             format!(
-                r#"{{"id":"m{n}","host_port":"{at}","locality":"room","flavor":"f","cell":{GROUP},"phase":"{phase}","size":1.0,"up_since_ms":0,"role":"{role}"}}"#
+                r#"{{"id":"m{n}","host_port":"{at}","locality":"room","flavor":"f","cell":{GROUP},"phase":"{phase}","size":1.0,"up_since_ms":{since},"role":"{role}"}}"#
             )
         };
         let members: Vec<_> = news.map(entry).collect();
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -185,7 +185,12 @@
 
     /// The list tells that a member is in this phase: `ready`, `draining` or `gone`.
     pub fn announce(&self, n: usize, phase: &'static str) {
-        self.agent.announce(n, phase);
+        self.agent.announce(n, phase, 0);
+    }
+
+    /// The list tells that a member's process has just started.
+    pub fn announce_start(&self, n: usize) {
+        self.agent.announce(n, "ready", unix_ms());
     }
 
     /// A member dies where it stands: its connections break, and new ones are closed at once.
