--- a/crates/stackgw-cli/src/cmd/query.rs
+++ b/crates/stackgw-cli/src/cmd/query.rs
@@ -36,8 +36,8 @@
     /// The statement.
     #[arg(required_unless_present = "key", conflicts_with = "key")]
     statement: Option<String>,
-    /// Read this key, in place of a statement.
-    #[arg(long)]
+    /// Read this key, which is the session, in place of a statement.
+    #[arg(long, visible_alias = "session")]
     key: Option<String>,
     /// The class, as the settings name it.
     #[arg(long)]
