Read over: one doubt of what members say, one cancel, one guard of work, nothing nobody calls

The reducer doubted positions, roles and reports twice (job_ended, a stream's beginning): disbelieve() serves both. The back had two ways to call work off and a function that only chose between two others; an answer's two shapes were worded twice. The last cause of an error was found by two copies, the action's name stood twice, and stand-ins counted work by two guards. Flow::open took a time that only tests gave, Placed::opens was read by tests alone. Comments that said otherwise than the code are mended (when a stream is load, which threads serve, what open_back does).

--- a/crates/stackgw-cli/src/cmd/query.rs
+++ b/crates/stackgw-cli/src/cmd/query.rs
@@ -8,7 +8,7 @@
 use clap::{Args, ValueEnum};
 use futures::TryStreamExt;
 use parquet::arrow::ArrowWriter;
-use std::error::Error;
+use stackgw_flight::root;
 use std::fs::File;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -91,15 +91,6 @@
     tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
 }
 
-/// The last of what caused an error: the first says little more than that there was one.
-fn root(error: &dyn Error) -> String {
-    let mut last = error;
-    while let Some(next) = last.source() {
-        last = next;
-    }
-    last.to_string()
-}
-
 impl Query {
     /// Asks, and writes the answer.
     pub fn run(self) -> Result<(), String> {
--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -185,9 +185,6 @@
         let (class, wait, group) = (ask.class, ask.wait_ms, ask.group);
         let text = format!("{} /* id={id},c={class},d={wait},cluster={group} */", ask.sql());
         let verdict = match client.ask(&text) {
-            Answer::Served(value) if ask.value.is_some() => {
-                Verdict::Served(String::from_utf8_lossy(&value).into_owned())
-            }
             Answer::Served(value) => Verdict::Served(String::from_utf8_lossy(&value).into_owned()),
             Answer::Refused => Verdict::Refused,
             Answer::Failed => Verdict::Failed,
--- a/crates/stackgw-flight/src/back.rs
+++ b/crates/stackgw-flight/src/back.rs
@@ -5,7 +5,8 @@
 //! one value for whoever asked for one, and a stream that passes through unread for whoever can take it.
 
 use crate::pass::{lock, Reader, Streams, Writer};
-use crate::server::NEVER;
+use crate::server::CANCEL;
+use crate::status::root;
 use arrow_array::cast::AsArray;
 use arrow_array::{Array, RecordBatch};
 use arrow_flight::decode::FlightRecordBatchStream;
@@ -51,8 +52,10 @@
 /// Bytes of one stream that HTTP/2 holds beside what the flow allows; of one connection, as many for each request.
 /// Danger: a connection with less would stand still once some of its streams are not read.
 const WINDOW: u32 = 512 << 10;
+/// A member's trailer beside a status: `never` where what was asked has had no effect and will have none.
+const NEVER: &str = "x-stackgw-ran";
 /// A member is told of a cancel; its answer is of no use.
-const CANCEL: Duration = Duration::from_millis(500);
+const CANCEL_WAIT: Duration = Duration::from_millis(500);
 
 pub(crate) struct Back {
     set: Members,
@@ -130,7 +133,7 @@
         mut asked: mpsc::UnboundedReceiver<Asked>,
         mut gone: oneshot::Receiver<()>,
     ) {
-        let on = lock(&self.channels).place(&at).channel;
+        let on = lock(&self.channels).place(&at);
         let up = tokio::select! {
             up = self.connect(on, at) => up,
             _ = &mut gone => Err(None),
@@ -210,12 +213,16 @@
         let mut client =
             FlightServiceClient::new(channel.clone()).max_decoding_message_size(self.set.message_bytes);
         if !ask.writes {
-            let work = self.read(id, &mut client, &ask, &info);
+            let work = async {
+                match ask.streams {
+                    true => self.stream(id, &mut client, &ask, &info).await,
+                    false => self.value(id, &mut client, &ask, &info).await,
+                }
+            };
             return tokio::select! {
                 ended = work => Some(ended),
                 _ = gone => {
-                    let info = lock(&info).take();
-                    self.call_off(channel, info);
+                    call_off(FlightServiceClient::new(channel), lock(&info).take());
                     None
                 }
             };
@@ -259,20 +266,6 @@
         Ok((said, stream))
     }
 
-    async fn read(
-        self: &Arc<Self>,
-        id: ConnId,
-        client: &mut FlightServiceClient<Channel>,
-        ask: &Asked,
-        info: &Mutex<Option<FlightInfo>>,
-    ) -> Ended {
-        if ask.streams {
-            self.stream(id, client, ask, info).await
-        } else {
-            self.value(id, client, ask, info).await
-        }
-    }
-
     /// A request whose answer is one value.
     async fn value(
         &self,
@@ -289,16 +282,13 @@
             Ok((said, value))
         };
         match gathered.await {
-            Ok((said, Some(value))) => {
+            Ok((said, value)) => {
                 let mut answer = Vec::new();
-                write::row(&mut answer, value.as_deref());
-                statuses(&mut answer, &said);
-                self.answer(id, answer).await
-            }
-            // An answer of another shape is no value: it may have run, and it is served to nobody.
-            Ok((said, None)) => {
-                let mut answer = Vec::new();
-                write::empty(&mut answer);
+                match value {
+                    Some(value) => write::row(&mut answer, value.as_deref()),
+                    // An answer of another shape is no value: it may have run, and it is served to nobody.
+                    None => write::empty(&mut answer),
+                }
                 statuses(&mut answer, &said);
                 self.answer(id, answer).await
             }
@@ -338,8 +328,7 @@
         let outcome = self.pump(id, writer, &mut stream).await;
         drop(stream);
         if outcome != Outcome::Served {
-            let info = lock(info).take();
-            self.call_off_by(client.clone(), info);
+            call_off(client.clone(), lock(info).take());
         }
         self.tell(FromBack::StreamOver(id, outcome)).await;
         match outcome {
@@ -414,18 +403,14 @@
         statuses(&mut answer, status.metadata());
         self.answer(id, answer).await
     }
+}
 
-    /// Has the member stop what nobody waits for; dropping its stream has told it already, if it listens to that.
-    fn call_off(self: &Arc<Self>, channel: Channel, info: Option<FlightInfo>) {
-        self.call_off_by(FlightServiceClient::new(channel), info);
-    }
-
-    fn call_off_by(self: &Arc<Self>, mut client: FlightServiceClient<Channel>, info: Option<FlightInfo>) {
-        let Some(info) = info else { return };
-        let body = CancelFlightInfoRequest { info: Some(info) }.encode_to_vec();
-        let action = Action { r#type: "CancelFlightInfo".to_owned(), body: body.into() };
-        tokio::spawn(async move { drop(tokio::time::timeout(CANCEL, client.do_action(action)).await) });
-    }
+/// Has the member stop what nobody waits for; dropping its stream has told it already, if it listens to that.
+fn call_off(mut client: FlightServiceClient<Channel>, info: Option<FlightInfo>) {
+    let Some(info) = info else { return };
+    let body = CancelFlightInfoRequest { info: Some(info) }.encode_to_vec();
+    let action = Action { r#type: CANCEL.to_owned(), body: body.into() };
+    tokio::spawn(async move { drop(tokio::time::timeout(CANCEL_WAIT, client.do_action(action)).await) });
 }
 
 /// What kind of message it is; nothing else of it is read.
@@ -455,15 +440,6 @@
     Some(Closed::Lost)
 }
 
-/// The last of what caused an error: the first says little more than that there was one.
-fn root(error: &dyn std::error::Error) -> String {
-    let mut last = error;
-    while let Some(next) = last.source() {
-        last = next;
-    }
-    last.to_string()
-}
-
 /// What a member says of itself beside an answer, as parameters of our first protocol.
 fn statuses(answer: &mut Vec<u8>, said: &MetadataMap) {
     for (header, name) in [
@@ -517,7 +493,7 @@
 }
 
 /// A first row's bytes, where they are text or bytes.
-pub(crate) fn text_or_bytes(column: &dyn Array) -> Option<Option<Vec<u8>>> {
+fn text_or_bytes(column: &dyn Array) -> Option<Option<Vec<u8>>> {
     if column.is_null(0) {
         return Some(None);
     }
--- a/crates/stackgw-flight/src/lib.rs
+++ b/crates/stackgw-flight/src/lib.rs
@@ -20,5 +20,5 @@
 pub use sealed::{Sealed, Unusable};
 pub use server::{start, Running, Settings};
 pub use stackgw_streams::Rules;
-pub use status::status;
+pub use status::{root, status};
 pub use users::{Users, Way};
--- a/crates/stackgw-flight/src/pass.rs
+++ b/crates/stackgw-flight/src/pass.rs
@@ -21,7 +21,7 @@
 }
 
 /// Bytes that a message takes.
-pub(crate) fn size(data: &FlightData) -> usize {
+fn size(data: &FlightData) -> usize {
     data.data_header.len() + data.data_body.len() + data.app_metadata.len()
 }
 
@@ -38,6 +38,15 @@
     waker: Option<Waker>,
 }
 
+impl Held {
+    /// Has its reader look again.
+    fn wake(&mut self) {
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
 #[derive(Default)]
 struct Pipe {
     held: Mutex<Held>,
@@ -119,7 +128,7 @@
     /// A stream has begun: the end that is written to, and the one that is read.
     pub(crate) fn open(self: &Arc<Self>) -> Option<(Writer, Reader)> {
         let pipe = Arc::new(Pipe::default());
-        let id = self.with(|_, flow| flow.open(None)).ok()?;
+        let id = self.with(|_, flow| flow.open()).ok()?;
         lock(&self.all).pipes.insert(id, pipe.clone());
         let writer = Writer { streams: self.clone(), pipe: pipe.clone(), id };
         Some((writer, Reader { streams: self.clone(), pipe, id, keeps: None }))
@@ -136,9 +145,7 @@
         if held.done.is_none() || end.is_some() {
             (held.done, held.end) = (Some(Err(status)), end);
         }
-        if let Some(waker) = held.waker.take() {
-            waker.wake();
-        }
+        held.wake();
         self.go.notify_one();
     }
 }
@@ -191,9 +198,7 @@
         if held.done.is_none() && !held.left {
             held.messages.push_back(data);
         }
-        if let Some(waker) = held.waker.take() {
-            waker.wake();
-        }
+        held.wake();
     }
 
     /// The member has sent all.
@@ -201,9 +206,7 @@
         self.streams.with(|_, flow| flow.over(self.id));
         let mut held = lock(&self.pipe.held);
         held.done.get_or_insert(Ok(()));
-        if let Some(waker) = held.waker.take() {
-            waker.wake();
-        }
+        held.wake();
     }
 
     /// The stream broke off; what came before that is its reader's.
--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -1,4 +1,4 @@
-//! The server: gRPC on a thread of its own, one request a call through the door.
+//! The server: gRPC on threads of its own, one request a call through the door.
 
 use crate::asked::{Asked, Headers, Value, Wrong};
 use crate::back::{Back, Members};
@@ -46,9 +46,6 @@
 const SCHEMA: &str = "public";
 const TABLE: &str = "state";
 
-/// A member's trailer beside a status: `never` where what was asked has had no effect and will have none.
-pub(crate) const NEVER: &str = "x-stackgw-ran";
-
 /// What a front and its back are told.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -308,8 +305,8 @@
     builder.build()
 }
 
-/// The action by which a client has its query stopped.
-const CANCEL: &str = "CancelFlightInfo";
+/// The action by which a client has its query stopped, and we a member's.
+pub(crate) const CANCEL: &str = "CancelFlightInfo";
 /// `CANCEL_RESULT_CANCELLED` of the older action for the same, whose names the library keeps to itself.
 const CANCEL_RESULT_CANCELLED: i32 = 1;
 
--- a/crates/stackgw-flight/src/status.rs
+++ b/crates/stackgw-flight/src/status.rs
@@ -5,6 +5,15 @@
 use tonic::{Code, Status};
 use tonic_types::{ErrorDetails, StatusExt};
 
+/// The last of what caused an error: the first says little more than that there was one.
+pub fn root(error: &dyn std::error::Error) -> String {
+    let mut last = error;
+    while let Some(next) = last.source() {
+        last = next;
+    }
+    last.to_string()
+}
+
 /// The status of an answer that is no row.
 pub fn status(ended: &Final) -> Status {
     match ended {
--- a/crates/stackgw-gateway/src/io/backs.rs
+++ b/crates/stackgw-gateway/src/io/backs.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Whether what is told of this connection is wanted at all.
+    /// Opens a connection by the back; where there is none it never comes up.
     pub(super) fn open_back(&self, conn: ConnId, address: SocketAddr) {
         if self.ask_back(ToBack::Open(conn, address)) {
             self.backs.borrow_mut().insert(conn);
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -160,13 +160,12 @@
             return self.end_job(now, id, Outcome::Unsent, out);
         }
         let back = conn.back;
-        let (mut asked, mut streams) = (Asked::default(), false);
+        let mut asked = Asked::default();
         let (bytes, until) = match conn.job {
             Some(Job::Attempt { request, give_up, .. }) => {
                 let Some(open) = self.requests.get(&request) else { return };
                 let wait_ms = ((give_up - now) / MS).max(1) as u64;
-                streams = open.streams;
-                asked = Asked { wait_ms, writes: open.statement.write, ..asked };
+                asked = Asked { wait_ms, writes: open.statement.write, streams: open.streams, ..asked };
                 (open.statement.with_wait(wait_ms), give_up)
             }
             Some(Job::Probe { sent }) => {
@@ -181,7 +180,7 @@
         conn.until = until;
         self.set_conn_timer(id, until);
         out.push(match back {
-            true => Effect::BackAsk(id, Asked { streams, ..asked.with(&bytes) }),
+            true => Effect::BackAsk(id, asked.with(&bytes)),
             false => Effect::MemberWrite(id, bytes),
         });
     }
@@ -386,9 +385,7 @@
         self.count(outcome);
         let ended = self.requests.get(&request).is_none_or(|open| open.ended);
         let finished = ended || outcome == Outcome::Served;
-        if !self.can_be(now, reply.position) {
-            (reply.primary, reply.position) = (None, None);
-        }
+        self.disbelieve(now, &mut reply);
         if outcome == Outcome::Served && !ended {
             let row = std::mem::take(&mut reply.row);
             if let Some(row) = self.hold_write(now, request, reply.position, row, out) {
@@ -396,16 +393,23 @@
                 self.counters.answered_served += u64::from(answered);
             }
         }
-        let Reply { primary, position, mut report, .. } = reply;
-        if !self.can_be(now, report.position) {
-            report = Report::default();
-        }
+        let Reply { primary, position, report, .. } = reply;
         let took = now - sent;
         let answer = Answer { request, attempt, member, outcome, took, finished, primary, position, report };
         self.events.push_back(Event::Answer(answer));
         self.forget_request(request);
     }
 
+    /// Drops what a reply says of its member that cannot be: a position, the role beside it, a report.
+    pub(super) fn disbelieve(&mut self, now: Time, reply: &mut Reply) {
+        if !self.can_be(now, reply.position) {
+            (reply.primary, reply.position) = (None, None);
+        }
+        if !self.can_be(now, reply.report.position) {
+            reply.report = Report::default();
+        }
+    }
+
     /// Danger: a position in the future would make its member the freshest for as long as it lasts.
     pub(super) fn can_be(&mut self, now: Time, position: Option<Time>) -> bool {
         let can = position.is_none_or(|at| at <= now + self.limits.clock_slack);
--- a/crates/stackgw-gateway/src/reducer/streams.rs
+++ b/crates/stackgw-gateway/src/reducer/streams.rs
@@ -1,5 +1,5 @@
 //! Members that speak another front's protocol, and answers that come as streams: from the first message on such an answer
-//! belongs to its client, is never begun again elsewhere, and counts as load at its member until it is over.
+//! belongs to its client and is never begun again elsewhere. It counts as load at its member until it waits for its reader.
 
 use super::*;
 use crate::config::Operator;
@@ -79,7 +79,14 @@
         if let Some(timer) = timer {
             self.timers.remove(&timer);
         }
-        self.say(now, id, said);
+        // Kept until the router is told how the attempt went.
+        let Said { primary, position, report } = said;
+        let mut reply = Reply::default();
+        (reply.primary, reply.position, reply.report) = (primary, position, report);
+        self.disbelieve(now, &mut reply);
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.reply = reply;
+        }
         let mut others = Vec::new();
         if let Some(open) = self.requests.get_mut(&request) {
             (open.ended, open.asker) = (true, None);
@@ -95,20 +102,6 @@
         }
     }
 
-    /// Keeps what a stream's beginning said until its end, when the router is told; what cannot be is dropped.
-    fn say(&mut self, now: Time, id: ConnId, said: Said) {
-        let Said { mut primary, mut position, mut report } = said;
-        if !self.can_be(now, position) {
-            (primary, position) = (None, None);
-        }
-        if !self.can_be(now, report.position) {
-            report = Report::default();
-        }
-        if let Some(conn) = self.conns.get_mut(&id) {
-            (conn.reply.primary, conn.reply.position, conn.reply.report) = (primary, position, report);
-        }
-    }
-
     /// A stream waits for its reader: what it is from here on is no load at its member.
     ///
     /// Danger: streams that nobody reads would else count against their member's limit, and close it for all others.
--- a/crates/stackgw-standin/src/flight.rs
+++ b/crates/stackgw-standin/src/flight.rs
@@ -47,22 +47,6 @@
 
 type Batches = <Host as FlightService>::DoGetStream;
 
-/// Counts its work for as long as it is there, and keeps what it works on.
-struct Works(Arc<Store>, usize);
-
-impl Works {
-    fn new(store: &Arc<Store>, n: usize) -> Self {
-        store.members[n].running.fetch_add(1, Ordering::Relaxed);
-        Works(store.clone(), n)
-    }
-}
-
-impl Drop for Works {
-    fn drop(&mut self) {
-        self.0.members[self.1].running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn schema(name: &str) -> SchemaRef {
     Arc::new(Schema::new(vec![Field::new(name, DataType::Binary, true)]))
 }
@@ -84,8 +68,8 @@
 
     /// One batch after another, until the reader leaves or the member's troubles say otherwise.
     fn batches(&self, count: u64, bytes: usize) -> impl Stream<Item = Result<FlightData, FlightError>> {
-        let works = Works::new(&self.store, self.n);
         let member = &self.store.members[self.n];
+        let works = member.works();
         let ends = |after: &AtomicU64| Some(after.load(Ordering::Relaxed)).filter(|n| *n > 0);
         let (stalls, changes) = (ends(&member.stalls_after), ends(&member.changes_after));
         let value = vec![0x5a; bytes];
@@ -150,8 +134,8 @@
         ticket: TicketStatementQuery,
         _: Request<Ticket>,
     ) -> Result<Response<Batches>, Status> {
-        let works = Works::new(&self.store, self.n);
         let member = &self.store.members[self.n];
+        let works = member.works();
         let text = String::from_utf8_lossy(&ticket.statement_handle).into_owned();
         if member.silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -57,7 +57,7 @@
     /// Its streams change their schema after so many batches; 0: they do not.
     pub changes_after: AtomicU64,
     /// Requests and streams that it works on now.
-    pub running: AtomicUsize,
+    pub running: Arc<AtomicUsize>,
     /// Cancels that it was told of.
     pub cancels: AtomicU64,
     /// Requests that came.
@@ -68,12 +68,12 @@
 }
 
 /// Counts one piece of work for as long as it is there.
-pub(crate) struct Running<'a>(&'a AtomicUsize);
+pub(crate) struct Running(Arc<AtomicUsize>);
 
 impl Member {
-    pub(crate) fn works(&self) -> Running<'_> {
+    pub(crate) fn works(&self) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
-        Running(&self.running)
+        Running(self.running.clone())
     }
 
     /// Takes a connection, unless the member is dead.
@@ -90,7 +90,7 @@
     }
 }
 
-impl Drop for Running<'_> {
+impl Drop for Running {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/stackgw-streams/src/channels.rs
+++ b/crates/stackgw-streams/src/channels.rs
@@ -6,15 +6,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChannelId(u64);
 
-/// Where a request goes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Placed {
-    /// Its connection.
-    pub channel: ChannelId,
-    /// It is to be opened.
-    pub opens: bool,
-}
-
 #[derive(Debug)]
 struct Channel<M> {
     member: M,
@@ -44,10 +35,9 @@
         Channels { most: most.max(1), channels: BTreeMap::new(), room: BTreeMap::new(), next: 0 }
     }
 
-    /// Places one more request for a member.
-    pub fn place(&mut self, member: &M) -> Placed {
+    /// Places one more request for a member; gives its connection, a new one where none has room.
+    pub fn place(&mut self, member: &M) -> ChannelId {
         let fullest = self.room.get(member).and_then(|room| room.last()).map(|(_, id)| *id);
-        let opens = fullest.is_none();
         let channel = fullest.unwrap_or_else(|| {
             let id = ChannelId(self.next);
             self.next += 1;
@@ -55,7 +45,7 @@
             id
         });
         self.change(channel, |c| c.carries += 1);
-        Placed { channel, opens }
+        channel
     }
 
     /// A request is over; whether its connection is to be closed, as it carries none any more.
--- a/crates/stackgw-streams/src/flow.rs
+++ b/crates/stackgw-streams/src/flow.rs
@@ -102,17 +102,16 @@
         }
     }
 
-    /// A stream has begun; its client waits until a time, if it named one.
-    pub fn open(&mut self, until: Option<Time>) -> Result<StreamId, Full> {
+    /// A stream has begun.
+    pub fn open(&mut self) -> Result<StreamId, Full> {
         if self.streams.len() >= self.rules.streams {
             return Err(Full);
         }
         let id = StreamId(self.next);
         self.next += 1;
         let stream =
-            Stream { held: 0, unread: None, asked: None, queued: false, over: false, until, due: None };
+            Stream { held: 0, unread: None, asked: None, queued: false, over: false, until: None, due: None };
         self.streams.insert(id, stream);
-        self.reorder(id);
         Ok(id)
     }
 
--- a/crates/stackgw-streams/src/lib.rs
+++ b/crates/stackgw-streams/src/lib.rs
@@ -17,5 +17,5 @@
 mod channels;
 mod flow;
 
-pub use channels::{ChannelId, Channels, Placed};
+pub use channels::{ChannelId, Channels};
 pub use flow::{End, Flow, Full, Rules, StreamId};
--- a/crates/stackgw-streams/tests/histories.rs
+++ b/crates/stackgw-streams/tests/histories.rs
@@ -32,7 +32,7 @@
             let ids: Vec<_> = seen.keys().copied().collect();
             let pick = |random: &mut SmallRng| ids[random.random_range(0..ids.len())];
             match random.random_range(0..10) {
-                0 => match flow.open(None) {
+                0 => match flow.open() {
                     Ok(id) => drop(seen.insert(id, Seen::default())),
                     Err(Full) => assert_eq!(seen.len(), RULES.streams),
                 },
@@ -97,7 +97,7 @@
 #[test]
 fn room_goes_to_whoever_waited_longest() {
     let mut flow = Flow::new(Rules { all: 100, each: 80, ..RULES });
-    let [a, b, c] = [0; 3].map(|_| flow.open(None).expect("room"));
+    let [a, b, c] = [0; 3].map(|_| flow.open().expect("room"));
     for id in [a, b, c] {
         assert!(flow.asks(0, id));
         flow.came(0, id, 40);
@@ -111,7 +111,8 @@
 fn each_time_ends_a_stream_by_its_name_and_once() {
     let run = |until: Option<Time>, does: &dyn Fn(&mut Flow, StreamId)| {
         let mut flow = Flow::new(RULES);
-        let id = flow.open(until).expect("room");
+        let id = flow.open().expect("room");
+        until.into_iter().for_each(|until| flow.limit(id, until));
         does(&mut flow, id);
         let due = flow.next_due().expect("a time");
         assert_eq!(flow.due(due - 1), []);
@@ -134,7 +135,7 @@
 #[test]
 fn a_reader_that_takes_a_little_is_no_slow_one_and_a_member_not_read_is_not_silent() {
     let mut flow = Flow::new(RULES);
-    let id = flow.open(None).expect("room");
+    let id = flow.open().expect("room");
     let mut now = 0;
     for _ in 0..10 {
         while flow.asks(now, id) {
@@ -157,8 +158,8 @@
             if random.random_bool(0.55) {
                 let placed = channels.place(&member);
                 let with_room = carried.values().any(|(m, n, broken)| *m == member && *n < 4 && !broken);
-                assert_eq!(placed.opens, !with_room, "seed {seed}");
-                let channel = carried.entry(placed.channel).or_insert((member, 0, false));
+                assert_eq!(!carried.contains_key(&placed), !with_room, "seed {seed}");
+                let channel = carried.entry(placed).or_insert((member, 0, false));
                 channel.1 += 1;
                 assert!(channel.0 == member && channel.1 <= 4 && !channel.2, "seed {seed}");
             } else if !carried.is_empty() {
