A rig of processes: a bounded list service, members that warm up and fall over, stackgw measure start

Need: what hundreds of gateways that start or come back at once ask of the list service and of the members was measured by hand so far, and no test could break the service.

Change: stackgw-standin's agent becomes one service with doors, moods (dead, silent, first byte, half a list, behind), a capacity with a line and 503, and a record of every request; members get a capacity, cold starts, a line, handshakes and probes that cost, and fall over past their budget; gateways start all at once; clients come as each gets ready. The audit counts late reads and requests after a drain was told.

--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict, GROUP};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Troubles, Verdict, GROUP};
 use std::time::Duration;
 
 /// Stand-ins, gateways and clients on loopback; gateways are killed.
@@ -100,7 +100,7 @@
         let gateways = Gateways::start(Setup {
             program,
             folder: folder.to_owned(),
-            agent,
+            agents: vec![agent],
             gateways,
             keepers,
             mode: if self.off { Mode::Off } else { Mode::Shared },
@@ -111,6 +111,7 @@
             flight,
             speaks,
             auth: None,
+            start: StartPart::default(),
         })?;
         if self.kill_every_ms == 0 && !self.off {
             // A calm run is to show what it is like once all are sure of each other.
--- a/crates/stackgw-cli/src/cmd/measure.rs
+++ b/crates/stackgw-cli/src/cmd/measure.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, Subcommand};
 use serde::Serialize;
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Verdict};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Verdict};
 use std::path::Path;
 use std::time::Duration;
 
@@ -20,6 +20,8 @@
     /// Flight SQL: bulk streams against a direct connection, cancels, slow readers, small statements.
     #[cfg(feature = "flight")]
     Flight(super::measure_flight::FlightCost),
+    /// Fleets that start at once: what list service and members bear, how soon clients are served.
+    Start(super::measure_start::StartCost),
 }
 
 #[derive(Args)]
@@ -68,6 +70,7 @@
             What::Sessions(cost) => cost.run(),
             #[cfg(feature = "flight")]
             What::Flight(cost) => cost.run(),
+            What::Start(cost) => cost.run(),
         }
     }
 }
@@ -121,7 +124,7 @@
         let gateways = Gateways::start(Setup {
             program: std::env::current_exe().map_err(|e| e.to_string())?,
             folder: folder.to_owned(),
-            agent,
+            agents: vec![agent],
             gateways: count,
             keepers: count,
             mode,
@@ -132,6 +135,7 @@
             flight: false,
             speaks: Speaks::First,
             auth: None,
+            start: StartPart::default(),
         })?;
         std::thread::sleep(Duration::from_millis(4_000));
         let seed = round * 1_000 + u64::from(instances) * 10 + 1;
--- a/crates/stackgw-cli/src/cmd/measure_flight.rs
+++ b/crates/stackgw-cli/src/cmd/measure_flight.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use futures::{Stream, StreamExt};
 use serde::Serialize;
-use stackgw_standin::{Client, Gateways, Mode, Setup, Speaks, Store, GROUP};
+use stackgw_standin::{Client, Gateways, Mode, Setup, Speaks, StartPart, Store, GROUP};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -66,7 +66,7 @@
         let gateways = Gateways::start(Setup {
             program: std::env::current_exe().map_err(|e| e.to_string())?,
             folder: folder.clone(),
-            agent,
+            agents: vec![agent],
             gateways: 1,
             keepers: 1,
             mode: Mode::Shared,
@@ -77,6 +77,7 @@
             flight: true,
             speaks,
             auth: None,
+            start: StartPart::default(),
         })?;
         // Until its caution at start is over.
         std::thread::sleep(Duration::from_millis(2_500));
--- /dev/null
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -0,0 +1,128 @@
+//! `stackgw measure start`: a fleet of real processes that starts at once, with and without its list service.
+
+use clap::Args;
+use stackgw_standin::{ColdStart, Line, Part, StartPart};
+use std::path::PathBuf;
+
+/// Fleets that start at once: what list service and members bear, how soon clients are served.
+#[derive(Args)]
+pub struct StartCost {
+    /// Fleets of so many gateways.
+    #[arg(long, value_delimiter = ',', default_values_t = [100u16, 200, 300])]
+    gateways: Vec<u16>,
+    /// Which ways to come to know the list are measured.
+    #[arg(long, value_delimiter = ',', default_values_t = ["off".to_owned(), "alone".to_owned(), "cluster".to_owned()])]
+    cases: Vec<String>,
+    /// An earlier version of this program, measured as the case `before`.
+    #[arg(long)]
+    before: Option<PathBuf>,
+    /// Requests a second at all gateways together; the members can do twice as many, warm.
+    #[arg(long, default_value_t = 600.0)]
+    load: f64,
+    /// Rounds; each plays every case once.
+    #[arg(long, default_value_t = 3)]
+    rounds: u64,
+    /// For the choices by chance; each round takes the next one.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print each case as a line of JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Seconds of its fleet's asking that the list service bears in one.
+const SERVICE_SIZE: f64 = 1.5;
+
+impl StartCost {
+    /// Runs it and prints the figures.
+    pub fn run(&self) -> Result<(), String> {
+        let mut cases = self.cases.clone();
+        if self.before.is_some() {
+            cases.insert(0, "before".to_owned());
+        }
+        for fleet in &self.gateways {
+            let mut lines = Vec::new();
+            for round in 0..self.rounds {
+                for case in &cases {
+                    let line = self.case(usize::from(*fleet), case, self.seed + round)?;
+                    if self.json {
+                        let value =
+                            serde_json::json!({"case": case, "seed": self.seed + round, "line": line});
+                        println!("{value}");
+                    }
+                    lines.push((case.clone(), line));
+                }
+            }
+            if !self.json {
+                table(*fleet, &cases, &lines);
+            }
+        }
+        Ok(())
+    }
+
+    fn case(&self, fleet: usize, case: &str, seed: u64) -> Result<Line, String> {
+        let folder =
+            std::env::temp_dir().join(format!("stackgw-start-{}-{case}-{fleet}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        let program = match (&self.before, case) {
+            (Some(before), "before") => before.clone(),
+            _ => std::env::current_exe().map_err(|e| e.to_string())?,
+        };
+        let bears = fleet as f64 / SERVICE_SIZE;
+        let lines = vec![format!("bears: {}", bears as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
+        let start = match case {
+            "before" | "off" => None,
+            "alone" => Some(StartPart { cluster: false, lines }),
+            "cluster" => Some(StartPart { cluster: true, lines }),
+            other => return Err(format!("cases: '{other}' is none of off, alone, cluster")),
+        };
+        let (rate, member) = (self.load / fleet as f64, self.load * 2.0 / 3.0);
+        let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
+        let line = cold.play();
+        let _ = std::fs::remove_dir_all(&folder);
+        line
+    }
+}
+
+/// Medians over the rounds, with the least and the most.
+fn table(fleet: u16, cases: &[String], lines: &[(String, Line)]) {
+    println!("{fleet} gateways: median (least to most) over the rounds");
+    println!("| case | part | list asks | in the worst 100 ms | refused | 99% ready, ms | served in time | answered | handshakes | at one in its worst 100 ms | cold, of what it falls at | fell | broken |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for case in cases {
+        let parts: [(&str, fn(&Line) -> &Part); 5] = [
+            ("all start at once", |l| &l.boot),
+            ("warm", |l| &l.warm),
+            ("list service dead for 6 s", |l| &l.outage),
+            ("all start while it is dead", |l| &l.dark),
+            ("all start, members cold", |l| &l.cold),
+        ];
+        for (name, part) in parts {
+            let of = |figure: &dyn Fn(&Part) -> f64, digits: usize| {
+                let mut figures: Vec<_> =
+                    lines.iter().filter(|(c, _)| c == case).map(|(_, line)| figure(part(line))).collect();
+                figures.sort_by(f64::total_cmp);
+                let at = |n: usize| match figures.get(n).copied() {
+                    Some(figure) if figure.is_finite() => format!("{figure:.digits$}"),
+                    _ => "never".to_owned(),
+                };
+                let last = figures.len().saturating_sub(1);
+                format!("{} ({} to {})", at(last / 2), at(0), at(last))
+            };
+            println!(
+                "| {case} | {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+                of(&|p| p.asks.all as f64, 0),
+                of(&|p| p.asks.worst as f64, 0),
+                of(&|p| p.asks.refused as f64, 0),
+                of(&|p| p.ready_ms.map_or(f64::INFINITY, |ms| ms as f64), 0),
+                of(&|p| p.worth, 3),
+                of(&|p| p.answered, 3),
+                of(&|p| p.burden.handshakes as f64, 0),
+                of(&|p| p.burden.worst_handshakes as f64, 0),
+                of(&|p| p.burden.cold, 2),
+                of(&|p| p.burden.fell as f64, 0),
+                of(&|p| p.broken as f64, 0),
+            );
+        }
+    }
+}
--- a/crates/stackgw-cli/src/cmd/mod.rs
+++ b/crates/stackgw-cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod measure;
 #[cfg(feature = "flight")]
 pub mod measure_flight;
+pub mod measure_start;
 #[cfg(feature = "flight")]
 pub mod query;
 pub mod run;
--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -7,7 +7,7 @@
 use arrow_flight::sql::client::FlightSqlServiceClient;
 use arrow_flight::{FlightData, FlightInfo};
 use futures::{StreamExt, TryStreamExt};
-use stackgw_standin::{Answer, Client, Gateways, Mode, Setup, Speaks, Store, GROUP};
+use stackgw_standin::{Answer, Client, Gateways, Mode, Setup, Speaks, StartPart, Store, GROUP};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -38,7 +38,7 @@
         let gateways = Gateways::start(Setup {
             program: env!("CARGO_BIN_EXE_stackgw").into(),
             folder: folder.clone(),
-            agent,
+            agents: vec![agent],
             gateways: 2,
             keepers: 2,
             mode: Mode::Shared,
@@ -49,6 +49,7 @@
             flight: true,
             speaks,
             auth,
+            start: StartPart::default(),
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
--- a/crates/stackgw-cli/tests/sessions.rs
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions across real processes on loopback: gateways are killed, paused, started anew with and without their disks, between
 //! paired writes and reads. The stand-ins' audit is the judge. Every wait is for an event and bounded.
 
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Troubles, Verdict};
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,7 +26,7 @@
         let gateways = Gateways::start(Setup {
             program: env!("CARGO_BIN_EXE_stackgw").into(),
             folder: folder.clone(),
-            agent,
+            agents: vec![agent],
             gateways,
             keepers,
             mode,
@@ -37,6 +37,7 @@
             flight: false,
             speaks: Speaks::First,
             auth: None,
+            start: StartPart::default(),
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
--- /dev/null
+++ b/crates/stackgw-standin/src/bearing.rs
@@ -0,0 +1,188 @@
+//! What a member can bear: a capacity that is small after a start and grows, a line before it, work that handshakes cost, and
+//! the point at which one that is cold falls over. Time is handed in.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// What a member can do. Work is counted in requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bearing {
+    /// Requests a second, warm.
+    pub per_second: f64,
+    /// Share of that right after a start ...
+    pub cold_share: f64,
+    /// ... from which it grows evenly to all of it in this time.
+    pub warm_within: Duration,
+    /// Cold, it falls over when more than this multiple of its present capacity comes within `fall_within`.
+    pub fall_multiple: f64,
+    /// See there.
+    pub fall_within: Duration,
+    /// What a new connection costs, and a probe.
+    pub handshake: f64,
+    /// See there.
+    pub probe: f64,
+    /// Whoever would wait longer than this is turned away.
+    pub line: Duration,
+    /// For so long one that fell over answers nobody.
+    pub down: Duration,
+}
+
+/// What one member was asked to bear.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Borne {
+    /// When connections were opened to it.
+    pub handshakes: Vec<Duration>,
+    /// Probes.
+    pub probes: u64,
+    /// Requests that it took, and those it turned away.
+    pub taken: u64,
+    /// See there.
+    pub shed: u64,
+    /// Most work within its fall window, against what makes it fall over: at 1 it does.
+    pub worst: f64,
+    /// How often it fell over.
+    pub fell: u64,
+}
+
+/// A member under load.
+#[derive(Debug, Clone)]
+pub(crate) struct Load {
+    can: Bearing,
+    started: Option<Duration>,
+    free_at: Duration,
+    down_until: Duration,
+    window: VecDeque<(Duration, f64)>,
+    within: f64,
+    borne: Borne,
+}
+
+/// What becomes of a piece of work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Took {
+    /// Done after so long.
+    Done(Duration),
+    /// Turned away.
+    Shed,
+    /// The member is down.
+    Down,
+}
+
+impl Load {
+    /// A member that is warm.
+    pub(crate) fn new(can: Bearing) -> Self {
+        Load {
+            can,
+            started: None,
+            free_at: Duration::ZERO,
+            down_until: Duration::ZERO,
+            window: VecDeque::new(),
+            within: 0.0,
+            borne: Borne::default(),
+        }
+    }
+
+    /// Its process has just started.
+    pub(crate) fn start(&mut self, now: Duration) {
+        self.started = Some(now);
+        self.window.clear();
+        (self.within, self.free_at) = (0.0, now);
+    }
+
+    pub(crate) fn borne(&self) -> Borne {
+        self.borne.clone()
+    }
+
+    /// Requests a second that it can do now.
+    fn present(&self, now: Duration) -> f64 {
+        let Bearing { per_second, cold_share, warm_within, .. } = self.can;
+        let age = self.started.map_or(1.0, |at| (now - at).as_secs_f64() / warm_within.as_secs_f64());
+        per_second * (cold_share + (1.0 - cold_share) * age.min(1.0))
+    }
+
+    /// A new connection.
+    pub(crate) fn handshake(&mut self, now: Duration) -> Took {
+        self.borne.handshakes.push(now);
+        self.take(now, self.can.handshake)
+    }
+
+    /// A probe.
+    pub(crate) fn probe(&mut self, now: Duration) -> Took {
+        self.borne.probes += 1;
+        self.take(now, self.can.probe)
+    }
+
+    /// A request.
+    pub(crate) fn request(&mut self, now: Duration) -> Took {
+        let took = self.take(now, 1.0);
+        match took {
+            Took::Done(_) => self.borne.taken += 1,
+            _ => self.borne.shed += 1,
+        }
+        took
+    }
+
+    fn take(&mut self, now: Duration, work: f64) -> Took {
+        if now < self.down_until {
+            return Took::Down;
+        }
+        let present = self.present(now);
+        while self.window.front().is_some_and(|(at, _)| *at + self.can.fall_within <= now) {
+            self.within -= self.window.pop_front().map_or(0.0, |(_, work)| work);
+        }
+        self.window.push_back((now, work));
+        self.within += work;
+        if self.started.is_some_and(|at| now < at + self.can.warm_within) {
+            let bears = self.can.fall_multiple * present * self.can.fall_within.as_secs_f64();
+            self.borne.worst = self.borne.worst.max(self.within / bears);
+            if self.within > bears {
+                self.borne.fell += 1;
+                self.down_until = now + self.can.down;
+                self.start(self.down_until);
+                return Took::Down;
+            }
+        }
+        let free_at = self.free_at.max(now);
+        if free_at - now > self.can.line {
+            return Took::Shed;
+        }
+        self.free_at = free_at + Duration::from_secs_f64(work / present);
+        Took::Done(self.free_at - now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn can() -> Bearing {
+        let ms = Duration::from_millis;
+        Bearing {
+            per_second: 100.0,
+            cold_share: 0.25,
+            warm_within: ms(10_000),
+            fall_multiple: 2.0,
+            fall_within: ms(1_000),
+            handshake: 2.0,
+            probe: 0.1,
+            line: ms(200),
+            down: ms(500),
+        }
+    }
+
+    #[test]
+    fn a_cold_member_falls_over_where_a_warm_one_turns_away() {
+        let mut warm = Load::new(can());
+        let mut cold = warm.clone();
+        let at = Duration::from_millis;
+        cold.start(Duration::ZERO);
+        for n in 0..60 {
+            warm.request(at(n));
+            cold.request(at(n));
+        }
+        assert_eq!((warm.borne().fell, warm.borne().worst), (0, 0.0));
+        assert!(warm.borne().shed > 0);
+        assert_eq!(cold.borne().fell, 1);
+        assert!(cold.borne().worst > 1.0 && cold.request(at(300)) == Took::Down);
+        assert!(matches!(cold.handshake(at(900)), Took::Done(_)), "it is back");
+    }
+}
--- a/crates/stackgw-standin/src/client.rs
+++ b/crates/stackgw-standin/src/client.rs
@@ -60,6 +60,19 @@
         self.ask(&format!("SELECT val FROM state WHERE uid = '{key}' {comment}"))
     }
 
+    pub(crate) fn look(&mut self, id: &str, key: &str) -> Answer {
+        let comment = format!("/* id={id},c=look,d=1000,cluster={} */", group());
+        self.ask(&format!("SELECT val FROM state WHERE uid = '{key}' {comment}"))
+    }
+
+    /// Asks with an empty query, and waits until the gateway says that it is ready.
+    pub fn is_ready(&mut self) -> bool {
+        let mut bytes = Vec::new();
+        write::query(&mut bytes, "");
+        let sent = self.socket.write_all(&bytes);
+        sent.is_ok() && self.reply().is_ok_and(|reply| reply.iter().any(|frame| frame.kind == b'I'))
+    }
+
     /// Waits no longer than this for answers.
     pub fn patience(&self, patience: Duration) {
         let _ = self.socket.set_read_timeout(Some(patience));
--- /dev/null
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -0,0 +1,162 @@
+//! A fleet that starts all at once, loses its list service, starts without it, and starts before members that are all cold:
+//! what the service and the members have to bear for it, and how soon clients are served.
+
+use crate::bearing::Bearing;
+use crate::gateways::{Gateways, Mode, Setup, StartPart};
+use crate::lists::{worst, Asked, Bears, Fate, Mood};
+use crate::opening::{Burden, Opened, Opening};
+use crate::store::{Speaks, Store};
+use serde::Serialize;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// One fleet to be measured.
+#[derive(Debug, Clone)]
+pub struct ColdStart {
+    /// The program.
+    pub program: PathBuf,
+    /// Where files go; it must be there.
+    pub folder: PathBuf,
+    /// How many gateways.
+    pub fleet: usize,
+    /// How they come to know the list; `None`: as the platform has it.
+    pub start: Option<StartPart>,
+    /// Requests a second that the list service bears.
+    pub bears: f64,
+    /// Requests a second at each gateway.
+    pub rate: f64,
+    /// Requests a second that each of the three members can do, warm.
+    pub member: f64,
+    /// For the choices by chance.
+    pub seed: u64,
+}
+
+/// What the list service was asked.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Asks {
+    /// Requests that found it there.
+    pub all: usize,
+    /// In the worst 100 ms.
+    pub worst: usize,
+    /// Told to come back later.
+    pub refused: usize,
+}
+
+impl Asks {
+    fn of(asked: &[Asked], from: Duration) -> Self {
+        let here: Vec<_> = asked.iter().filter(|a| a.at >= from && a.fate != Fate::Dead).collect();
+        let refused = here.iter().filter(|a| a.fate == Fate::Refused).count();
+        Asks { all: here.len(), worst: worst(here.iter().map(|a| a.at), Duration::from_millis(100)), refused }
+    }
+}
+
+fn nanos(at: Duration) -> u64 {
+    u64::try_from(at.as_nanos()).unwrap_or_default()
+}
+
+/// One part of it.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Part {
+    /// What the list service was asked.
+    pub asks: Asks,
+    /// When 99 in 100 gateways were ready, in milliseconds.
+    pub ready_ms: Option<u64>,
+    /// Requests served in time, of those asked.
+    pub worth: f64,
+    /// The same with late ones counted too.
+    pub answered: f64,
+    /// What members bore.
+    pub burden: Burden,
+    /// Requests lost, doubled, or stale.
+    pub broken: u64,
+}
+
+/// The whole of it.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Line {
+    /// How many gateways.
+    pub fleet: usize,
+    /// All start at once.
+    pub boot: Part,
+    /// The same load once all is warm.
+    pub warm: Part,
+    /// The list service is dead for six seconds and comes back.
+    pub outage: Part,
+    /// All are killed and started at once while it is dead.
+    pub dark: Part,
+    /// All are killed and started at once, and so are all members.
+    pub cold: Part,
+}
+
+impl ColdStart {
+    /// Plays it.
+    pub fn play(&self) -> Result<Line, String> {
+        let wrong = |e: std::io::Error| e.to_string();
+        let (store, agent) = Store::start_speaking(&[10, 20], Speaks::First).map_err(wrong)?;
+        store.lists().bear(Some(Bears { per_second: self.bears, line: Duration::from_secs(1) }));
+        let mut setup = Setup::new(self.program.clone(), self.folder.clone(), vec![agent]);
+        (setup.gateways, setup.keepers) = (self.fleet, 3.min(self.fleet));
+        setup.mode = if self.start.is_some() { Mode::Start } else { Mode::Off };
+        setup.start = self.start.clone().unwrap_or_default();
+        let gateways = Gateways::prepare(setup)?;
+        let all = || drop(gateways.restart_all(0..self.fleet, Duration::ZERO));
+        let bear = |cold| (0..store.members.len()).for_each(|n| store.bear(n, self.bearing(), cold));
+        bear(false);
+        let mut line = Line { fleet: self.fleet, ..Line::default() };
+        line.boot = self.part(&store, &gateways, &all);
+        bear(false);
+        line.warm = self.part(&store, &gateways, &|| {});
+        bear(false);
+        line.outage = self.part(&store, &gateways, &|| {
+            store.lists().mood(None, Mood::Dead);
+            std::thread::sleep(Duration::from_secs(6));
+            store.lists().mood(None, Mood::Up);
+        });
+        // What was put off for the outage is over.
+        std::thread::sleep(Duration::from_secs(4));
+        bear(false);
+        store.lists().mood(None, Mood::Dead);
+        line.dark = self.part(&store, &gateways, &all);
+        store.lists().mood(None, Mood::Up);
+        bear(true);
+        line.cold = self.part(&store, &gateways, &all);
+        Ok(line)
+    }
+
+    /// Members with a third of what they are asked for to spare.
+    fn bearing(&self) -> Bearing {
+        Bearing {
+            per_second: self.member,
+            cold_share: 0.25,
+            warm_within: Duration::from_secs(10),
+            fall_multiple: 4.0,
+            fall_within: Duration::from_secs(1),
+            handshake: 2.0,
+            probe: 0.1,
+            line: Duration::from_millis(300),
+            down: Duration::from_secs(1),
+        }
+    }
+
+    /// Plays one part. Its requests' ids are its own.
+    fn part(&self, store: &Store, gateways: &Gateways, meanwhile: &(dyn Fn() + Sync)) -> Part {
+        let (lists_from, store_from) = (store.lists().elapsed(), store.elapsed());
+        let before = store.audit().stale;
+        let opening = Opening {
+            rate: self.rate,
+            writes: 10,
+            lasts: Duration::from_secs(10),
+            seed: self.seed ^ nanos(store_from),
+        };
+        let opened: Opened = opening.run(store, gateways, Instant::now(), meanwhile);
+        let ready = opened.ready(0.99, self.fleet);
+        Part {
+            asks: Asks::of(&store.lists().asked(), lists_from),
+            ready_ms: ready.and_then(|at| u64::try_from(at.as_millis()).ok()),
+            worth: opened.worth(),
+            answered: (opened.served + opened.late) as f64 / opened.asked.max(1) as f64,
+            burden: Burden::of(store, store_from),
+            broken: opened.lost + opened.doubled + store.audit().stale - before,
+        }
+    }
+}
--- a/crates/stackgw-standin/src/flight.rs
+++ b/crates/stackgw-standin/src/flight.rs
@@ -59,7 +59,7 @@
 
 impl Host {
     fn said<T>(&self, mut answer: Response<T>, position: u64) -> Response<T> {
-        let primary = self.store.members[self.n].primary;
+        let primary = self.store.members[self.n].leads();
         let role = if primary { "leader" } else { "follower" };
         answer.metadata_mut().insert("x-stackgw-role", MetadataValue::from_static(role));
         answer.metadata_mut().insert("x-stackgw-position", MetadataValue::from(position));
--- a/crates/stackgw-standin/src/gateways.rs
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -1,7 +1,7 @@
 //! Gateways as real processes, with their configuration, their keys and their disks in a folder of their own.
 
 use crate::net::Net;
-use crate::store::{lock, Speaks, GROUP};
+use crate::store::{lock, Speaks, BOUND_MS, GROUP};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 use std::fs::File;
@@ -19,6 +19,18 @@
     Shared,
     /// Marks in each process alone.
     Off,
+    /// The same, beside what [`Setup::start`] says.
+    Start,
+}
+
+/// How gateways come to know the list, where not as the platform has it.
+#[derive(Debug, Clone, Default)]
+pub struct StartPart {
+    /// They talk to each other; the keepers are the seeds.
+    pub cluster: bool,
+    /// The lines of the operator's file below `start:`, without their indent; `{n}` is the gateway's number and `{folder}`
+    /// where files go.
+    pub lines: Vec<String>,
 }
 
 /// What gateways are set up as.
@@ -28,8 +40,8 @@
     pub program: PathBuf,
     /// Where files go; it must be there.
     pub folder: PathBuf,
-    /// The list's agent.
-    pub agent: SocketAddr,
+    /// The list's agents, dealt out in turn.
+    pub agents: Vec<SocketAddr>,
     /// How many gateways.
     pub gateways: usize,
     /// So many of them are keepers.
@@ -50,6 +62,30 @@
     pub speaks: Speaks,
     /// Flight SQL clients show who they are, `basic` or `bearer`: the one user is [`USER`].
     pub auth: Option<&'static str>,
+    /// How they come to know the list.
+    pub start: StartPart,
+}
+
+impl Setup {
+    /// Gateways of a program with their files in a folder, two of them, both keepers with disks; nothing else is on.
+    pub fn new(program: PathBuf, folder: PathBuf, agents: Vec<SocketAddr>) -> Self {
+        Setup {
+            program,
+            folder,
+            agents,
+            gateways: 2,
+            keepers: 2,
+            mode: Mode::Shared,
+            disks: true,
+            lease_ms: 400,
+            horizon_ms: 5_000,
+            relays: false,
+            flight: false,
+            speaks: Speaks::First,
+            auth: None,
+            start: StartPart::default(),
+        }
+    }
 }
 
 /// Name and secret of the user whom gateways know where clients show who they are.
@@ -66,6 +102,8 @@
     setup: Setup,
     net: Option<Arc<Net>>,
     gateways: Mutex<Vec<Gateway>>,
+    /// The ports of those that have not started yet; each is let go just before its gateway binds it.
+    ports: Mutex<Vec<Option<UdpSocket>>>,
 }
 
 const START: Duration = Duration::from_secs(20);
@@ -73,8 +111,19 @@
 impl Gateways {
     /// Writes their files and starts them all.
     pub fn start(setup: Setup) -> Result<Self, String> {
+        let gateways = Self::prepare(setup)?;
+        if gateways.setup.mode == Mode::Start {
+            gateways.restart_all(0..gateways.len(), Duration::ZERO)?;
+        } else {
+            (0..gateways.len()).try_for_each(|n| gateways.restart(n))?;
+        }
+        Ok(gateways)
+    }
+
+    /// Writes their files.
+    pub fn prepare(setup: Setup) -> Result<Self, String> {
         let wrong = |e: std::io::Error| format!("{}: {e}", setup.folder.display());
-        // Ports that are free now; each is let go just before its gateway binds it.
+        // Ports that are free now.
         let sockets: Vec<_> = (0..setup.gateways)
             .map(|_| UdpSocket::bind("127.0.0.1:0"))
             .collect::<Result<_, _>>()
@@ -90,10 +139,10 @@
         let seeds: Vec<_> = reached.iter().take(setup.keepers).map(|port| format!("\"{port}\"")).collect();
         let keepers: Vec<_> = (0..setup.keepers).map(|n| format!("g{n}")).collect();
         for (n, port) in ports.iter().enumerate() {
-            let document = platform(n, setup.gateways, setup.agent, setup.mode);
+            let document = platform(n, &setup);
             std::fs::write(setup.folder.join(format!("g{n}.json")), document.to_string()).map_err(wrong)?;
             let store = format!("\n  store: {}", setup.folder.join(format!("g{n}.redb")).display());
-            let file = format!(
+            let shared = format!(
                 "control: {}\nsessions:\n  cluster: trial\n  listen: {port}\n  advertise: {}\n  seeds: [{}]\n  keys: [{}]\n  keepers: [{}]\n  lease: {}ms\n  horizon: {}ms{}\n",
                 setup.folder.join(format!("g{n}.sock")).display(),
                 reached[n],
@@ -104,6 +153,11 @@
                 setup.horizon_ms,
                 if setup.disks && n < setup.keepers { store.as_str() } else { "" },
             );
+            let file = if setup.mode == Mode::Start {
+                started(&setup, n, *port, reached[n], &seeds, &key)
+            } else {
+                shared
+            };
             let flight =
                 format!("flight:\n  listen: 127.0.0.1:0\n  keys: [{}]\n  ticket: 5s\n", key.display());
             let file = if setup.flight { file + &flight } else { file };
@@ -126,13 +180,38 @@
             std::fs::write(setup.folder.join(format!("g{n}.yaml")), file).map_err(wrong)?;
         }
         let empty = || Gateway { child: None, address: Arc::default(), flight: Arc::default() };
-        let gateways =
-            Gateways { gateways: Mutex::new((0..setup.gateways).map(|_| empty()).collect()), net, setup };
-        for (n, socket) in sockets.into_iter().enumerate() {
-            drop(socket);
-            gateways.restart(n)?;
+        let gateways = Mutex::new((0..setup.gateways).map(|_| empty()).collect());
+        Ok(Gateways { gateways, net, setup, ports: Mutex::new(sockets.into_iter().map(Some).collect()) })
+    }
+
+    /// Starts these at once, or this far apart, anew where they ran, and waits until all listen.
+    pub fn restart_all(
+        &self,
+        which: impl Iterator<Item = usize> + Clone,
+        apart: Duration,
+    ) -> Result<(), String> {
+        which.clone().for_each(|n| self.kill(n));
+        for n in which.clone() {
+            self.spawn(n)?;
+            std::thread::sleep(apart);
+        }
+        for n in which {
+            if self.listens(n).is_err() {
+                self.restart(n)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a gateway a signal to read its configuration anew.
+    pub fn reload(&self, n: usize) {
+        self.signal(n, Signal::HUP);
+    }
+
+    fn signal(&self, n: usize, signal: Signal) {
+        if let Some(pid) = self.pid(n).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
+            let _ = kill_process(pid, signal);
         }
-        Ok(gateways)
     }
 
     /// How many there are.
@@ -183,10 +262,7 @@
 
     /// Stops a gateway's process in its tracks, or lets it go on.
     pub fn pause(&self, n: usize, paused: bool) {
-        let signal = if paused { Signal::STOP } else { Signal::CONT };
-        if let Some(pid) = self.pid(n).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
-            let _ = kill_process(pid, signal);
-        }
+        self.signal(n, if paused { Signal::STOP } else { Signal::CONT });
     }
 
     /// Takes a gateway's disk away. It must not run.
@@ -210,11 +286,18 @@
 
     fn try_start(&self, n: usize) -> Result<(), String> {
         self.kill(n);
+        self.spawn(n)?;
+        self.listens(n)
+    }
+
+    /// Starts a gateway's process.
+    fn spawn(&self, n: usize) -> Result<(), String> {
         let Setup { program, folder, mode, .. } = &self.setup;
         let wrong = |e: std::io::Error| format!("{}: {e}", program.display());
+        drop(lock(&self.ports).get_mut(n).and_then(Option::take));
         let mut command = Command::new(program);
         command.arg("run").arg("--config").arg(folder.join(format!("g{n}.json")));
-        if *mode == Mode::Shared {
+        if *mode != Mode::Off {
             command.arg("--file").arg(folder.join(format!("g{n}.yaml")));
         }
         let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().map_err(wrong)?;
@@ -235,19 +318,26 @@
                 }
             }
         });
+        if let Some(gateway) = lock(&self.gateways).get_mut(n) {
+            (gateway.child, gateway.address, gateway.flight) = (Some(child), address, flight);
+        }
+        Ok(())
+    }
+
+    /// Waits until a gateway that was started listens.
+    fn listens(&self, n: usize) -> Result<(), String> {
         let since = Instant::now();
-        while lock(&address).is_none() {
-            let over = child.try_wait().map_err(wrong)?;
-            if over.is_some() || since.elapsed() > START {
-                let _ = child.kill();
-                let _ = child.wait();
-                return Err(format!("gateway g{n} did not start: {}", last_line(folder, n)));
+        while self.address(n).is_none() {
+            let over = match lock(&self.gateways).get_mut(n).and_then(|g| g.child.as_mut()) {
+                Some(child) => child.try_wait().map_err(|e| e.to_string())?.is_some(),
+                None => true,
+            };
+            if over || since.elapsed() > START {
+                self.kill(n);
+                return Err(format!("gateway g{n} did not start: {}", last_line(&self.setup.folder, n)));
             }
             std::thread::sleep(Duration::from_millis(2));
         }
-        if let Some(gateway) = lock(&self.gateways).get_mut(n) {
-            (gateway.child, gateway.address, gateway.flight) = (Some(child), address, flight);
-        }
         Ok(())
     }
 }
@@ -266,14 +356,44 @@
     text.lines().last().unwrap_or("it said nothing").to_owned()
 }
 
+/// The operator's file of one gateway that knows no sessions across instances.
+fn started(
+    setup: &Setup,
+    n: usize,
+    port: SocketAddr,
+    reached: SocketAddr,
+    seeds: &[String],
+    key: &Path,
+) -> String {
+    let mut file = format!("control: {}\n", setup.folder.join(format!("g{n}.sock")).display());
+    if setup.start.cluster {
+        file += &format!(
+            "cluster:\n  name: trial\n  listen: {port}\n  advertise: {reached}\n  seeds: [{}]\n  keys: [{}]\n  expected: {}\n",
+            seeds.join(", "),
+            key.display(),
+            setup.gateways
+        );
+    }
+    if !setup.start.lines.is_empty() {
+        file += "start:\n";
+    }
+    let folder = setup.folder.display().to_string();
+    for line in &setup.start.lines {
+        let line = line.replace("{n}", &n.to_string()).replace("{folder}", &folder);
+        file += &format!("  {line}\n");
+    }
+    file
+}
+
 /// The platform's document for one gateway.
-fn platform(n: usize, fleet: usize, agent: SocketAddr, mode: Mode) -> serde_json::Value {
+fn platform(n: usize, setup: &Setup) -> serde_json::Value {
+    let (fleet, agent) = (setup.gateways, setup.agents[n % setup.agents.len()]);
     const MS: i64 = 1_000_000;
     let class = |name: &str, effect: &str, deadline_ms: i64| {
         json!({"Name": name, "Effect": effect, "Group": "all", "AimNs": 200 * MS, "DeadlineNs": deadline_ms * MS,
             "DedupWindowNs": 0, "LateWorth": 0.5, "Worth": 1.0})
     };
-    let marks = if mode == Mode::Off { "router" } else { "client" };
+    let marks = if setup.mode == Mode::Shared { "client" } else { "router" };
     json!({
         "name": format!("g{n}"), "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": format!("{:x}", 77 + n),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
@@ -283,7 +403,7 @@
             "Clients": {"MarksRetry": false},
             "Domain": {"Behind": "silent", "CatchUpWaitNs": 0, "CommitWaits": false, "CountedFromNs": 0,
                 "NeedsByClass": ["recent", "own_writes", "update"], "RoleListed": "delayed", "SessionMarks": marks,
-                "StalenessBoundNs": [2_000 * MS, 0, 0], "Stamps": true},
+                "StalenessBoundNs": [BOUND_MS * 1_000_000, 0, 0], "Stamps": true},
             "Limits": {"Cancel": true, "ConnIdleNs": 20_000 * MS, "DialTimeoutNs": 250 * MS, "MaxAttempts": 5,
                 "MaxOpen": 10_000, "MaxRetryAfterNs": 1_000 * MS, "MayTell": false, "Probes": true, "RetryAfter": true,
                 "SecondCopies": false},
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -2,7 +2,8 @@
 //! connection; only what is committed and has reached a replica is seen there. Its members speak our first protocol, or
 //! Arrow Flight SQL: the log, the troubles and the audit are the same.
 
-use crate::agent::Agent;
+use crate::bearing::{Bearing, Borne, Load, Took};
+use crate::lists::Lists;
 use stackgw_gateway::pg::{code, write, Frame, Frames, Statement};
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -14,6 +15,9 @@
 /// The group's number.
 pub const GROUP: u32 = 2;
 
+/// The bound of the class `look`.
+pub(crate) const BOUND_MS: u64 = 2_000;
+
 /// Milliseconds since 1970.
 pub fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -39,6 +43,10 @@
     pub reads_by_id: HashMap<String, u32>,
     /// Reads that the primary ran, and those that replicas ran.
     pub reads: [u64; 2],
+    /// Reads with a bound of two seconds that a replica further behind ran.
+    pub stale: u64,
+    /// The latest request that a member got after the list had it draining or gone.
+    pub after_drain: Duration,
 }
 
 /// One member's state, changed by the trial while it runs.
@@ -62,7 +70,10 @@
     pub cancels: AtomicU64,
     /// Requests that came.
     pub asked: AtomicU64,
-    pub(crate) primary: bool,
+    pub(crate) primary: AtomicBool,
+    load: Mutex<Option<Load>>,
+    /// Since when the list has it draining or gone.
+    told: Mutex<Option<Instant>>,
     dead: AtomicBool,
     sockets: Mutex<Vec<TcpStream>>,
 }
@@ -71,6 +82,23 @@
 pub(crate) struct Running(Arc<AtomicUsize>);
 
 impl Member {
+    /// It is the primary.
+    pub(crate) fn leads(&self) -> bool {
+        self.primary.load(Ordering::SeqCst)
+    }
+
+    /// What it must bear for a connection (`None`) or a message.
+    fn bears(&self, now: Duration, message: Option<&Frame>) -> Took {
+        match (lock(&self.load).as_mut(), message) {
+            (None, _) => Took::Done(Duration::ZERO),
+            (Some(load), None) => load.handshake(now),
+            (Some(load), Some(frame)) if frame.body().starts_with(b"S") && !frame.body().contains(&b'\'') => {
+                load.probe(now)
+            }
+            (Some(load), Some(_)) => load.request(now),
+        }
+    }
+
     pub(crate) fn works(&self) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
         Running(self.running.clone())
@@ -107,7 +135,8 @@
 /// The whole group.
 pub struct Store {
     data: Mutex<Data>,
-    agent: Arc<Agent>,
+    lists: Arc<Lists>,
+    since: Instant,
     /// The members; the first one is the primary.
     pub members: Vec<Member>,
 }
@@ -137,14 +166,24 @@
 
     /// The same with members that speak this.
     pub fn start_speaking(lags_ms: &[u64], speaks: Speaks) -> std::io::Result<(Arc<Store>, SocketAddr)> {
+        Store::start_behind(lags_ms, speaks, 1)
+    }
+
+    /// The same with a list that has so many doors.
+    pub fn start_behind(
+        lags_ms: &[u64],
+        speaks: Speaks,
+        doors: usize,
+    ) -> std::io::Result<(Arc<Store>, SocketAddr)> {
         let replica = |lag: &u64| Member { lag_ms: (*lag).into(), ..Member::default() };
-        let primary = Member { primary: true, ..Member::default() };
+        let primary = Member { primary: true.into(), ..Member::default() };
         let members: Vec<_> = std::iter::once(primary).chain(lags_ms.iter().map(replica)).collect();
         let listeners: Vec<_> =
             members.iter().map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
         let addresses: Vec<_> = listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
-        let (agent, at) = Agent::start(&addresses)?;
-        let store = Arc::new(Store { data: Mutex::default(), agent, members });
+        let lists = Lists::start(&addresses, doors)?;
+        let (at, since) = (lists.door(0), Instant::now());
+        let store = Arc::new(Store { data: Mutex::default(), lists, since, members });
         for (n, listener) in listeners.into_iter().enumerate() {
             let store = store.clone();
             let hand: Box<dyn Fn(TcpStream) + Send> = match speaks {
@@ -178,19 +217,51 @@
         lock(&self.data).log.get(key)?.last().map(|(_, value)| value.clone())
     }
 
+    /// The service that lists the members.
+    pub fn lists(&self) -> &Lists {
+        &self.lists
+    }
+
+    /// A member can bear no more than this from now on; where `cold`, its process has just started.
+    pub fn bear(&self, n: usize, can: Bearing, cold: bool) {
+        let mut load = Load::new(can);
+        if cold {
+            load.start(self.since.elapsed());
+        }
+        *lock(&self.members[n].load) = Some(load);
+    }
+
+    /// What a member was asked to bear since then, its moments counted from the store's start.
+    pub fn borne(&self, n: usize) -> Borne {
+        lock(&self.members[n].load).as_ref().map(Load::borne).unwrap_or_default()
+    }
+
+    /// How long the store has been there.
+    pub fn elapsed(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// Another member is the primary from now on. The list does not know of it by itself.
+    pub fn promote(&self, n: usize) {
+        for (at, member) in self.members.iter().enumerate() {
+            member.primary.store(at == n, Ordering::SeqCst);
+        }
+    }
+
     /// Where the members listen.
     pub fn addresses(&self) -> &[SocketAddr] {
-        self.agent.addresses()
+        self.lists.addresses()
     }
 
     /// The list tells that a member is in this phase: `ready`, `draining` or `gone`.
     pub fn announce(&self, n: usize, phase: &'static str) {
-        self.agent.announce(n, phase, 0);
+        *lock(&self.members[n].told) = (phase != "ready").then(Instant::now);
+        self.lists.announce(n, phase, 0);
     }
 
     /// The list tells that a member's process has just started.
     pub fn announce_start(&self, n: usize) {
-        self.agent.announce(n, "ready", unix_ms());
+        self.lists.announce(n, "ready", unix_ms());
     }
 
     /// A member dies where it stands: its connections break, and new ones are closed at once.
@@ -221,7 +292,16 @@
                     }
                     continue;
                 }
-                let Some((reply, wrote)) = self.reply(n, frame) else { return };
+                let took = member.bears(self.since.elapsed(), (frame.kind != 0).then_some(&frame));
+                let reply = match took {
+                    Took::Down => return,
+                    Took::Shed => Some((turned_away(), false)),
+                    Took::Done(_) => self.reply(n, frame),
+                };
+                let Some((reply, wrote)) = reply else { return };
+                if let Took::Done(after) = took {
+                    std::thread::sleep(after);
+                }
                 let slow = member.slow_ms.load(Ordering::Relaxed);
                 if slow > 0 && !here(&socket, Duration::from_millis(slow)) {
                     return;
@@ -266,7 +346,7 @@
             }
         }
         if let Some(at) = at {
-            let role = if self.members[n].primary { "leader" } else { "follower" };
+            let role = if self.members[n].leads() { "leader" } else { "follower" };
             write::status(&mut out, "node_role", role);
             write::status(&mut out, "replay_position", &at.to_string());
         }
@@ -276,7 +356,7 @@
 
     /// Every commit up to this is seen there.
     fn position(&self, member: &Member) -> u64 {
-        let lag = if member.primary { 0 } else { member.lag_ms.load(Ordering::Relaxed) };
+        let lag = if member.leads() { 0 } else { member.lag_ms.load(Ordering::Relaxed) };
         unix_ms().saturating_sub(lag)
     }
 
@@ -285,7 +365,7 @@
         let member = &self.members[n];
         let at = self.position(member);
         if text == "SHOW server_load" {
-            let primary = u8::from(member.primary);
+            let primary = u8::from(member.leads());
             return Done::Report(format!("x0={}.{:03},x1={primary}", at / 1000, at % 1000));
         }
         member.asked.fetch_add(1, Ordering::Relaxed);
@@ -294,9 +374,11 @@
         let Ok(statement) = Statement::parse(Frame { kind: b'Q', bytes: query }) else {
             return Done::Nonsense;
         };
+        let told = lock(&member.told).map(|at| at.elapsed());
         let mut data = lock(&self.data);
+        data.audit.after_drain = data.audit.after_drain.max(told.unwrap_or_default());
         if statement.write {
-            if !member.primary {
+            if !member.leads() {
                 return Done::NotHere(at);
             }
             *data.audit.writes.entry(statement.id.clone()).or_default() += 1;
@@ -308,14 +390,24 @@
             data.log.entry(statement.key.clone()).or_default().push((commit, value.clone()));
             return Done::Value(value, commit);
         }
-        data.audit.reads[usize::from(!member.primary)] += 1;
+        let behind = unix_ms().saturating_sub(at) > BOUND_MS;
+        data.audit.stale += u64::from(behind && statement.class == "look");
+        data.audit.reads[usize::from(!member.leads())] += 1;
         *data.audit.reads_by_id.entry(statement.id.clone()).or_default() += 1;
-        let at = if member.primary { data.last.max(unix_ms()) } else { at };
+        let at = if member.leads() { data.last.max(unix_ms()) } else { at };
         let seen = data.log.get(&statement.key).into_iter().flatten().rev().find(|(commit, _)| *commit <= at);
         Done::Value(seen.map(|(_, value)| value.clone()).unwrap_or_default(), at)
     }
 }
 
+/// The member's line is full.
+fn turned_away() -> Vec<u8> {
+    let mut out = Vec::new();
+    write::error(&mut out, false, "53300", "too many requests wait here", None);
+    write::ready(&mut out);
+    out
+}
+
 /// Works for so long; whether whoever asked is still there. A client that waits sends nothing, so that a byte or an end of
 /// its bytes says the same.
 fn here(socket: &TcpStream, work: Duration) -> bool {
