--- a/crates/stackgw-cluster/src/cluster.rs
+++ b/crates/stackgw-cluster/src/cluster.rs
@@ -13,6 +13,7 @@
 
 const KIND_MEMBERSHIP: u8 = 1;
 const KIND_SESSIONS: u8 = 2;
+const KIND_START: u8 = 3;
 /// Instances that are remembered at most, those that are gone included.
 const KNOWN_MOST: usize = 4_096;
 /// Seeds that are no known member are asked again after this.
@@ -53,6 +54,8 @@
     Superseded(Identity),
     /// A message between sessions, from this life of an instance to that one of this.
     Sessions(Peer, Peer, Message),
+    /// What an instance tells of the list, still to be read.
+    Start(Vec<u8>),
 }
 
 /// Why a datagram was dropped.
@@ -172,6 +175,10 @@
                 }
                 None => false,
             },
+            KIND_START => {
+                events.push(Event::Start(body.to_vec()));
+                true
+            }
             _ => false,
         };
         *(if taken { &mut self.counts.received } else { &mut self.counts.malformed }) += 1;
@@ -191,6 +198,12 @@
         effects.push(Effect::Send(seen.identity.address, bytes));
     }
 
+    /// Sends word of the list to an address, whether or not it is known who is there.
+    pub fn tell(&mut self, to: SocketAddr, body: &[u8], effects: &mut Vec<Effect>) {
+        self.counts.sent += 1;
+        effects.push(Effect::Send(to, self.set.ring.seal(KIND_START, body)));
+    }
+
     /// When [`Cluster::due`] is wanted next.
     pub fn next_due(&self) -> Time {
         let timer = self.timers.first_key_value().map_or(Time::MAX, |((at, _), _)| *at);
--- a/crates/stackgw-config/src/lib.rs
+++ b/crates/stackgw-config/src/lib.rs
@@ -36,6 +36,90 @@
     #[serde(default)]
     #[garde(dive)]
     pub flight: Option<Flight>,
+    /// The other instances, where sessions are not shared; `sessions` names them itself. Absent: this one talks to nobody.
+    #[serde(default)]
+    #[garde(dive, custom(alone(&self.sessions)))]
+    pub cluster: Option<Cluster>,
+    /// How this instance comes to know the list of members where many share one list service. Absent: it asks at once and by
+    /// itself.
+    #[serde(default)]
+    #[garde(dive)]
+    pub start: Option<Start>,
+}
+
+/// The other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Cluster {
+    /// The cluster's name; datagrams of another one are foreign, whatever their key.
+    #[garde(length(min = 1, max = 64))]
+    pub name: String,
+    /// Where datagrams of the other instances arrive, over UDP.
+    pub listen: SocketAddr,
+    /// What the others send to, where that differs from `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Addresses at which others may be found; this one's own may be among them. The same on every instance: with `start` on
+    /// the first of them to be up hold the watch of the list.
+    #[serde(default)]
+    #[garde(length(max = 64))]
+    pub seeds: Vec<SocketAddr>,
+    /// Files that each hold one secret of 16 bytes or more. The first one seals, all of them open.
+    #[garde(length(min = 1, max = 8))]
+    pub keys: Vec<PathBuf>,
+    /// How many instances there are about.
+    #[serde(default = "default_expected")]
+    #[garde(range(min = 1, max = 4_096))]
+    pub expected: u32,
+}
+
+impl Cluster {
+    /// The address that the others send to.
+    pub fn reached_at(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
+/// How an instance comes to know the list.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, JsonSchema, Validate)]
+#[serde(deny_unknown_fields)]
+#[garde(allow_unvalidated)]
+pub struct Start {
+    /// Requests a second that the list service bears from all gateways together.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub bears: u32,
+    /// The list service's name. Instances tell each other of the list only where this is the same; a new name says that its
+    /// versions are counted anew.
+    #[serde(default)]
+    #[garde(length(max = 64))]
+    pub service: String,
+    /// A file on a lasting disk that keeps the list. Without one an instance that starts knows what the platform tells it.
+    #[serde(default)]
+    pub list: Option<PathBuf>,
+    /// How long an instance that has only kept word waits for better before it says that it is ready.
+    #[serde(default = "default_kept_wait")]
+    #[garde(custom(between("0ms", "1min")))]
+    pub kept_wait: Duration,
+    /// A list service that tells older lists alone for this long has lost its state and is believed.
+    #[serde(default = "default_reset_after")]
+    #[garde(custom(between("1s", "1h")))]
+    pub reset_after: Duration,
+}
+
+fn default_kept_wait() -> Duration {
+    Duration::from_millis(300)
+}
+
+fn default_reset_after() -> Duration {
+    Duration::from_millis(60_000)
+}
+
+fn alone(sessions: &Option<Sessions>) -> impl FnOnce(&Option<Cluster>, &()) -> garde::Result + '_ {
+    move |cluster, ()| {
+        let twice = cluster.is_some() && sessions.is_some();
+        (!twice).then_some(()).ok_or_else(|| garde::Error::new("sessions name the cluster already"))
+    }
 }
 
 /// Arrow Flight SQL for clients.
@@ -245,9 +329,16 @@
 }
 
 impl Sessions {
-    /// The address that the others send to.
-    pub fn reached_at(&self) -> SocketAddr {
-        self.advertise.unwrap_or(self.listen)
+    /// The other instances, as it names them.
+    pub fn others(&self) -> Cluster {
+        Cluster {
+            name: self.cluster.clone(),
+            listen: self.listen,
+            advertise: self.advertise,
+            seeds: self.seeds.clone(),
+            keys: self.keys.clone(),
+            expected: self.expected,
+        }
     }
 }
 
--- a/crates/stackgw-config/tests/file.rs
+++ b/crates/stackgw-config/tests/file.rs
@@ -37,7 +37,7 @@
         (sessions.lease, sessions.horizon),
         (Duration::from_millis(500), Duration::from_millis(60_000))
     );
-    assert_eq!((sessions.homes, sessions.reached_at().port()), (2, 7101));
+    assert_eq!((sessions.homes, sessions.others().reached_at().port()), (2, 7101));
     assert_eq!(from("empty", "# nothing\n"), Ok(Operator::default()));
 }
 
--- a/crates/stackgw-gateway/src/config.rs
+++ b/crates/stackgw-gateway/src/config.rs
@@ -38,6 +38,10 @@
     pub operator: Operator,
     /// What the operator's file says of sessions across instances, with the keys that it names.
     pub together: Option<Together>,
+    /// The other instances, as either part of the operator's file names them.
+    pub others: Option<Others>,
+    /// How this instance comes to know the list, where not as the platform has it.
+    pub start: Option<stackgw_config::Start>,
 }
 
 /// The operator's file as far as a gateway has it.
@@ -62,6 +66,21 @@
     pub ring: Ring,
 }
 
+/// The other instances, and the keys that they share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Others {
+    /// The file's part.
+    pub file: stackgw_config::Cluster,
+    /// The keys.
+    pub ring: Ring,
+}
+
+impl From<&Together> for Others {
+    fn from(together: &Together) -> Self {
+        Others { file: together.file.others(), ring: together.ring.clone() }
+    }
+}
+
 /// A secret is smaller than this.
 const KEY_MOST: u64 = 4 << 10;
 
@@ -144,6 +163,13 @@
         let read = stackgw_config::read(file).map_err(|problem| problem.to_string())?;
         let named = |why| format!("{}: {why}", file.display());
         let together = read.sessions.map(Together::read).transpose().map_err(named)?;
+        let others = match (read.cluster, &together) {
+            (Some(file), _) => {
+                let ring = ring("cluster.keys", &file.name, &file.keys).map_err(named)?;
+                Some(Others { file, ring })
+            }
+            (None, together) => together.as_ref().map(Others::from),
+        };
         let flight = match read.flight {
             Some(flight) => Some((ring("flight.keys", "flight", &flight.keys).map_err(named)?, flight)),
             None => None,
@@ -154,7 +180,7 @@
             control: read.control,
             flight: flight.map(|(ring, flight)| (flight, ring)),
         };
-        Ok(Config { operator, together, ..self })
+        Ok(Config { operator, together, others, start: read.start, ..self })
     }
 
     /// Reads the document's text; variables override its fields.
@@ -223,6 +249,8 @@
             file: None,
             operator: Operator::default(),
             together: None,
+            others: None,
+            start: None,
         })
     }
 }
--- a/crates/stackgw-gateway/src/discovery.rs
+++ b/crates/stackgw-gateway/src/discovery.rs
@@ -2,7 +2,7 @@
 //! without I/O; every size has a limit.
 
 use serde_json::Value;
-use stackgw_router::api::Standing;
+use stackgw_router::api::{Span, Standing, SECOND};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -25,36 +25,27 @@
     Err(Malformed(problem.into()))
 }
 
-/// One entry of the list, under the list's own names.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ListEntry {
-    /// The member's name, the same at every gateway.
-    pub id: String,
-    /// Where this gateway reaches it.
-    pub address: SocketAddr,
-    /// Its zone's name.
-    pub locality: String,
-    /// Its group.
-    pub cell: u32,
-    /// What the list says of its process.
-    pub phase: Standing,
-    /// Its weight.
-    pub size: f64,
-    /// When it last started, in Unix milliseconds; 0 means long ago.
-    pub up_since_ms: i64,
-    /// The list holds it for the primary.
-    pub leader: bool,
+pub use stackgw_start::{Entry as ListEntry, Update as ListUpdate};
+
+/// Why an answer of the list's agent is over.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Lost {
+    /// In words.
+    pub why: String,
+    /// The service says that it is overloaded, and for how long it wants to be left alone, as far as it says.
+    pub put_off: Option<Span>,
+}
+
+impl From<String> for Lost {
+    fn from(why: String) -> Self {
+        Lost { why, put_off: None }
+    }
 }
 
-/// A list, or the entries of one that changed.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct ListUpdate {
-    /// The list's version.
-    pub revision: u64,
-    /// All entries, not just those that changed.
-    pub complete: bool,
-    /// The entries.
-    pub members: Vec<ListEntry>,
+impl From<&str> for Lost {
+    fn from(why: &str) -> Self {
+        why.to_owned().into()
+    }
 }
 
 /// Reads a list from its bytes.
@@ -148,6 +139,7 @@
     line: Vec<u8>,
     head_most: usize,
     line_most: usize,
+    put_off: Option<Span>,
 }
 
 /// What an answer's bytes amount to.
@@ -162,7 +154,19 @@
 impl HttpLines {
     /// Heads and lines of the body keep within these.
     pub fn new(head_most: usize, line_most: usize) -> Self {
-        HttpLines { stage: Stage::Head, raw: Vec::new(), line: Vec::new(), head_most, line_most }
+        HttpLines {
+            stage: Stage::Head,
+            raw: Vec::new(),
+            line: Vec::new(),
+            head_most,
+            line_most,
+            put_off: None,
+        }
+    }
+
+    /// The answer says that whoever gave it is overloaded, and for how long it wants to be left alone (0: it does not say).
+    pub fn put_off(&self) -> Option<Span> {
+        self.put_off
     }
 
     /// Takes bytes as they come; returns what they complete.
@@ -201,6 +205,7 @@
                 if end > self.head_most {
                     return wrong("the head is too long");
                 }
+                self.put_off = overloaded(&rest[..end]);
                 self.stage = head(&rest[..end])?;
                 if self.stage == Stage::Body(0, false) {
                     self.finish(pieces);
@@ -294,6 +299,19 @@
     Some((&bytes[..end], &bytes[end + 2..]))
 }
 
+/// What 429 and 503 say of when to come back. A date is taken for no time at all.
+fn overloaded(head: &[u8]) -> Option<Span> {
+    let mut lines = std::str::from_utf8(head).ok()?.split("\r\n");
+    let status = lines.next()?.split(' ').nth(1)?;
+    if !matches!(status, "429" | "503") {
+        return None;
+    }
+    let fields = lines.filter_map(|line| line.split_once(':'));
+    let wait = fields.filter(|(name, _)| name.eq_ignore_ascii_case("retry-after"));
+    let seconds = wait.filter_map(|(_, value)| value.trim().parse::<u32>().ok()).next();
+    Some(SECOND * Span::from(seconds.unwrap_or(0)))
+}
+
 fn head(bytes: &[u8]) -> Result<Stage, Malformed> {
     let Ok(text) = std::str::from_utf8(bytes) else { return wrong("the head is no text") };
     let mut lines = text.split("\r\n");
--- a/crates/stackgw-gateway/src/io/cluster.rs
+++ b/crates/stackgw-gateway/src/io/cluster.rs
@@ -6,8 +6,8 @@
 use async_channel::Receiver;
 use async_io::Async;
 use slog::{info, Logger};
-use stackgw_sessions::NodeId;
-use stackgw_store::{Done, File, Owner, Writer};
+use stackgw_sessions::{NodeId, Peer};
+use stackgw_store::{Done, File, ListWriter, Owner, Writer};
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -15,6 +15,7 @@
 /// What turns sessions across instances on.
 pub(super) struct Start {
     pub(super) socket: Rc<Async<UdpSocket>>,
+    pub(super) peer: Peer,
     pub(super) life: Life,
     pub(super) writer: Option<Writer>,
     pub(super) disk: Option<Receiver<Done>>,
@@ -23,15 +24,17 @@
 /// Binds the socket and opens the store, if the operator's file asks for them. A store that another process has, or that can
 /// neither be used nor set aside, ends the start: a later life would take it for whole.
 pub(super) fn start(config: &Config, log: &Logger) -> Result<Option<Start>, String> {
-    let Some(together) = &config.together else { return Ok(None) };
-    let file = &together.file;
-    let bind = |e: std::io::Error| format!("sessions.listen: {}: {e}", file.listen);
-    let socket = Rc::new(Async::<UdpSocket>::bind(file.listen).map_err(bind)?);
+    let Some(others) = &config.others else { return Ok(None) };
+    let at = others.file.listen;
+    let field = if config.together.is_some() { "sessions.listen" } else { "cluster.listen" };
+    let socket = Async::<UdpSocket>::bind(at).map_err(|e| format!("{field}: {at}: {e}"))?;
+    let socket = Rc::new(socket);
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let mut life = Life { incarnation: u64::try_from(now).unwrap_or(u64::MAX), recovered: None };
     let (mut writer, mut disk) = (None, None);
-    if let Some(path) = &file.store {
-        let node = NodeId::of(&config.name);
+    let node = NodeId::of(&config.name);
+    let file = config.together.as_ref().map(|together| &together.file);
+    if let Some((file, path)) = file.and_then(|file| Some((file, file.store.as_ref()?))) {
         let owner = Owner { cluster: file.cluster.clone(), node, horizon_ms: file.horizon.as_millis() };
         let opened = File::open(path, &owner).map_err(|failed| failed.to_string())?;
         if let Some(said) = opened.set_aside {
@@ -43,7 +46,30 @@
         writer = Some(Writer::start(opened.file, done).map_err(|failed| failed.to_string())?);
         disk = Some(word);
     }
-    Ok(Some(Start { socket, life, writer, disk }))
+    let peer = Peer { node, incarnation: life.incarnation };
+    Ok(Some(Start { socket, peer, life, writer, disk }))
+}
+
+/// The list as the disk kept it, and what keeps it from now on, if the operator's file names a place. What cannot be read is
+/// said, and costs a start no more than that.
+pub(super) fn kept(
+    start: &stackgw_config::Start,
+    log: &Logger,
+) -> Option<(Option<stackgw_start::Kept>, ListWriter)> {
+    let path = start.list.as_ref()?;
+    let kept = stackgw_store::read_list(path, &start.service).unwrap_or_else(|failed| {
+        info!(log, "{failed}; starting without it");
+        None
+    });
+    let told = log.clone();
+    let said = move |failed: stackgw_store::Failed| info!(told, "{failed}");
+    match ListWriter::start(path, &start.service, said) {
+        Ok(writer) => Some((kept, writer)),
+        Err(failed) => {
+            info!(log, "{failed}");
+            None
+        }
+    }
 }
 
 /// Hands over the disk's word.
--- a/crates/stackgw-gateway/src/io/control.rs
+++ b/crates/stackgw-gateway/src/io/control.rs
@@ -98,6 +98,7 @@
     let asked: Value = serde_json::from_slice(line).ok()?;
     match asked.get("ask")?.as_str()? {
         "sessions" => Some(Question::Sessions),
+        "list" => Some(Question::List),
         "session" => {
             let group = u32::try_from(asked.get("group")?.as_u64()?).ok()?;
             Some(Question::Session(group, asked.get("session")?.as_str()?.to_owned()))
--- a/crates/stackgw-gateway/src/io/discovery.rs
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -1,7 +1,7 @@
 //! The list's agent: the watch, and single calls.
 
 use super::Shell;
-use crate::discovery::{list_from_bytes, request, HttpLines, Malformed, Piece};
+use crate::discovery::{list_from_bytes, request, HttpLines, Lost, Malformed, Piece};
 use crate::reducer::Input;
 use async_io::{Async, Timer};
 use futures_lite::{future, stream, AsyncReadExt, AsyncWriteExt, Stream, StreamExt};
@@ -17,7 +17,7 @@
     shell: Rc<Shell>,
     at: SocketAddr,
     watch_after: Option<Option<u64>>,
-) -> impl Stream<Item = Result<Piece, String>> {
+) -> impl Stream<Item = Result<Piece, Lost>> {
     let limits = &shell.limits;
     let http = HttpLines::new(limits.head_bytes, limits.list_bytes);
     let state = (shell, None::<Async<TcpStream>>, http, VecDeque::new());
@@ -25,7 +25,7 @@
         let mut socket = match socket {
             Some(socket) => socket,
             None => {
-                let io = |e: std::io::Error| e.to_string();
+                let io = |e: std::io::Error| Lost::from(e.to_string());
                 let mut socket = Async::<TcpStream>::connect(at).await.map_err(io)?;
                 socket.write_all(&request(at, watch_after)).await.map_err(io)?;
                 socket
@@ -33,16 +33,18 @@
         };
         let mut buffer = vec![0; shell.limits.read_bytes];
         while pieces.is_empty() {
-            let said = |e: Malformed| e.to_string();
             match socket.read(&mut buffer).await {
                 Ok(0) => {
-                    pieces.extend(http.end().map_err(said)?);
+                    pieces.extend(http.end().map_err(|e: Malformed| e.to_string())?);
                     pieces.push_back(Piece::End);
                 }
-                Ok(n) => pieces.extend(http.feed(&buffer[..n]).map_err(said)?),
+                Ok(n) => {
+                    let fed = http.feed(&buffer[..n]);
+                    pieces.extend(fed.map_err(|e| Lost { why: e.to_string(), put_off: http.put_off() })?);
+                }
                 // Nothing has been read; the watch goes on.
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e.to_string()),
+                Err(e) => return Err(e.to_string().into()),
             }
         }
         Ok(pieces.pop_front().map(|piece| (piece, (shell, Some(socket), http, pieces))))
@@ -57,9 +59,9 @@
             Some(Ok(Piece::Line(line))) if line.is_empty() => shell.input(Input::WatchAlive),
             Some(Ok(Piece::Line(line))) => match list_from_bytes(&line) {
                 Ok(list) => shell.input(Input::List(list)),
-                Err(e) => break e.to_string(),
+                Err(e) => break e.to_string().into(),
             },
-            Some(Ok(Piece::End)) | None => break "ended".to_owned(),
+            Some(Ok(Piece::End)) | None => break "ended".into(),
             Some(Err(e)) => break e,
         }
     };
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -116,6 +116,8 @@
     /// Where the operator's cluster talks, and what keeps its records.
     cluster: Option<Rc<Async<UdpSocket>>>,
     store: Option<stackgw_store::Writer>,
+    /// What keeps the list.
+    keeper: Option<stackgw_store::ListWriter>,
     askers: control::Askers,
     /// Other fronts' requests that are open, and who waits for each.
     calls: RefCell<HashMap<CallId, async_channel::Sender<Answered>>>,
@@ -260,6 +262,11 @@
                     let _ = told.try_send(Answered::Stream(stream));
                 }
             }
+            Effect::Keep(kept) => {
+                if let Some(keeper) = &self.keeper {
+                    keeper.put(*kept);
+                }
+            }
             Effect::Told(asker, answer) => self.askers.tell(asker, answer),
             Effect::StopListening => self.stops_listening.set(true),
             Effect::Log(text) => info!(self.log, "{text}"),
@@ -304,12 +311,21 @@
     let limits = config.limits.clone();
     let clock = Clock::new();
     let (together, reread) = (config.together.clone(), config.reread());
+    let (others, start) = (config.others.clone(), config.start.clone());
     let mut reducer = Reducer::new(config);
     let mut effects = Vec::new();
     if let (Some(together), Some(shared)) = (&together, &mut shared) {
         let life = shared.life.clone();
         reducer.share_sessions(clock.now(), together, life, &mut effects);
     }
+    if let (Some(others), Some(shared), None) = (&others, &shared, &together) {
+        reducer.join(clock.now(), others, shared.peer);
+    }
+    let kept = start.as_ref().and_then(|start| cluster::kept(start, &log));
+    let (kept, keeper) = kept.map_or((None, None), |(kept, writer)| (kept, Some(writer)));
+    if let Some(start) = &start {
+        reducer.start_by(clock.now(), start, others.as_ref().map(|o| &o.file), kept, &mut effects);
+    }
     let (cluster, store, disk) = match shared {
         Some(shared) => (Some(shared.socket), shared.writer, shared.disk),
         None => (None, None, None),
@@ -331,6 +347,7 @@
         datagrams,
         cluster,
         store,
+        keeper,
         askers: control::Askers::default(),
         calls: RefCell::default(),
         to_back,
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -354,6 +354,7 @@
 
     /// A message's turn has come; it came at this time.
     fn client_asks(&mut self, now: Time, came: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
+        let ready = self.is_ready(now);
         let Some(client) = self.clients.get_mut(&id) else { return };
         let mut reply = Vec::new();
         match frame.kind {
@@ -361,7 +362,7 @@
             b'Q' if Statement::is_empty(&frame) => {
                 self.client_used(id);
                 let Some(client) = self.clients.get_mut(&id) else { return };
-                if self.members.is_empty() {
+                if !ready {
                     client.awaits_ready = true;
                     return self.note_idle(now, id);
                 }
@@ -503,7 +504,13 @@
         let class = self.names.classes.iter().position(|name| *name == statement.class);
         let class = class.ok_or(Final::Malformed("the class is unknown"))?;
         if self.members.is_empty() {
-            return self.decline(Final::NotYet("no list of members is known yet"));
+            let hint = self.fixed.settings.router.limits.retry_after;
+            let wait = self.starting.as_ref().filter(|_| hint).map(|s| s.start.comes_back(now));
+            let text = "no list of members is known yet";
+            return self.decline(match wait {
+                Some(wait) => Final::Refused(text, Some((wait + MS - 1) / MS)),
+                None => Final::NotYet(text),
+            });
         }
         if !self.members.values().any(|m| m.group == statement.cluster) {
             return Err(Final::Malformed("the cluster is unknown"));
@@ -521,7 +528,7 @@
         if self.requests.len() >= self.limits.requests {
             return self.decline(Final::Refused("too many requests are open", None));
         }
-        if let Some(why) = self.shared.as_ref().filter(|_| need == Need::Write).and_then(|s| s.shut()) {
+        if let Some(why) = self.shut().filter(|_| need == Need::Write) {
             return self.decline(Final::Refused(why, None));
         }
         let request = RequestId(self.next_request);
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -21,12 +21,17 @@
         out.push(Effect::Watch(self.discovery, self.revision));
     }
 
-    pub(super) fn watch_lost(&mut self, now: Time, why: String, out: &mut Vec<Effect>) {
+    pub(super) fn watch_lost(&mut self, now: Time, lost: Lost, out: &mut Vec<Effect>) {
+        if self.starting.is_some() {
+            self.counters.watches_lost += 1;
+            log_rarely(self.counters.watches_lost, &format!("watch of the list lost ({}),", lost.why), out);
+            return self.with_start(now, out, |start, outputs| start.watch_lost(now, lost.put_off, outputs));
+        }
         if !std::mem::replace(&mut self.watching, false) {
             return;
         }
         self.counters.watches_lost += 1;
-        log_rarely(self.counters.watches_lost, &format!("watch of the list lost ({why}),"), out);
+        log_rarely(self.counters.watches_lost, &format!("watch of the list lost ({}),", lost.why), out);
         self.watch_pause =
             (self.watch_pause * 2).clamp(self.limits.watch_pause, self.limits.watch_pause_most);
         self.set_timer(now + self.watch_pause, Due::Watch);
@@ -39,22 +44,40 @@
     }
 
     pub(super) fn list(&mut self, now: Time, list: ListUpdate, out: &mut Vec<Effect>) {
+        if self.starting.is_some() {
+            return self.with_start(now, out, |start, outputs| start.watch_said(now, list, outputs));
+        }
         (self.watch_heard, self.watch_pause) = (now, 0);
         if !list.complete && self.revision.is_some_and(|known| list.revision < known) {
             return; // Word that newer word has overtaken.
         }
-        self.counters.lists += 1;
         self.fetching &= !list.complete;
         self.revision = Some(list.revision);
-        let members: Vec<_> = list.members.iter().filter_map(|e| self.listed(now, e, out)).collect();
-        if list.complete && !self.limits.only_drains_bind {
+        let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
+        self.told(now, scope, &list.members, out);
+    }
+
+    /// The list, or what changed in it, is this.
+    pub(super) fn told(&mut self, now: Time, scope: ListScope, list: &[ListEntry], out: &mut Vec<Effect>) {
+        self.counters.lists += 1;
+        let members: Vec<_> = list.iter().filter_map(|e| self.listed(now, e, out)).collect();
+        if scope == ListScope::Full && !self.limits.only_drains_bind {
             let named: BTreeSet<_> = members.iter().map(|m| m.id).collect();
             let missing = self.members.iter_mut().filter(|(id, _)| !named.contains(id));
             missing.for_each(|(_, known)| known.told = known.told.or(Some(now)));
         }
-        let scope = if list.complete { ListScope::Full } else { ListScope::Changes };
         self.events.push_back(Event::List { scope, members });
-        if !self.members.is_empty() {
+        self.wake_ready(now, out);
+    }
+
+    /// Whether this gateway says that it is ready.
+    pub(super) fn is_ready(&self, now: Time) -> bool {
+        !self.members.is_empty() && self.starting.as_ref().is_none_or(|s| s.start.is_ready(now))
+    }
+
+    /// Tells the clients that wait for it that the gateway is ready, if it is.
+    pub(super) fn wake_ready(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.is_ready(now) {
             let waiting = self.clients.iter().filter(|(_, c)| c.awaits_ready).map(|(id, _)| *id);
             for id in waiting.collect::<Vec<_>>() {
                 if let Some(client) = self.clients.get_mut(&id) {
@@ -110,7 +133,10 @@
             group: GroupId(entry.cell),
             zone: self.names.zones.iter().position(|z| *z == entry.locality).unwrap_or(0) as u32,
             weight: entry.size,
-            started: Some(entry.up_since_ms * MS).filter(|at| *at > 0),
+            // Below zero: nobody knows, so that it may have started just now.
+            started: Some(entry.up_since_ms * MS)
+                .map(|at| if at < 0 { now } else { at })
+                .filter(|at| *at > 0),
             standing: entry.phase,
             primary: entry.leader,
         })
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -3,16 +3,18 @@
 //! counters, and it knows no socket, clock or await. Whom to ask, when to stop, retry or refuse is the router's.
 
 mod clients;
+mod cluster;
 mod ending;
 mod list;
 mod members;
 mod reload;
 mod sessions;
+mod start;
 mod streams;
 
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::discovery::{ListEntry, ListUpdate};
+use crate::discovery::{ListEntry, ListUpdate, Lost};
 use crate::limits::Limits;
 use crate::pg::{self, code, write, Ended, Frame, Reply, Statement};
 use crate::pool::Pool;
@@ -22,11 +24,13 @@
 use std::net::SocketAddr;
 
 use clients::{Client, Open};
+use cluster::Membership;
 use list::Listed;
 use members::{Conn, Job, Phase};
 use reload::Fixed;
 pub use sessions::Life;
 use sessions::Shared;
+use start::Starting;
 pub use streams::{Asked, Said};
 
 /// A client's connection, numbered by the I/O side.
@@ -123,7 +127,7 @@
     /// The watch brought a line without news.
     WatchAlive,
     /// The watch ended, or could not be opened; the text says why.
-    WatchLost(String),
+    WatchLost(Lost),
     /// The list could not be had.
     FetchFailed,
     /// A datagram.
@@ -163,6 +167,8 @@
     Sessions,
     /// What is held of one session of a group.
     Session(u32, String),
+    /// Where the list is from.
+    List,
 }
 
 /// What is to be done outside.
@@ -209,6 +215,8 @@
     CallStreams(CallId, ConnId),
     /// Keep a record on the disk.
     Store(stackgw_sessions::Record),
+    /// Keep the list on the disk.
+    Keep(Box<stackgw_start::Kept>),
     /// The answer to a question at the local socket.
     Told(u64, serde_json::Value),
     /// Take what waits in line, then close the listener.
@@ -234,6 +242,10 @@
     Admit,
     /// Something in the sessions across instances.
     Shared,
+    /// Something in the membership.
+    Cluster,
+    /// Something in how the list comes to be known.
+    Start,
     /// A served write whose session could not be told of it in time.
     Held(RequestId),
     StopListening,
@@ -328,6 +340,10 @@
     fixed: Fixed,
     /// Sessions across instances, where the operator's file turns them on.
     shared: Option<Box<Shared>>,
+    /// The other instances, where the operator's file names them.
+    cluster: Option<Box<Membership>>,
+    /// How the list comes to be known, where not as the platform has it.
+    starting: Option<Box<Starting>>,
 }
 
 impl Reducer {
@@ -339,6 +355,8 @@
             // What a session wrote is found out here, so the router is told with each read.
             settings.session_marks = SessionMarks::Client;
         }
+        // Where the file says how the list comes to be known, a watch brings it.
+        settings.list_on_request &= config.start.is_none();
         Reducer {
             fixed,
             discovery: config.discovery,
@@ -386,6 +404,8 @@
             retire_at: 0,
             exited: false,
             shared: None,
+            cluster: None,
+            starting: None,
             secret: config.seed,
         }
     }
@@ -434,7 +454,10 @@
             Input::MemberStreamWaits(id) => self.member_stream_waits(id),
             Input::MemberStreamOver(id, outcome) => self.member_stream_over(now, id, outcome, out),
             Input::List(list) => self.list(now, list, out),
-            Input::WatchAlive => self.watch_heard = now,
+            Input::WatchAlive => {
+                self.watch_heard = now;
+                self.with_start(now, out, |start, _| start.watch_alive(now));
+            }
             Input::WatchLost(why) => self.watch_lost(now, why, out),
             Input::FetchFailed => {
                 self.fetching = false;
@@ -462,11 +485,15 @@
             Input::Report => {
                 out.push(Effect::Report(Box::new(self.counters.clone())));
                 out.extend(self.seen().map(|seen| Effect::Log(seen.line(now))));
-                out.extend(self.shared.iter().map(|shared| Effect::Log(shared.line(now))));
+                let met = self.cluster.as_ref().map(|member| member.cluster.counts()).unwrap_or_default();
+                out.extend(self.shared.iter().map(|shared| Effect::Log(shared.line(now, met))));
+                out.extend(self.starting.iter().map(|starting| Effect::Log(starting.line(now))));
             }
         }
         self.route(now, out);
         self.shared_due_set();
+        self.cluster_due_set();
+        self.start_due_set(now);
         self.admit(now, out);
         self.counters.peaks();
         if self.listener_closed && self.clients.is_empty() && self.calls.is_empty() {
@@ -481,7 +508,7 @@
             self.events.push_back(Event::List { scope: ListScope::Cached, members });
         }
         self.set_timer(now + self.limits.sweep, Due::Sweep);
-        if self.subscribed {
+        if self.subscribed && self.starting.is_none() {
             self.watch(now, out);
         }
         out.push(Effect::Log(format!("started, {} members known", self.members.len())));
@@ -581,6 +608,8 @@
                 }
                 Due::Admit => self.admits = false,
                 Due::Shared => self.shared_due(now, out),
+                Due::Cluster => self.cluster_due(now, out),
+                Due::Start => self.start_due(now, out),
                 Due::Held(request) => self.held_too_long(now, request, out),
                 Due::StopListening => out.push(Effect::StopListening),
                 Due::Retire => self.retire_clients(now, out),
@@ -605,7 +634,7 @@
         }
         if self.watching && now - self.watch_heard > self.limits.watch_silence {
             out.push(Effect::Unwatch);
-            self.watch_lost(now, "silent".to_owned(), out);
+            self.watch_lost(now, "silent".into(), out);
         }
         let limits = &self.limits;
         let late = |since: Option<Time>, most| since.is_some_and(|t| now - t > most);
--- a/crates/stackgw-gateway/src/reducer/reload.rs
+++ b/crates/stackgw-gateway/src/reducer/reload.rs
@@ -58,9 +58,13 @@
             said += &format!("; unchanged until a restart: {}", fixed.join(", "));
         }
         out.push(Effect::Log(said));
+        self.cluster_reload(now, config.others.as_ref(), out);
         self.shared_reload(now, config.together, out);
         (self.peers, self.peers_all) = (config.peers, config.peers_all);
-        if std::mem::replace(&mut self.discovery, config.discovery) == config.discovery {
+        let moved = std::mem::replace(&mut self.discovery, config.discovery) != config.discovery;
+        let seeds = config.others.map(|others| others.file.seeds).unwrap_or_default();
+        self.start_reload(now, config.start.as_ref(), &seeds, moved, out);
+        if !moved || self.starting.is_some() {
             return;
         }
         // Danger: another source counts its versions anew. Held to the old one's, its word would be taken for old.
--- a/crates/stackgw-gateway/src/reducer/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -2,9 +2,9 @@
 //! What a read must see and when a write's answer may leave is decided there; which member then serves is the router's.
 
 use super::*;
-use crate::config::Together;
+use crate::config::{Others, Together};
 use serde_json::{json, Value};
-use stackgw_cluster::{Cluster, Identity};
+use stackgw_cluster::Cluster;
 use stackgw_sessions::{
     Knowledge, NodeId, Output, Peer, Recovered, SessionKey, Sessions, Settings, Standing, Why,
 };
@@ -31,7 +31,6 @@
 /// Everything of it.
 pub(super) struct Shared {
     sessions: Sessions,
-    cluster: Cluster,
     outputs: Vec<Output>,
     names: Map<NodeId, String>,
     /// What holds until a restart, as it was at start.
@@ -50,14 +49,7 @@
 }
 
 impl Shared {
-    fn new(
-        now: Time,
-        config: &Together,
-        name: &str,
-        seed: u64,
-        life: Life,
-        outputs: &mut Vec<Output>,
-    ) -> Self {
+    fn new(now: Time, config: &Together, name: &str, life: Life, outputs: &mut Vec<Output>) -> Self {
         let file = &config.file;
         let me = Peer { node: NodeId::of(name), incarnation: life.incarnation };
         let settings = Settings {
@@ -73,15 +65,7 @@
             waits_most: file.waits,
             disk: life.recovered,
         };
-        let cluster = stackgw_cluster::Settings {
-            me: Identity { peer: me, address: file.reached_at(), turn: 0 },
-            seeds: file.seeds.clone(),
-            ring: config.ring.clone(),
-            seed,
-            expected: file.expected,
-        };
         Shared {
-            cluster: Cluster::new(now, cluster),
             sessions: Sessions::new(now, settings, outputs),
             outputs: Vec::new(),
             names: names_of(&file.keepers, name),
@@ -95,7 +79,7 @@
     }
 
     /// The name that the operator knows an instance by, if it is a keeper.
-    fn name(&self, node: &NodeId) -> String {
+    pub(super) fn name(&self, node: &NodeId) -> String {
         self.names.get(node).cloned().unwrap_or_else(|| format!("{node:?}"))
     }
 
@@ -104,27 +88,11 @@
         why.text(|node| self.name(node))
     }
 
-    /// Why no write is taken now, if none is: its answer could not leave.
-    pub(super) fn shut(&self) -> Option<&'static str> {
-        let keeper =
-            |seen: &stackgw_cluster::Seen| seen.up && self.sessions.roster().has(seen.identity.peer.node);
-        if !self.sessions.lets_out() {
-            return Some("this gateway's disk failed, another one takes writes");
-        }
-        let cut = !self.sessions.is_keeper() && !self.cluster.known().any(keeper);
-        cut.then_some("no keeper of sessions is known here, another gateway takes writes")
-    }
-
-    fn next_due(&self) -> Time {
-        self.sessions.next_due().min(self.cluster.next_due())
-    }
-
     /// One line for the log.
-    pub(super) fn line(&self, now: Time) -> String {
+    pub(super) fn line(&self, now: Time, met: stackgw_cluster::Counts) -> String {
         let status = self.sessions.status(now);
         let counts = status.counts;
         let sure = status.unsure.map_or("sure".to_owned(), |why| self.why(why));
-        let met = self.cluster.counts();
         format!(
             "sessions {sure}: marks={} own={} waiting={} pushed_out={} sure_here={} sure_there={} cautious={} released={} \
              released_owed={} in_doubt={} sent={} disregarded={} unknown_key={} forged={} malformed={}",
@@ -134,7 +102,7 @@
         )
     }
 
-    fn tell(&self, now: Time) -> Value {
+    fn tell(&self, now: Time, cluster: &Cluster) -> Value {
         let status = self.sessions.status(now);
         let name = |node: &NodeId| self.name(node);
         let other = |other: &Standing| {
@@ -145,7 +113,7 @@
             json!({"name": name(&seen.identity.peer.node), "incarnation": seen.identity.peer.incarnation,
                 "address": seen.identity.address.to_string(), "up": seen.up})
         };
-        let (counts, met) = (status.counts, self.cluster.counts());
+        let (counts, met) = (status.counts, cluster.counts());
         let cautious: serde_json::Map<String, Value> =
             self.cautious.iter().map(|(why, n)| (self.why(*why), json!(n))).collect();
         json!({
@@ -153,7 +121,7 @@
             "sure": status.unsure.is_none(),
             "unsure_because": status.unsure.map(|why| self.why(why)),
             "keepers": status.others.iter().map(other).collect::<Vec<_>>(),
-            "instances": self.cluster.known().map(seen).collect::<Vec<_>>(), "epoch": self.cluster.epoch(),
+            "instances": cluster.known().map(seen).collect::<Vec<_>>(), "epoch": cluster.epoch(),
             "marks": status.marks, "marks_pushed_out": status.pushed_out, "own_marks": status.own,
             "waiting": status.waiting, "cautious_because": cautious,
             "counts": {"sure_here": counts.sure_here, "sure_there": counts.sure_there, "cautious": counts.cautious,
@@ -175,9 +143,6 @@
 /// The names of those fields that a running gateway cannot change and in which another file differs.
 fn differs(old: &stackgw_config::Sessions, new: &stackgw_config::Sessions) -> Vec<&'static str> {
     let parts = [
-        ("cluster", old.cluster != new.cluster),
-        ("listen", old.listen != new.listen),
-        ("advertise", old.advertise != new.advertise),
         ("homes", old.homes != new.homes),
         ("lease", old.lease != new.lease),
         ("horizon", old.horizon != new.horizon),
@@ -187,7 +152,6 @@
         ("own_marks", old.own_marks != new.own_marks),
         ("waits", old.waits != new.waits),
         ("store", old.store != new.store),
-        ("expected", old.expected != new.expected),
     ];
     parts.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
 }
@@ -196,13 +160,15 @@
     /// Turns sessions across instances on, before [`Input::Start`].
     pub fn share_sessions(&mut self, now: Time, config: &Together, life: Life, out: &mut Vec<Effect>) {
         let mut outputs = Vec::new();
-        let shared = Shared::new(now, config, &self.fixed.name, self.secret, life, &mut outputs);
+        let me = Peer { node: NodeId::of(&self.fixed.name), incarnation: life.incarnation };
+        self.join(now, &Others::from(config), me);
+        let shared = Shared::new(now, config, &self.fixed.name, life, &mut outputs);
         self.shared = Some(Box::new(shared));
         self.shared_outputs(now, outputs, out);
         self.shared_due_set();
     }
 
-    fn with_shared(
+    pub(super) fn with_shared(
         &mut self,
         now: Time,
         out: &mut Vec<Effect>,
@@ -218,10 +184,7 @@
         for output in outputs.drain(..) {
             match output {
                 Output::Send(to, message) => {
-                    let Some(shared) = self.shared.as_mut() else { return };
-                    let mut effects = Vec::new();
-                    shared.cluster.send(to, &message, &mut effects);
-                    out.extend(effects.into_iter().map(datagram));
+                    self.cluster_send(out, |cluster, effects| cluster.send(to, &message, effects));
                 }
                 Output::Store(record) => out.push(Effect::Store(record)),
                 Output::Release(ticket) => self.release(now, RequestId(ticket), out),
@@ -233,41 +196,6 @@
         }
     }
 
-    pub(super) fn cluster_datagram(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Effect>) {
-        let Some(shared) = self.shared.as_mut() else { return };
-        let (mut effects, mut events) = (Vec::new(), Vec::new());
-        if shared.cluster.receive(now, bytes, &mut effects, &mut events).is_err() {
-            let counts = shared.cluster.counts();
-            let refused = counts.foreign + counts.unknown_key + counts.forged + counts.malformed;
-            log_rarely(refused, "datagrams refused that claim to be of this cluster:", out);
-        }
-        out.extend(effects.into_iter().map(datagram));
-        self.cluster_events(now, events, out);
-    }
-
-    fn cluster_events(&mut self, now: Time, events: Vec<stackgw_cluster::Event>, out: &mut Vec<Effect>) {
-        use stackgw_cluster::Event;
-        for event in events {
-            let Some(shared) = self.shared.as_ref() else { return };
-            let name = |id: &Identity| shared.name(&id.peer.node);
-            match event {
-                Event::Up(id) => {
-                    out.push(Effect::Log(format!("instance {} is at {}", name(&id), id.address)))
-                }
-                Event::Down(id) => out.push(Effect::Log(format!("instance {} seems gone", name(&id)))),
-                Event::Superseded(id) => out.push(Effect::Log(format!(
-                    "another process goes by this gateway's name at {}: one of them must end",
-                    id.address
-                ))),
-                Event::Sessions(from, to, message) => {
-                    self.with_shared(now, out, |sessions, outputs| {
-                        sessions.heard(now, from, to, message, outputs);
-                    });
-                }
-            }
-        }
-    }
-
     pub(super) fn disk(&mut self, now: Time, done: Done, out: &mut Vec<Effect>) {
         match done {
             Done::Stored(records) => self.with_shared(now, out, |s, outputs| s.stored(now, records, outputs)),
@@ -286,18 +214,22 @@
         }
     }
 
-    /// Sets the one timer of it all anew where its moment has changed.
-    pub(super) fn shared_due_set(&mut self) {
-        let Some(shared) = self.shared.as_mut() else { return };
-        let due = shared.next_due();
-        let before = shared.due;
-        if before.is_some_and(|(at, _)| at == due) {
-            return;
-        }
-        let key = self.set_timer(due, Due::Shared);
-        if let Some(before) = before {
-            self.timers.remove(&before);
+    /// Why no write is taken now, if none is: its answer could not leave.
+    pub(super) fn shut(&self) -> Option<&'static str> {
+        let (shared, member) = (self.shared.as_ref()?, self.cluster.as_ref()?);
+        let roster = shared.sessions.roster();
+        let keeper = |seen: &stackgw_cluster::Seen| seen.up && roster.has(seen.identity.peer.node);
+        if !shared.sessions.lets_out() {
+            return Some("this gateway's disk failed, another one takes writes");
         }
+        let cut = !shared.sessions.is_keeper() && !member.cluster.known().any(keeper);
+        cut.then_some("no keeper of sessions is known here, another gateway takes writes")
+    }
+
+    /// Sets their timer anew where its moment has changed.
+    pub(super) fn shared_due_set(&mut self) {
+        let Some(shared) = self.shared.as_ref() else { return };
+        let key = self.moved(shared.due, shared.sessions.next_due(), Due::Shared);
         if let Some(shared) = self.shared.as_mut() {
             shared.due = Some(key);
         }
@@ -306,10 +238,6 @@
     pub(super) fn shared_due(&mut self, now: Time, out: &mut Vec<Effect>) {
         let Some(shared) = self.shared.as_mut() else { return };
         shared.due = None;
-        let (mut effects, mut events) = (Vec::new(), Vec::new());
-        shared.cluster.due(now, &mut effects, &mut events);
-        out.extend(effects.into_iter().map(datagram));
-        self.cluster_events(now, events, out);
         self.with_shared(now, out, |sessions, outputs| sessions.due(now, outputs));
         self.shared_due_set();
     }
@@ -341,7 +269,6 @@
             out.push(Effect::Log(format!("sessions: unchanged until a restart: {}", fixed.join(", "))));
         }
         shared.names = names_of(&config.file.keepers, &self.fixed.name);
-        shared.cluster.reload(now, config.ring, config.file.seeds);
         let keepers = config.file.keepers.iter().map(|name| NodeId::of(name)).collect();
         self.with_shared(now, out, |sessions, outputs| sessions.take_keepers(now, keepers, outputs));
     }
@@ -449,11 +376,15 @@
 
     /// Answers somebody at the local socket.
     pub(super) fn tell(&self, now: Time, question: Question) -> Value {
-        let Some(shared) = self.shared.as_ref() else {
+        if question == Question::List {
+            return self.tell_list(now);
+        }
+        let (Some(shared), Some(member)) = (self.shared.as_ref(), self.cluster.as_ref()) else {
             return json!({"error": "sessions across instances are off"});
         };
         match question {
-            Question::Sessions => shared.tell(now),
+            Question::List => Value::Null,
+            Question::Sessions => shared.tell(now, &member.cluster),
             Question::Session(group, session) => {
                 let key = SessionKey::of(group, &session);
                 let name = |node| shared.name(&node);
@@ -476,8 +407,3 @@
         }
     }
 }
-
-fn datagram(effect: stackgw_cluster::Effect) -> Effect {
-    let stackgw_cluster::Effect::Send(to, bytes) = effect;
-    Effect::Cluster(to, bytes)
-}
--- /dev/null
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -0,0 +1,199 @@
+//! How this instance comes to know the list, where the operator's file says so: carries word between `stackgw-start`, the
+//! watch, the other instances, the disk and the router. Which source is believed for what is decided there.
+
+use super::*;
+use serde_json::{json, Value};
+use stackgw_start::{Kept, Message, Note, Origin, Output, Pace, Settings, Start, Taken};
+
+/// Everything of it.
+pub(super) struct Starting {
+    pub(super) start: Start,
+    outputs: Vec<Output>,
+    due: Option<TimerKey>,
+    service: String,
+}
+
+impl Starting {
+    /// One line for the log.
+    pub(super) fn line(&self, now: Time) -> String {
+        let (counts, book) = (self.start.counts(), self.start.book());
+        let (holders, live) = self.start.holders();
+        let origin = book.origin().map_or("nothing", word);
+        let age = book.age(now).map_or_else(|| "never".to_owned(), |age| format!("{} ms", age / MS));
+        format!(
+            "list from {origin}, version {:?}, vouched for {age} ago, watch={live} holders={holders:?} watches={} alone={} asked={} \
+             unanswered={} answered={} pushed={} taken={} older={} foreign={}",
+            book.revision(), counts.watches, counts.alone, counts.asked, counts.unanswered, counts.answered, counts.pushed,
+            counts.taken, counts.older, counts.foreign
+        )
+    }
+
+    fn tell(&self, now: Time) -> Value {
+        let (counts, book) = (self.start.counts(), self.start.book());
+        let (holders, live) = self.start.holders();
+        json!({
+            "service": self.service,
+            "revision": book.revision(), "origin": book.origin().map(word), "age_ms": book.age(now).map(|age| age / MS),
+            "members": book.present().count(), "behind": book.is_behind(), "resets": book.resets(),
+            "ready": self.start.is_ready(now), "watch": live,
+            "holders": holders.iter().map(ToString::to_string).collect::<Vec<_>>(),
+            "counts": {"watches": counts.watches, "alone": counts.alone, "asked": counts.asked,
+                "unanswered": counts.unanswered, "answered": counts.answered, "pushed": counts.pushed,
+                "taken": counts.taken, "older": counts.older, "foreign": counts.foreign},
+        })
+    }
+}
+
+fn word(origin: Origin) -> &'static str {
+    match origin {
+        Origin::Kept => "kept word",
+        Origin::Peer => "a peer",
+        Origin::Service => "the service",
+    }
+}
+
+impl Reducer {
+    /// Comes to know the list as the operator's file says, from what the disk kept; before [`Input::Start`], and after
+    /// [`Reducer::join`] where others are talked to.
+    pub fn start_by(
+        &mut self,
+        now: Time,
+        file: &stackgw_config::Start,
+        others: Option<&stackgw_config::Cluster>,
+        kept: Option<Kept>,
+        out: &mut Vec<Effect>,
+    ) {
+        let set = Settings {
+            pace: Pace {
+                number: self.me as u32,
+                fleet: self.fixed.settings.router.fleet_size.max(others.map_or(0, |o| o.expected)),
+                bears: f64::from(file.bears),
+                least: self.limits.watch_pause,
+            },
+            others: others.map(|others| (others.reached_at(), others.seeds.clone())),
+            service: stackgw_start::service(&file.service),
+            grace: self.limits.drain_grace,
+            silence: self.limits.watch_silence,
+            kept_wait: file.kept_wait.as_nanos(),
+            reset_after: file.reset_after.as_nanos(),
+            seed: self.secret,
+        };
+        // What the platform knows is kept word too; of which moment, it does not say.
+        let known = self.known.take().map(|list| Kept { list, said: 0 });
+        let newer = [kept, known].into_iter().flatten().max_by_key(|kept| kept.list.revision);
+        let mut outputs = Vec::new();
+        let start = Start::new(now, set, newer, &mut outputs);
+        let service = file.service.clone();
+        self.starting = Some(Box::new(Starting { start, outputs: Vec::new(), due: None, service }));
+        self.start_outputs(now, outputs, out);
+        self.start_due_set(now);
+    }
+
+    pub(super) fn with_start(
+        &mut self,
+        now: Time,
+        out: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Start, &mut Vec<Output>),
+    ) {
+        let Some(starting) = self.starting.as_mut() else { return };
+        let mut outputs = std::mem::take(&mut starting.outputs);
+        act(&mut starting.start, &mut outputs);
+        self.start_outputs(now, outputs, out);
+    }
+
+    fn start_outputs(&mut self, now: Time, mut outputs: Vec<Output>, out: &mut Vec<Effect>) {
+        for output in outputs.drain(..) {
+            match output {
+                Output::Watch(after) => {
+                    self.counters.watches += 1;
+                    out.push(Effect::Watch(self.discovery, after));
+                }
+                Output::Unwatch => out.push(Effect::Unwatch),
+                Output::Send(to, message) => {
+                    let body = message.encode();
+                    self.cluster_send(out, |cluster, effects| cluster.tell(to, &body, effects));
+                }
+                Output::Keep(kept) => out.push(Effect::Keep(Box::new(kept))),
+                Output::List(Taken::Whole(entries)) => self.told(now, ListScope::Full, &entries, out),
+                Output::List(Taken::Cautious(entries)) => self.told(now, ListScope::Cached, &entries, out),
+                Output::List(Taken::Changes(entries)) => self.told(now, ListScope::Changes, &entries, out),
+                Output::List(Taken::Same | Taken::Older) => {}
+                Output::Said(note) => out.push(Effect::Log(match note {
+                    Note::Holds(true) => "holds a watch of the list for the fleet".to_owned(),
+                    Note::Holds(false) => {
+                        "watches the list for itself: nobody tells it who hears the service".to_owned()
+                    }
+                    Note::Leaves => "leaves the watch of the list to others".to_owned(),
+                    Note::Behind(version) => {
+                        format!("the list service tells older lists than version {version}, which is held")
+                    }
+                    Note::Reset => "the list service counts its versions anew, and is believed".to_owned(),
+                })),
+            }
+        }
+        if let Some(starting) = self.starting.as_mut() {
+            starting.outputs = outputs;
+        }
+        self.wake_ready(now, out);
+    }
+
+    /// Sets its timer anew where its moment has changed.
+    pub(super) fn start_due_set(&mut self, now: Time) {
+        let Some(starting) = self.starting.as_ref() else { return };
+        let key = self.moved(starting.due, starting.start.next_due(now), Due::Start);
+        if let Some(starting) = self.starting.as_mut() {
+            starting.due = Some(key);
+        }
+    }
+
+    pub(super) fn start_due(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(starting) = self.starting.as_mut() {
+            starting.due = None;
+        }
+        self.with_start(now, out, |start, outputs| start.due(now, outputs));
+    }
+
+    pub(super) fn start_heard(&mut self, now: Time, body: &[u8], out: &mut Vec<Effect>) {
+        let message = Message::decode(body);
+        if message.is_none() {
+            self.counters.words_dropped += 1;
+        }
+        if let Some(message) = message {
+            self.with_start(now, out, |start, outputs| start.message(now, message, outputs));
+        }
+    }
+
+    pub(super) fn start_met(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some(member) = self.cluster.as_ref().filter(|_| self.starting.is_some()) else { return };
+        let up = member.cluster.known().filter(|seen| seen.up).map(|seen| seen.identity.address).collect();
+        self.with_start(now, out, |start, outputs| start.met(now, up, outputs));
+    }
+
+    /// What a running gateway can change of it; `moved`: the list is at another address now.
+    pub(super) fn start_reload(
+        &mut self,
+        now: Time,
+        file: Option<&stackgw_config::Start>,
+        seeds: &[SocketAddr],
+        moved: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        let (starting, file) = match (self.starting.as_mut(), file) {
+            (Some(starting), Some(file)) => (starting, file),
+            (None, None) => return,
+            _ => return out.push(Effect::Log("start is turned on or off by a restart alone".to_owned())),
+        };
+        let moved = moved || starting.service != file.service;
+        starting.service = file.service.clone();
+        let service = stackgw_start::service(&file.service);
+        self.with_start(now, out, |start, outputs| start.reload(now, seeds, service, moved, outputs));
+    }
+
+    pub(super) fn tell_list(&self, now: Time) -> Value {
+        match &self.starting {
+            Some(starting) => starting.tell(now),
+            None => json!({"revision": self.revision, "members": self.members.len(), "watch": self.watching,
+                "ready": !self.members.is_empty()}),
+        }
+    }
+}
--- a/crates/stackgw-standin/src/lists.rs
+++ b/crates/stackgw-standin/src/lists.rs
@@ -263,7 +263,10 @@
             return;
         }
         let hangs = matches!(mood, Mood::Silent | Mood::FirstByte);
-        while watches || hangs {
+        if !watches && !hangs {
+            return;
+        }
+        loop {
             let mut state = lock(&self.state);
             let (now, list) = loop {
                 let waited = self.changed.wait_timeout(state, BLANK);
--- /dev/null
+++ b/crates/stackgw-start/src/circle.rs
@@ -0,0 +1,127 @@
+//! Who holds the watch: a few instances ask the list service, the others are told by them.
+//!
+//! Everybody works out the same order: the seeds first, which even a fleet knows that has just started all at once and has
+//! met nobody yet, then whoever is up, each part by rendezvous hashing of addresses. Those that have not answered here lately
+//! are left out, so that the next one takes a lost holder's place. Two instances may see different holders for a while; then
+//! the service has a watch or two more, and nothing else is lost.
+
+use stackgw_router::api::{Span, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Asks that went unanswered in a row before an instance is left out.
+const UNANSWERED: u32 = 3;
+/// Holders at least: with three, one may be killed while another is stopped or cut off.
+const HOLDERS_LEAST: u32 = 3;
+/// Instances that one holder answers; more of them want more holders.
+const EACH_ANSWERS: u32 = 250;
+
+/// Everyone that may hold the watch, as one instance sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Circle {
+    me: SocketAddr,
+    seeds: BTreeSet<SocketAddr>,
+    up: BTreeSet<SocketAddr>,
+    /// Asks in a row without an answer, and the last one.
+    unanswered: BTreeMap<SocketAddr, (u32, Time)>,
+    holders: u32,
+}
+
+fn rank(address: &SocketAddr) -> u64 {
+    xxh3_64(address.to_string().as_bytes())
+}
+
+impl Circle {
+    /// Seen from an instance of a fleet of about this size.
+    pub fn new(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>, fleet: u32) -> Self {
+        Circle {
+            me,
+            seeds: seeds.into_iter().collect(),
+            up: BTreeSet::new(),
+            unanswered: BTreeMap::new(),
+            holders: HOLDERS_LEAST.max(fleet.div_ceil(EACH_ANSWERS)),
+        }
+    }
+
+    /// How many hold the watch.
+    pub fn holders(&self) -> u32 {
+        self.holders
+    }
+
+    /// Who is there, by the membership.
+    pub fn met(&mut self, up: BTreeSet<SocketAddr>) {
+        let seeds = &self.seeds;
+        self.unanswered.retain(|address, _| up.contains(address) || seeds.contains(address));
+        self.up = up;
+    }
+
+    /// Other seeds from now on.
+    pub fn reload(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds = seeds.into_iter().collect();
+    }
+
+    /// Everyone else that is there.
+    pub fn others(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.up.union(&self.seeds).copied().filter(|address| *address != self.me)
+    }
+
+    /// Whether an instance goes unanswered.
+    fn lost(&self, address: &SocketAddr) -> bool {
+        self.unanswered.get(address).is_some_and(|(count, _)| *count >= UNANSWERED)
+    }
+
+    /// All that may hold the watch, first those that should.
+    fn order(&self) -> Vec<SocketAddr> {
+        let mut order: Vec<_> = self.up.union(&self.seeds).copied().collect();
+        if !order.contains(&self.me) {
+            order.push(self.me);
+        }
+        order.sort_unstable_by_key(|address| (!self.seeds.contains(address), rank(address), *address));
+        order
+    }
+
+    /// Those that should hold the watch now.
+    pub fn chosen(&self) -> Vec<SocketAddr> {
+        let here = self.order().into_iter().filter(|address| !self.lost(address));
+        here.take(self.holders as usize).collect()
+    }
+
+    /// Whether this instance should.
+    pub fn holds(&self) -> bool {
+        self.chosen().contains(&self.me)
+    }
+
+    /// Whether this instance is one that is always looked for.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.contains(&self.me)
+    }
+
+    /// Whom to ask, in turn; a lost one is tried again now and then, so that one that is back is found.
+    pub fn asked(&self, now: Time, turn: u32, again: Span) -> Option<SocketAddr> {
+        let order = self.order();
+        let back = order.iter().take(self.holders as usize).find(|address| {
+            let due = self.unanswered.get(address).is_some_and(|(_, last)| now - last >= again);
+            **address != self.me && self.lost(address) && due
+        });
+        let mut chosen = self.chosen();
+        chosen.retain(|address| *address != self.me);
+        let next = (!chosen.is_empty()).then(|| {
+            // Everybody begins elsewhere.
+            let first = (rank(&self.me) % chosen.len() as u64) as usize;
+            chosen[(first + turn as usize) % chosen.len()]
+        });
+        back.copied().or(next)
+    }
+
+    /// One was asked.
+    pub fn asks(&mut self, now: Time, address: SocketAddr) {
+        let (count, last) = self.unanswered.entry(address).or_insert((0, now));
+        (*count, *last) = (count.saturating_add(1), now);
+    }
+
+    /// Word came from one.
+    pub fn heard(&mut self, address: SocketAddr) {
+        self.unanswered.remove(&address);
+    }
+}
--- /dev/null
+++ b/crates/stackgw-start/src/entry.rs
@@ -0,0 +1,60 @@
+//! The list's entries, under the list's own names.
+
+use serde::{Deserialize, Serialize};
+use stackgw_router::api::Standing;
+use std::net::SocketAddr;
+
+/// One entry of the list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The member's name, the same at every gateway.
+    pub id: String,
+    /// Where this gateway reaches it.
+    pub address: SocketAddr,
+    /// Its zone's name.
+    pub locality: String,
+    /// Its group.
+    pub cell: u32,
+    /// What the list says of its process.
+    #[serde(with = "phase")]
+    pub phase: Standing,
+    /// Its weight.
+    pub size: f64,
+    /// When it last started, in Unix milliseconds; 0 means long ago.
+    pub up_since_ms: i64,
+    /// The list holds it for the primary.
+    pub leader: bool,
+}
+
+/// A list, or the entries of one that changed.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Update {
+    /// The list's version.
+    pub revision: u64,
+    /// All entries, not just those that changed.
+    pub complete: bool,
+    /// The entries.
+    pub members: Vec<Entry>,
+}
+
+mod phase {
+    use serde::{de::Error, Deserialize, Deserializer, Serializer};
+    use stackgw_router::api::Standing;
+
+    pub(super) fn serialize<S: Serializer>(phase: &Standing, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_u8(match phase {
+            Standing::Serving => 0,
+            Standing::Draining => 1,
+            Standing::Gone => 2,
+        })
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Standing, D::Error> {
+        match u8::deserialize(from)? {
+            0 => Ok(Standing::Serving),
+            1 => Ok(Standing::Draining),
+            2 => Ok(Standing::Gone),
+            other => Err(D::Error::custom(format!("{other} is no phase"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackgw-start/src/message.rs
@@ -0,0 +1,135 @@
+//! What instances tell each other of the list, as datagrams' bodies.
+
+use crate::entry::Entry;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Bytes of one datagram's body at most.
+pub const MOST_BYTES: usize = 1_100;
+/// Parts of one list at most.
+pub const PARTS_MOST: u16 = 1_024;
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What has changed since the version that I have?
+    Ask {
+        /// Where the answer goes.
+        from: SocketAddr,
+        /// Names this question.
+        nonce: u32,
+        /// The service whose versions are meant.
+        service: u64,
+        /// The version held; `None`: nothing, or kept word.
+        have: Option<u64>,
+    },
+    /// What is known.
+    Tell(Tell),
+}
+
+/// What an instance knows of the list, in one or more parts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Tell {
+    /// Who tells.
+    pub from: SocketAddr,
+    /// The question's; 0: nobody asked.
+    pub nonce: u32,
+    /// As in the question.
+    pub service: u64,
+    /// The version held; `None`: nothing.
+    pub revision: Option<u64>,
+    /// How long ago the service vouched for it, in milliseconds.
+    pub said_ago_ms: u64,
+    /// It hears the service.
+    pub live: bool,
+    /// For how long the service wants to be left alone, in milliseconds.
+    pub put_off_ms: u64,
+    /// The entries are what changed since this version; `None`: they are all.
+    pub base: Option<u64>,
+    /// Which part this is, from 0 on, of how many; of 0 parts: the entries are not told here.
+    pub part: (u16, u16),
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl Message {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    /// From bytes, which may be anything.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (message, rest) = postcard::take_from_bytes::<Message>(bytes).ok()?;
+        let sound = match &message {
+            Message::Ask { .. } => true,
+            Message::Tell(tell) => {
+                let (part, parts) = tell.part;
+                let finite = |e: &Entry| e.size.is_finite() && e.size >= 0.0 && !e.id.is_empty();
+                parts <= PARTS_MOST
+                    && (part < parts || (parts == 0 && tell.entries.is_empty()))
+                    && tell.entries.iter().all(finite)
+            }
+        };
+        (sound && rest.is_empty()).then_some(message)
+    }
+}
+
+impl Tell {
+    /// Splits entries over as many parts as they need; `None`: they need too many.
+    pub fn parts(self, entries: Vec<Entry>) -> Option<Vec<Tell>> {
+        let room = MOST_BYTES.saturating_sub(Message::Tell(self.clone()).encode().len() + 16);
+        let (mut parts, mut now, mut bytes) = (Vec::new(), Vec::new(), 0);
+        for entry in entries {
+            let size = postcard::to_allocvec(&entry).map_or(usize::MAX, |bytes| bytes.len());
+            if size > room {
+                return None;
+            }
+            if bytes + size > room {
+                parts.push(std::mem::take(&mut now));
+                bytes = 0;
+            }
+            bytes += size;
+            now.push(entry);
+        }
+        parts.push(now);
+        let count = u16::try_from(parts.len()).ok().filter(|count| *count <= PARTS_MOST)?;
+        let part = |(n, entries)| Tell { part: (n as u16, count), entries, ..self.clone() };
+        Some(parts.into_iter().enumerate().map(part).collect())
+    }
+}
+
+/// Gathers the parts of one answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Gathered {
+    first: Tell,
+    parts: Vec<Option<Vec<Entry>>>,
+}
+
+impl Gathered {
+    /// Begins with any part.
+    pub fn new(tell: Tell) -> Self {
+        let mut gathered = Gathered { parts: vec![None; usize::from(tell.part.1)], first: tell.clone() };
+        gathered.add(tell);
+        gathered
+    }
+
+    /// Whether a part is of the same answer.
+    pub fn fits(&self, tell: &Tell) -> bool {
+        let of = |t: &Tell| (t.from, t.nonce, t.service, t.revision, t.base, t.part.1);
+        of(&self.first) == of(tell)
+    }
+
+    /// Adds a part.
+    pub fn add(&mut self, tell: Tell) {
+        if let Some(part) = self.parts.get_mut(usize::from(tell.part.0)) {
+            *part = Some(tell.entries);
+        }
+    }
+
+    /// The whole answer, once it is here.
+    pub fn whole(&self) -> Option<Tell> {
+        let entries = self.parts.iter().cloned().collect::<Option<Vec<_>>>()?.concat();
+        Some(Tell { entries, ..self.first.clone() })
+    }
+}
--- /dev/null
+++ b/crates/stackgw-start/src/start.rs
@@ -0,0 +1,605 @@
+//! One instance, from knowing nothing on: when it asks the list service itself, whom it asks else, what it tells others, and
+//! when it is ready.
+
+use crate::book::{Book, Origin, Taken};
+use crate::circle::Circle;
+use crate::entry::Update;
+use crate::message::{Gathered, Message, Tell};
+use crate::turns::{Pace, Turns};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use stackgw_router::api::{Span, Time, MS, SECOND};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// What an instance is told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Its number, the fleet's size, and what the service bears.
+    pub pace: Pace,
+    /// Where others reach it, and where some of them are always found; `None`: it talks to nobody.
+    pub others: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// The service whose versions its list has, by a hash of its name.
+    pub service: u64,
+    /// Word of a drain has to be everywhere within this.
+    pub grace: Span,
+    /// A watch that says nothing for so long is lost.
+    pub silence: Span,
+    /// How long an instance that has only kept word waits for better before it says that it is ready.
+    pub kept_wait: Span,
+    /// A service that tells older lists for this long has lost its state, and is believed.
+    pub reset_after: Span,
+    /// For the choices by chance.
+    pub seed: u64,
+}
+
+/// The list as it was kept.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kept {
+    /// All of it.
+    pub list: Update,
+    /// When the service last vouched for it.
+    pub said: Time,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Open a watch of what changes after this version, or of all.
+    Watch(Option<u64>),
+    /// Close the watch.
+    Unwatch,
+    /// Tell another instance.
+    Send(SocketAddr, Message),
+    /// The list is news to whoever decides by it.
+    List(Taken),
+    /// Keep this on the disk.
+    Keep(Kept),
+    /// Something for the log.
+    Said(Note),
+}
+
+/// What is worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// It holds the watch now, for the fleet or (`false`) for itself alone.
+    Holds(bool),
+    /// It no longer does.
+    Leaves,
+    /// The service tells an older list than this one, which is held.
+    Behind(u64),
+    /// The service counts anew, and is believed.
+    Reset,
+}
+
+/// What came and went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// Watches opened.
+    pub watches: u64,
+    /// Of them, those opened for want of a holder that hears the service.
+    pub alone: u64,
+    /// Questions to others, and those that were never answered.
+    pub asked: u64,
+    /// See there.
+    pub unanswered: u64,
+    /// Questions of others.
+    pub answered: u64,
+    /// Datagrams sent unasked, as the list had changed.
+    pub pushed: u64,
+    /// Word taken from others.
+    pub taken: u64,
+    /// Word that was older than what is held.
+    pub older: u64,
+    /// Word of another service, or that makes no sense here.
+    pub foreign: u64,
+}
+
+/// The watch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Watch {
+    /// Not wanted.
+    Off,
+    /// To be opened then.
+    Due(Time),
+    /// Open since.
+    Open(Time),
+}
+
+/// A question that is out.
+#[derive(Debug, Clone, PartialEq)]
+struct Asking {
+    to: SocketAddr,
+    nonce: u32,
+    sent: Time,
+    gathered: Option<Gathered>,
+}
+
+/// Parts of a grace after which others are asked again, so that two that are lost leave time for a third.
+const ASKS_PER_GRACE: Span = 4;
+/// A question without an answer is given up after this share of a grace.
+const WAITS_PER_GRACE: Span = 10;
+/// An instance that is asked first thing may be starting itself: nothing is concluded before this.
+const SETTLE: Span = SECOND;
+/// One that went unanswered is tried again after this.
+const AGAIN: Span = SECOND;
+/// A watch that was opened for want of holders is kept this long at least.
+const ALONE_LEAST: Span = 5 * SECOND;
+/// The disk is told at least this often that what it has is still vouched for.
+const KEEP_EVERY: Span = 5 * SECOND;
+/// Those that asked and could not be told yet, at most.
+const WAITING_MOST: usize = 4_096;
+/// Whole lists told in one pace, for each instance of the fleet; more are told the version alone.
+const WHOLE_PER_PACE: u64 = 2;
+/// No word of a peer makes anything older than this.
+const AGO_MOST_MS: u64 = 1_000_000_000;
+
+/// See the module.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    set: Settings,
+    book: Book,
+    turns: Turns,
+    circle: Option<Circle>,
+    rng: Pcg64Mcg,
+    started: Time,
+    watch: Watch,
+    /// The watch has brought a list, and when it was last heard.
+    live: bool,
+    heard: Time,
+    alone: bool,
+    asking: Option<Asking>,
+    ask_at: Time,
+    turn: u32,
+    /// When a peer that hears the service last told.
+    told_live: Option<Time>,
+    waiting: BTreeSet<SocketAddr>,
+    /// When the present pace began, and whole lists told in it.
+    whole: (Time, u64),
+    kept_at: Option<Time>,
+    said_behind: bool,
+    counts: Counts,
+}
+
+impl Start {
+    /// An instance that starts now, with what it kept.
+    pub fn new(now: Time, set: Settings, kept: Option<Kept>, out: &mut Vec<Output>) -> Self {
+        let others = set.others.as_ref();
+        let circle = others.map(|(me, seeds)| Circle::new(*me, seeds.iter().copied(), set.pace.fleet));
+        let mut start = Start {
+            book: Book::new(set.reset_after),
+            turns: Turns::new(set.pace, set.seed),
+            circle,
+            rng: Pcg64Mcg::seed_from_u64(set.seed ^ 0x57a7),
+            started: now,
+            watch: Watch::Off,
+            live: false,
+            heard: now,
+            alone: false,
+            asking: None,
+            ask_at: now,
+            turn: 0,
+            told_live: None,
+            waiting: BTreeSet::new(),
+            whole: (now, 0),
+            kept_at: None,
+            said_behind: false,
+            counts: Counts::default(),
+            set,
+        };
+        if let Some(Kept { list, said }) = kept {
+            let taken = start.book.take(now, list, Origin::Kept, said.min(now), None);
+            out.push(Output::List(taken));
+        }
+        start.look(now, out);
+        start
+    }
+
+    /// What is held for the list.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// What came and went.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Who should hold the watch, as seen from here, and whether this instance has one that hears the service.
+    pub fn holders(&self) -> (Vec<SocketAddr>, bool) {
+        (self.circle.as_ref().map(Circle::chosen).unwrap_or_default(), self.live)
+    }
+
+    /// The list may be gone by: it is there, and better word is no longer waited for.
+    pub fn is_ready(&self, now: Time) -> bool {
+        match self.book.origin() {
+            None => false,
+            Some(Origin::Kept) => now - self.started >= self.set.kept_wait,
+            Some(_) => true,
+        }
+    }
+
+    /// For how long a client that comes now had better stay away, while this is not ready.
+    pub fn comes_back(&self, now: Time) -> Span {
+        let kept = self.book.origin().map(|_| self.started + self.set.kept_wait);
+        let turn = match self.watch {
+            Watch::Due(at) => Some(at + self.pace()),
+            _ => Some(now + self.pace()),
+        };
+        let at = [kept, turn].into_iter().flatten().min().unwrap_or(now);
+        (at - now).max(self.set.pace.least)
+    }
+
+    /// How often others are asked.
+    fn pace(&self) -> Span {
+        (self.set.grace / ASKS_PER_GRACE).max(10 * MS)
+    }
+
+    fn wait(&self) -> Span {
+        (self.set.grace / WAITS_PER_GRACE).max(5 * MS)
+    }
+
+    /// So many may ask the service as this one would.
+    fn askers(&self) -> u32 {
+        match &self.circle {
+            Some(circle) if !self.alone => circle.holders().min(self.set.pace.fleet.max(1)),
+            _ => self.set.pace.fleet.max(1),
+        }
+    }
+
+    /// Word of a holder that hears the service is here, and no older than a watch may be.
+    fn is_told(&self, now: Time) -> bool {
+        self.told_live.is_some_and(|at| now - at < self.set.silence)
+    }
+
+    /// Decides whether the watch is wanted, and sees to it.
+    fn look(&mut self, now: Time, out: &mut Vec<Output>) {
+        let settled = now - self.started >= SETTLE;
+        let (holds, seed) = match &self.circle {
+            None => (true, true),
+            Some(circle) => (circle.holds(), circle.is_seed()),
+        };
+        let holds = holds && (seed || settled);
+        // Nobody that hears the service has been heard from for too long: whoever wants the list asks itself.
+        let since = self.told_live.unwrap_or(self.started);
+        let patience = if self.told_live.is_some() { self.set.silence } else { SETTLE };
+        let alone = !holds && now - since >= patience;
+        match self.watch {
+            Watch::Off if holds || alone => {
+                self.alone = alone;
+                let askers = self.askers();
+                self.watch = Watch::Due(self.turns.first(now, askers));
+            }
+            Watch::Due(_) if !holds && !alone => (self.watch, self.alone) = (Watch::Off, false),
+            Watch::Due(_) => self.alone = alone,
+            Watch::Open(_) if holds => {
+                let was_alone = std::mem::take(&mut self.alone);
+                out.extend((was_alone && self.live).then_some(Output::Said(Note::Holds(true))));
+            }
+            Watch::Open(at) if self.is_told(now) && now - at >= ALONE_LEAST => {
+                (self.watch, self.live, self.alone) = (Watch::Off, false, false);
+                out.extend([Output::Unwatch, Output::Said(Note::Leaves)]);
+            }
+            _ => {}
+        }
+        if let Watch::Due(at) = self.watch {
+            if at <= now {
+                (self.watch, self.live, self.heard) = (Watch::Open(now), false, now);
+                self.turns.asks();
+                self.counts.watches += 1;
+                self.counts.alone += u64::from(self.alone);
+                out.push(Output::Watch(self.book.revision()));
+            }
+        }
+    }
+
+    /// When [`Start::due`] is wanted next.
+    pub fn next_due(&self, now: Time) -> Time {
+        let watch = match self.watch {
+            Watch::Due(at) => at,
+            Watch::Open(_) => self.heard + self.set.silence,
+            Watch::Off => self.told_live.map_or(self.started + SETTLE, |at| at + self.set.silence),
+        };
+        let later = [self.started + SETTLE, self.started + self.set.kept_wait];
+        let settle = later.into_iter().filter(|at| *at > now).min().unwrap_or(Time::MAX);
+        let ask = match (&self.circle, &self.asking) {
+            (None, _) => Time::MAX,
+            (_, Some(asking)) => asking.sent + self.wait(),
+            _ => self.ask_at,
+        };
+        watch.max(now + MS).min(settle).min(ask.max(now + MS))
+    }
+
+    /// Time has come for what waits for it.
+    pub fn due(&mut self, now: Time, out: &mut Vec<Output>) {
+        if matches!(self.watch, Watch::Open(_)) && now - self.heard >= self.set.silence {
+            out.push(Output::Unwatch);
+            self.watch_lost(now, None, out);
+        }
+        if self.asking.as_ref().is_some_and(|asking| now - asking.sent >= self.wait()) {
+            self.counts.unanswered += 1;
+            self.asking = None;
+            self.ask_at = now;
+            self.turn = self.turn.wrapping_add(1);
+        }
+        self.look(now, out);
+        if self.asking.is_none() && self.ask_at <= now {
+            self.ask(now, out);
+        }
+    }
+
+    /// Asks the next holder.
+    fn ask(&mut self, now: Time, out: &mut Vec<Output>) {
+        // Chance in every pause: those that started together do not go on together.
+        let pace = self.pace() as f64 * (0.75 + 0.5 * self.rng.random::<f64>());
+        self.ask_at = now + pace as Span;
+        let Some(circle) = self.circle.as_mut() else { return };
+        let Some(to) = circle.asked(now, self.turn, AGAIN) else { return };
+        let Some((from, _)) = self.set.others else { return };
+        circle.asks(now, to);
+        let nonce = self.rng.random::<u32>().max(1);
+        let have = self.book.revision().filter(|_| self.book.origin() != Some(Origin::Kept));
+        self.asking = Some(Asking { to, nonce, sent: now, gathered: None });
+        self.counts.asked += 1;
+        let ask = Message::Ask { from, nonce, service: self.set.service, have };
+        out.push(Output::Send(to, ask));
+    }
+
+    // The watch.
+
+    /// The watch brought a list.
+    pub fn watch_said(&mut self, now: Time, update: Update, out: &mut Vec<Output>) {
+        self.heard = now;
+        let had = self.book.revision();
+        let resets = self.book.resets();
+        let taken = self.book.take(now, update, Origin::Service, now, None);
+        self.turns.served();
+        if self.book.resets() > resets {
+            out.push(Output::Said(Note::Reset));
+        }
+        if taken == Taken::Older {
+            self.counts.older += 1;
+            if !std::mem::replace(&mut self.said_behind, self.book.is_behind()) && self.said_behind {
+                out.push(Output::Said(Note::Behind(had.unwrap_or_default())));
+            }
+            return;
+        }
+        self.said_behind = false;
+        if !std::mem::replace(&mut self.live, true) {
+            out.push(Output::Said(Note::Holds(!self.alone)));
+        }
+        if matches!(taken, Taken::Whole(_) | Taken::Changes(_)) {
+            self.push(had, out);
+        }
+        self.news(now, taken, out);
+    }
+
+    /// The watch brought a line without news.
+    pub fn watch_alive(&mut self, now: Time) {
+        self.heard = now;
+        if self.live {
+            self.book.vouched(now);
+        }
+    }
+
+    /// The watch ended, or could not be opened. `wait`: the service said that it is overloaded, and perhaps for how long.
+    pub fn watch_lost(&mut self, now: Time, wait: Option<Span>, out: &mut Vec<Output>) {
+        if !matches!(self.watch, Watch::Open(_)) {
+            return;
+        }
+        if let Some(wait) = wait {
+            self.turns.put_off(now, wait);
+        }
+        self.live = false;
+        let (askers, urgent) = (self.askers(), self.book.revision().is_none());
+        self.watch = Watch::Due(self.turns.again(now, askers, urgent));
+        self.look(now, out);
+    }
+
+    /// News for whoever decides by the list, and for the disk.
+    fn news(&mut self, now: Time, taken: Taken, out: &mut Vec<Output>) {
+        if !matches!(taken, Taken::Same | Taken::Older) {
+            out.push(Output::List(taken));
+            self.kept_at = None;
+        }
+        let due = self.kept_at.is_none_or(|at| now - at >= KEEP_EVERY);
+        if let (true, Some(revision), Some(age)) = (due, self.book.revision(), self.book.age(now)) {
+            if self.book.origin() != Some(Origin::Kept) {
+                self.kept_at = Some(now);
+                let members = self.book.present().cloned().collect();
+                let list = Update { revision, complete: true, members };
+                out.push(Output::Keep(Kept { list, said: now - age }));
+            }
+        }
+    }
+
+    // Others.
+
+    /// Who is there, by the membership.
+    pub fn met(&mut self, now: Time, up: BTreeSet<SocketAddr>, out: &mut Vec<Output>) {
+        if let Some(circle) = self.circle.as_mut() {
+            circle.met(up);
+            self.look(now, out);
+        }
+    }
+
+    /// Other seeds, and perhaps another service, from now on.
+    pub fn reload(
+        &mut self,
+        now: Time,
+        seeds: &[SocketAddr],
+        service: u64,
+        moved: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(circle) = self.circle.as_mut() {
+            circle.reload(seeds.iter().copied());
+        }
+        if self.set.service != service || moved {
+            self.set.service = service;
+            self.book.other_service();
+            self.told_live = None;
+            self.started = now;
+            if matches!(self.watch, Watch::Open(_)) {
+                out.push(Output::Unwatch);
+                self.watch = Watch::Due(now);
+                self.live = false;
+            }
+        }
+        self.look(now, out);
+    }
+
+    /// Word of another instance.
+    pub fn message(&mut self, now: Time, message: Message, out: &mut Vec<Output>) {
+        match message {
+            Message::Ask { from, nonce, service, have } if service == self.set.service => {
+                self.answer(now, from, nonce, have, out);
+            }
+            Message::Tell(tell) if tell.service == self.set.service => self.told(now, tell, out),
+            _ => self.counts.foreign += 1,
+        }
+    }
+
+    /// What is held, without its entries.
+    fn tell(&self, now: Time, nonce: u32) -> Option<Tell> {
+        let (from, _) = self.set.others.as_ref()?;
+        let age = self.book.age(now).unwrap_or_default();
+        let live = self.live && !self.book.is_behind();
+        Some(Tell {
+            from: *from,
+            nonce,
+            service: self.set.service,
+            revision: self.book.revision(),
+            said_ago_ms: u64::try_from(age / MS).unwrap_or_default(),
+            live,
+            put_off_ms: u64::try_from(self.turns.put_off_for(now) / MS).unwrap_or_default(),
+            base: None,
+            part: (0, 0),
+            entries: Vec::new(),
+        })
+    }
+
+    fn answer(&mut self, now: Time, to: SocketAddr, nonce: u32, have: Option<u64>, out: &mut Vec<Output>) {
+        self.counts.answered += 1;
+        let Some(tell) = self.tell(now, nonce) else { return };
+        if !self.live && (self.book.revision().is_none() || self.book.origin() == Some(Origin::Kept)) {
+            // Told as soon as there is something to tell.
+            if self.waiting.len() < WAITING_MOST {
+                self.waiting.insert(to);
+            }
+        }
+        let known = self.book.revision().is_some();
+        let parts = if known { self.parts(now, &tell, have) } else { None };
+        let parts = parts.unwrap_or_else(|| vec![tell]);
+        out.extend(parts.into_iter().map(|part| Output::Send(to, Message::Tell(part))));
+    }
+
+    /// What changed since a version, in parts; `None` where that is too much to be told now.
+    fn parts(&mut self, now: Time, tell: &Tell, have: Option<u64>) -> Option<Vec<Tell>> {
+        let (base, entries) = self.book.since(have);
+        if base.is_none() {
+            if now - self.whole.0 >= self.pace() {
+                self.whole = (now, 0);
+            }
+            self.whole.1 += 1;
+            if self.whole.1 > WHOLE_PER_PACE * u64::from(self.set.pace.fleet.max(8)) {
+                return None;
+            }
+        }
+        Tell { base, ..tell.clone() }.parts(entries)
+    }
+
+    /// Tells all others what has changed since a version, and those that waited for it all of it.
+    fn push(&mut self, had: Option<u64>, out: &mut Vec<Output>) {
+        let Some(circle) = &self.circle else { return };
+        let waiting = std::mem::take(&mut self.waiting);
+        let others: BTreeSet<_> = circle.others().chain(waiting.iter().copied()).collect();
+        let now = self.heard;
+        let Some(tell) = self.tell(now, 0) else { return };
+        let (base, entries) = self.book.since(had);
+        let parts = Tell { base, ..tell.clone() }.parts(entries).filter(|parts| parts.len() == 1);
+        let news = parts.and_then(|mut parts| parts.pop()).unwrap_or_else(|| tell.clone());
+        let whole = if waiting.is_empty() { None } else { self.parts(now, &tell, None) };
+        for to in others {
+            let told = whole.as_ref().filter(|_| waiting.contains(&to));
+            let told = told.map_or(std::slice::from_ref(&news), |parts| parts);
+            self.counts.pushed += told.len() as u64;
+            out.extend(told.iter().map(|part| Output::Send(to, Message::Tell(part.clone()))));
+        }
+    }
+
+    fn told(&mut self, now: Time, tell: Tell, out: &mut Vec<Output>) {
+        if let Some(circle) = self.circle.as_mut() {
+            circle.heard(tell.from);
+        }
+        let mine = |asking: &Asking| asking.to == tell.from && asking.nonce == tell.nonce;
+        let asked = self.asking.as_ref().is_some_and(mine);
+        if tell.put_off_ms > 0 {
+            self.turns.put_off(now, MS.saturating_mul(tell.put_off_ms.min(AGO_MOST_MS) as Span));
+        }
+        if tell.part.1 > 1 {
+            // Parts are gathered from one instance at a time; unasked ones only where nothing is known yet.
+            let gathered = match self.asking.as_mut() {
+                Some(asking) if asked || (tell.nonce == 0 && asking.gathered.is_none()) => {
+                    &mut asking.gathered
+                }
+                Some(asking) => match asking.gathered.as_mut() {
+                    Some(gathered) if gathered.fits(&tell) => &mut asking.gathered,
+                    _ => return,
+                },
+                None if tell.nonce == 0 => {
+                    let asking = Asking { to: tell.from, nonce: 0, sent: now, gathered: None };
+                    &mut self.asking.insert(asking).gathered
+                }
+                None => return,
+            };
+            match gathered {
+                Some(gathered) if gathered.fits(&tell) => gathered.add(tell),
+                _ => *gathered = Some(Gathered::new(tell)),
+            }
+            let whole = gathered.as_ref().and_then(Gathered::whole);
+            if let Some(whole) = whole {
+                self.asking = None;
+                self.take(now, whole, out);
+            }
+            return;
+        }
+        if asked {
+            self.asking = None;
+            self.turn = self.turn.wrapping_add(1);
+        }
+        self.take(now, tell, out);
+    }
+
+    fn take(&mut self, now: Time, tell: Tell, out: &mut Vec<Output>) {
+        let said = now - MS.saturating_mul(tell.said_ago_ms.min(AGO_MOST_MS) as Span);
+        let fresh = tell.live && now - said < self.set.silence;
+        if fresh && tell.revision >= self.book.revision() {
+            self.told_live = Some(now);
+        }
+        let Some(revision) = tell.revision else { return self.look(now, out) };
+        if tell.part.1 == 0 {
+            // The version alone: what it brings is asked for at once.
+            if fresh && Some(revision) > self.book.revision() && self.asking.is_none() {
+                self.ask_at = now;
+            }
+            return self.look(now, out);
+        }
+        let origin = if fresh { Origin::Peer } else { Origin::Kept };
+        let update = Update { revision, complete: tell.base.is_none(), members: tell.entries };
+        let taken = self.book.take(now, update, origin, said, tell.base);
+        match taken {
+            Taken::Older => {
+                self.counts.older += 1;
+                if fresh && Some(revision) > self.book.revision() && self.asking.is_none() {
+                    self.ask_at = now;
+                }
+            }
+            taken => {
+                self.counts.taken += 1;
+                self.news(now, taken, out);
+            }
+        }
+        self.look(now, out);
+    }
+}
--- a/crates/stackgw-store/src/file.rs
+++ b/crates/stackgw-store/src/file.rs
@@ -55,7 +55,7 @@
     pruned_ms: u64,
 }
 
-fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
@@ -269,7 +269,7 @@
 }
 
 /// A name beside a file that nothing has yet.
-fn free_name(path: &Path) -> PathBuf {
+pub(crate) fn free_name(path: &Path) -> PathBuf {
     let name = |n: u64| {
         let mut name = path.as_os_str().to_owned();
         name.push(format!(".refused-{n}"));
--- a/crates/stackgw-store/src/lib.rs
+++ b/crates/stackgw-store/src/lib.rs
@@ -5,9 +5,11 @@
 //! the disk before it is said to be ([`Disk::commit`]); [`Writer`] does them in batches on a thread of its own.
 
 mod file;
+mod list;
 mod writer;
 
 pub use file::{File, Opened, Owner};
+pub use list::{read as read_list, ListWriter};
 pub use writer::{Done, Writer};
 
 use stackgw_sessions::Record;
