Kept and told rates let a new gateway neither open wide nor stay shut; stackgw list

Ruled out: list and readiness (372 ms), handshakes (121 in 10 s), members (none shed).

Change: the router takes a rate that an earlier life kept or a peer told as a start (expect), does not unlearn from cold members alone, and a list that says a member is up for long ends the caution of a kept one. An outage of the list service sends nobody to it while word of it is younger than a watch's silence, and whoever finds it back tells the others. stackgw list says where a gateway's list is from.

--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -84,13 +84,16 @@
     }
 }
 
+/// Picks one part of a line.
+type Pick = fn(&Line) -> &Part;
+
 /// Medians over the rounds, with the least and the most.
 fn table(fleet: u16, cases: &[String], lines: &[(String, Line)]) {
     println!("{fleet} gateways: median (least to most) over the rounds");
     println!("| case | part | list asks | in the worst 100 ms | refused | 99% ready, ms | served in time | answered | handshakes | at one in its worst 100 ms | cold, of what it falls at | fell | broken |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for case in cases {
-        let parts: [(&str, fn(&Line) -> &Part); 5] = [
+        let parts: [(&str, Pick); 5] = [
             ("all start at once", |l| &l.boot),
             ("warm", |l| &l.warm),
             ("list service dead for 6 s", |l| &l.outage),
--- a/crates/stackgw-cli/src/cmd/mod.rs
+++ b/crates/stackgw-cli/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod demo;
+pub mod list;
 pub mod measure;
 #[cfg(feature = "flight")]
 pub mod measure_flight;
--- a/crates/stackgw-cli/src/cmd/sessions.rs
+++ b/crates/stackgw-cli/src/cmd/sessions.rs
@@ -61,7 +61,8 @@
     }
 }
 
-fn text(value: &Value) -> String {
+/// A value as people write it.
+pub fn text(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
 
--- a/crates/stackgw-cli/src/main.rs
+++ b/crates/stackgw-cli/src/main.rs
@@ -28,6 +28,8 @@
     Schema,
     /// Ask a running gateway what it holds of sessions, and why one is read cautiously.
     Sessions(cmd::sessions::Ask),
+    /// Ask a running gateway where its list of members is from.
+    List(cmd::list::Ask),
     /// Stand-ins, gateways and clients on loopback; gateways are killed, and the audit says what sessions saw.
     Demo(cmd::demo::Demo),
     /// Ask a gateway, or a member, by Arrow Flight SQL.
@@ -49,6 +51,7 @@
         Some(Command::Check(check)) => check.run(),
         Some(Command::Schema) => cmd::check::schema(),
         Some(Command::Sessions(ask)) => ask.run(),
+        Some(Command::List(ask)) => ask.run(),
         Some(Command::Demo(demo)) => demo.run(),
         #[cfg(feature = "flight")]
         Some(Command::Query(query)) => query.run(),
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -456,7 +456,7 @@
             Input::List(list) => self.list(now, list, out),
             Input::WatchAlive => {
                 self.watch_heard = now;
-                self.with_start(now, out, |start, _| start.watch_alive(now));
+                self.with_start(now, out, |start, outputs| start.watch_alive(now, outputs));
             }
             Input::WatchLost(why) => self.watch_lost(now, why, out),
             Input::FetchFailed => {
--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -79,7 +79,7 @@
             seed: self.secret,
         };
         // What the platform knows is kept word too; of which moment, it does not say.
-        let known = self.known.take().map(|list| Kept { list, said: 0 });
+        let known = self.known.take().map(|list| Kept { list, said: 0, rate: 0.0 });
         let newer = [kept, known].into_iter().flatten().max_by_key(|kept| kept.list.revision);
         let mut outputs = Vec::new();
         let start = Start::new(now, set, newer, &mut outputs);
@@ -113,6 +113,7 @@
                     let body = message.encode();
                     self.cluster_send(out, |cluster, effects| cluster.tell(to, &body, effects));
                 }
+                Output::Expect(rate) => self.router.expect(rate),
                 Output::Keep(kept) => out.push(Effect::Keep(Box::new(kept))),
                 Output::List(Taken::Whole(entries)) => self.told(now, ListScope::Full, &entries, out),
                 Output::List(Taken::Cautious(entries)) => self.told(now, ListScope::Cached, &entries, out),
@@ -150,7 +151,11 @@
         if let Some(starting) = self.starting.as_mut() {
             starting.due = None;
         }
-        self.with_start(now, out, |start, outputs| start.due(now, outputs));
+        let rate = self.router.warm_rate();
+        self.with_start(now, out, |start, outputs| {
+            start.answers(rate);
+            start.due(now, outputs);
+        });
     }
 
     pub(super) fn start_heard(&mut self, now: Time, body: &[u8], out: &mut Vec<Effect>) {
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -172,6 +172,16 @@
         self.nodes.iter().map(|(id, node)| (*id, node.belief()))
     }
 
+    /// Requests a second that a warm member answers this router: a start for a later life, or for a peer.
+    pub fn warm_rate(&self) -> f64 {
+        self.warm_rate
+    }
+
+    /// What it was before, or is elsewhere; own answers take its place.
+    pub fn expect(&mut self, rate: f64) {
+        self.warm_rate = if self.warm_rate > 0.0 { self.warm_rate } else { rate };
+    }
+
     fn list(&mut self, now: Time, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
         if self.set.list_on_request && matches!(scope, ListScope::Cached | ListScope::Failed) {
             out.push(Action::Subscribe(true)); // A call fails only after a time-out, which sets the pace.
@@ -204,6 +214,9 @@
                 *node = Node { position, in_flight, standing, told, ..fresh };
                 group.primary = group.primary.filter(|id| *id != member.id);
             }
+            if member.started.is_none() && scope != ListScope::Cached {
+                node.started = None; // Up for long; a kept list could not tell.
+            }
             node.stand(now, member.standing, binds);
             (node.weight, node.listed_primary) = (member.weight, member.primary);
         }
@@ -633,7 +646,11 @@
         if now - self.counted_at >= SECOND {
             let serving = self.nodes.values().filter(|n| n.standing == Standing::Serving).count().max(1);
             let rate = self.taken / serving as f64 * SECOND as f64 / (now - self.counted_at) as f64;
-            self.warm_rate += (rate - self.warm_rate) * 0.3;
+            // Danger: cold members answer what they are sent; alone they would shut the door on themselves.
+            let warm =
+                |n: &Node| n.standing == Standing::Serving && n.warmth(now, &self.set.obligations) >= 1.0;
+            let learns = rate > self.warm_rate || self.nodes.values().any(warm);
+            self.warm_rate += if learns { (rate - self.warm_rate) * 0.3 } else { 0.0 };
             (self.counted_at, self.taken) = (now, 0.0);
             self.last_writes.retain(|_, write| now - *write < MARK_KEPT);
             out.extend(drop_past(&mut self.nodes, &mut self.groups, now - GONE_KEPT));
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -119,6 +119,7 @@
         line.dark = self.part(&store, &gateways, &all);
         store.lists().mood(None, Mood::Up);
         bear(true);
+        (0..store.members.len()).for_each(|n| store.announce_start(n));
         line.cold = self.part(&store, &gateways, &all);
         Ok(line)
     }
--- a/crates/stackgw-start/src/book.rs
+++ b/crates/stackgw-start/src/book.rs
@@ -98,6 +98,11 @@
         self.revision.map(|_| (now - self.said).max(0))
     }
 
+    /// When the service last vouched for what is held, as far as is known.
+    pub fn said(&self) -> Option<Time> {
+        self.revision.map(|_| self.said)
+    }
+
     /// The service tells older lists than what is held.
     pub fn is_behind(&self) -> bool {
         self.behind_since.is_some()
--- a/crates/stackgw-start/src/message.rs
+++ b/crates/stackgw-start/src/message.rs
@@ -40,10 +40,14 @@
     pub revision: Option<u64>,
     /// How long ago the service vouched for it, in milliseconds.
     pub said_ago_ms: u64,
-    /// It hears the service.
+    /// It has a watch that hears the service.
     pub live: bool,
+    /// It has kept word alone: passed on, that is still kept word, however young.
+    pub kept: bool,
     /// For how long the service wants to be left alone, in milliseconds.
     pub put_off_ms: u64,
+    /// Requests in a thousand seconds that a warm member answers the teller; a start, never proof.
+    pub rate: u64,
     /// The entries are what changed since this version; `None`: they are all.
     pub base: Option<u64>,
     /// Which part this is, from 0 on, of how many; of 0 parts: the entries are not told here.
--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -40,6 +40,8 @@
     pub list: Update,
     /// When the service last vouched for it.
     pub said: Time,
+    /// Requests a second that a warm member answered this instance; 0: not known.
+    pub rate: f64,
 }
 
 /// What is to be done.
@@ -55,6 +57,8 @@
     List(Taken),
     /// Keep this on the disk.
     Keep(Kept),
+    /// Requests a second that a warm member may be taken to answer this instance, until its own answers tell.
+    Expect(f64),
     /// Something for the log.
     Said(Note),
 }
@@ -151,12 +155,16 @@
     asking: Option<Asking>,
     ask_at: Time,
     turn: u32,
-    /// When a peer that hears the service last told.
+    /// When word last came that the service had vouched for lately, and when it last came from one that has a watch.
+    told: Option<Time>,
     told_live: Option<Time>,
     waiting: BTreeSet<SocketAddr>,
     /// When the present pace began, and whole lists told in it.
     whole: (Time, u64),
     kept_at: Option<Time>,
+    /// What its router makes of members; what others make of them has been taken as a start.
+    rate: f64,
+    expects: bool,
     said_behind: bool,
     counts: Counts,
 }
@@ -179,15 +187,19 @@
             asking: None,
             ask_at: now,
             turn: 0,
+            told: None,
             told_live: None,
             waiting: BTreeSet::new(),
             whole: (now, 0),
             kept_at: None,
+            rate: 0.0,
+            expects: false,
             said_behind: false,
             counts: Counts::default(),
             set,
         };
-        if let Some(Kept { list, said }) = kept {
+        if let Some(Kept { list, said, rate }) = kept {
+            start.expect(rate, out);
             let taken = start.book.take(now, list, Origin::Kept, said.min(now), None);
             out.push(Output::List(taken));
         }
@@ -195,6 +207,20 @@
         start
     }
 
+    /// What the router takes a warm member to answer this instance, in requests a second.
+    pub fn answers(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    /// Takes what is known elsewhere for a start, once.
+    fn expect(&mut self, rate: f64, out: &mut Vec<Output>) {
+        let known = rate > 0.0 && rate.is_finite() && self.rate <= 0.0;
+        if known && !self.expects {
+            self.expects = true;
+            out.push(Output::Expect(rate));
+        }
+    }
+
     /// What is held for the list.
     pub fn book(&self) -> &Book {
         &self.book
@@ -247,7 +273,7 @@
         }
     }
 
-    /// Word of a holder that hears the service is here, and no older than a watch may be.
+    /// Somebody with a watch of its own has told lately.
     fn is_told(&self, now: Time) -> bool {
         self.told_live.is_some_and(|at| now - at < self.set.silence)
     }
@@ -260,9 +286,9 @@
             Some(circle) => (circle.holds(), circle.is_seed()),
         };
         let holds = holds && (seed || settled);
-        // Nobody that hears the service has been heard from for too long: whoever wants the list asks itself.
-        let since = self.told_live.unwrap_or(self.started);
-        let patience = if self.told_live.is_some() { self.set.silence } else { SETTLE };
+        // Nobody has had word of the service for too long: whoever wants the list asks itself.
+        let since = self.told.unwrap_or(self.started);
+        let patience = if self.told.is_some() { self.set.silence } else { SETTLE };
         let alone = !holds && now - since >= patience;
         match self.watch {
             Watch::Off if holds || alone => {
@@ -298,7 +324,7 @@
         let watch = match self.watch {
             Watch::Due(at) => at,
             Watch::Open(_) => self.heard + self.set.silence,
-            Watch::Off => self.told_live.map_or(self.started + SETTLE, |at| at + self.set.silence),
+            Watch::Off => self.told.map_or(self.started + SETTLE, |at| at + self.set.silence),
         };
         let later = [self.started + SETTLE, self.started + self.set.kept_wait];
         let settle = later.into_iter().filter(|at| *at > now).min().unwrap_or(Time::MAX);
@@ -365,20 +391,23 @@
             return;
         }
         self.said_behind = false;
-        if !std::mem::replace(&mut self.live, true) {
+        let first = !std::mem::replace(&mut self.live, true);
+        if first {
             out.push(Output::Said(Note::Holds(!self.alone)));
         }
-        if matches!(taken, Taken::Whole(_) | Taken::Changes(_)) {
+        // That the service is back is news to others too, even where it tells nothing new.
+        if first || matches!(taken, Taken::Whole(_) | Taken::Changes(_)) {
             self.push(had, out);
         }
         self.news(now, taken, out);
     }
 
     /// The watch brought a line without news.
-    pub fn watch_alive(&mut self, now: Time) {
+    pub fn watch_alive(&mut self, now: Time, out: &mut Vec<Output>) {
         self.heard = now;
         if self.live {
             self.book.vouched(now);
+            self.news(now, Taken::Same, out);
         }
     }
 
@@ -408,7 +437,7 @@
                 self.kept_at = Some(now);
                 let members = self.book.present().cloned().collect();
                 let list = Update { revision, complete: true, members };
-                out.push(Output::Keep(Kept { list, said: now - age }));
+                out.push(Output::Keep(Kept { list, said: now - age, rate: self.rate }));
             }
         }
     }
@@ -438,7 +467,7 @@
         if self.set.service != service || moved {
             self.set.service = service;
             self.book.other_service();
-            self.told_live = None;
+            (self.told, self.told_live) = (None, None);
             self.started = now;
             if matches!(self.watch, Watch::Open(_)) {
                 out.push(Output::Unwatch);
@@ -472,7 +501,9 @@
             revision: self.book.revision(),
             said_ago_ms: u64::try_from(age / MS).unwrap_or_default(),
             live,
+            kept: self.book.origin() == Some(Origin::Kept),
             put_off_ms: u64::try_from(self.turns.put_off_for(now) / MS).unwrap_or_default(),
+            rate: (self.rate * 1_000.0) as u64,
             base: None,
             part: (0, 0),
             entries: Vec::new(),
@@ -572,10 +603,18 @@
     }
 
     fn take(&mut self, now: Time, tell: Tell, out: &mut Vec<Output>) {
+        self.expect(tell.rate as f64 / 1_000.0, out);
         let said = now - MS.saturating_mul(tell.said_ago_ms.min(AGO_MOST_MS) as Span);
-        let fresh = tell.live && now - said < self.set.silence;
+        let fresh = tell.revision.is_some() && !tell.kept && now - said < self.set.silence;
         if fresh && tell.revision >= self.book.revision() {
-            self.told_live = Some(now);
+            self.told = Some(now);
+            self.told_live = if tell.live { Some(now) } else { self.told_live };
+            if let (Watch::Due(at), true) = (self.watch, Some(said) > self.book.said()) {
+                // The service is there for others: what was put off as it was not is put off no longer.
+                self.turns.served();
+                let askers = self.askers();
+                self.watch = Watch::Due(at.min(self.turns.first(now, askers)));
+            }
         }
         let Some(revision) = tell.revision else { return self.look(now, out) };
         if tell.part.1 == 0 {
--- a/crates/stackgw-store/src/list.rs
+++ b/crates/stackgw-store/src/list.rs
@@ -6,7 +6,7 @@
 use stackgw_router::api::{Time, MS};
 use stackgw_start::{Kept, Update};
 use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread::JoinHandle;
 
@@ -23,6 +23,9 @@
     service: String,
     /// When the service last vouched for it, in Unix milliseconds.
     said_ms: i64,
+    /// Requests a second that a warm member answered this instance.
+    #[serde(default)]
+    rate: f64,
     /// BLAKE3 over the second line.
     sum: String,
 }
@@ -43,7 +46,7 @@
         Some((head, list)) if head.service == service => {
             // A clock may have been set back since.
             let said = head.said_ms.clamp(0, i64::try_from(unix_ms()).unwrap_or(i64::MAX));
-            Ok(Some(Kept { list, said: said.saturating_mul(MS) as Time }))
+            Ok(Some(Kept { list, said: said.saturating_mul(MS) as Time, rate: head.rate }))
         }
         Some(_) => Ok(None),
         None => {
@@ -67,7 +70,8 @@
 fn write(path: &Path, service: &str, kept: &Kept) -> std::io::Result<()> {
     let list = serde_json::to_vec(&kept.list)?;
     let sum = blake3::hash(&list).to_hex().to_string();
-    let head = Head { version: VERSION, service: service.to_owned(), said_ms: kept.said / MS, sum };
+    let head =
+        Head { version: VERSION, service: service.to_owned(), said_ms: kept.said / MS, rate: kept.rate, sum };
     let beside = path.with_extension("new");
     let mut file = std::fs::File::create(&beside)?;
     file.write_all(&serde_json::to_vec(&head)?)?;
@@ -114,7 +118,7 @@
     }
 }
 
-fn run(path: &PathBuf, service: &str, line: &Receiver<Kept>, said: &impl Fn(Failed)) {
+fn run(path: &Path, service: &str, line: &Receiver<Kept>, said: &impl Fn(Failed)) {
     let mut failing = false;
     while let Ok(first) = line.recv() {
         let newest = line.try_iter().last().unwrap_or(first);
