Fleets of processes through a dead, slow, behind and cut list service; the heart by random histories

Need: the hard cases of a cold start, shown by several processes with faults between them.

Change: nine tests over 1 to 24 real gateways (turns, 503, half lists and hung answers, all holders killed, one stopped, drains with three datagrams in ten lost, a service that comes back behind, kept word with another primary, halves cut apart, seven in ten killed in a burst, all members cold, a fleet that grows and shrinks), and fleets of up to 2,000 in simulated time against the package's two invariants. The order of holders is worked out when the membership changes, not at each datagram.

A list that tells what changed by comparing two versions would lose a change that went there and back; the protocol's tells all that changed, and the stand-in does so now.

--- /dev/null
+++ b/crates/stackgw-cli/tests/start.rs
@@ -0,0 +1,366 @@
+//! Fleets of real processes that start at once, lose their list service, their holders of the watch, half of each other or
+//! their members' warmth. The stand-ins' audit is the judge. Every wait is for an event and bounded.
+
+use serde_json::Value;
+use stackgw_standin::{
+    worst, Answer, Bearing, Bears, Client, Fate, Gateways, Mode, Mood, Opened, Opening, Setup, Speaks,
+    StartPart, Store,
+};
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const GRACE: Duration = Duration::from_millis(1_000);
+/// A holder that is gone is replaced within this.
+const REPLACED: Duration = Duration::from_secs(4);
+
+struct World {
+    store: Arc<Store>,
+    gateways: Gateways,
+    folder: PathBuf,
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+impl World {
+    /// Gateways that are set up and do not run yet, every other one at the list's second door.
+    fn new(name: &str, gateways: usize, cluster: bool, bears: u32) -> Self {
+        let folder = std::env::temp_dir().join(format!("stackgw-start-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (store, _) = Store::start_behind(&[20, 20], Speaks::First, 2).expect("members");
+        let doors = vec![store.lists().door(0), store.lists().door(1)];
+        let mut setup = Setup::new(env!("CARGO_BIN_EXE_stackgw").into(), folder.clone(), doors);
+        (setup.gateways, setup.keepers, setup.mode, setup.relays) = (gateways, 3, Mode::Start, cluster);
+        let lines = vec![format!("bears: {bears}"), "list: \"{folder}/g{n}.list\"".to_owned()];
+        setup.start = StartPart { cluster, lines };
+        let gateways = Gateways::prepare(setup).unwrap_or_else(|why| panic!("{why}"));
+        World { store, gateways, folder }
+    }
+
+    fn start(&self, which: impl Iterator<Item = usize> + Clone) {
+        self.gateways.restart_all(which, Duration::ZERO).unwrap_or_else(|why| panic!("{why}"));
+    }
+
+    /// What a gateway says of its list.
+    fn told(&self, n: usize) -> Value {
+        let ask = || -> std::io::Result<String> {
+            let mut stream = UnixStream::connect(self.gateways.control(n))?;
+            stream.write_all(b"{\"ask\":\"list\"}\n")?;
+            let mut line = String::new();
+            BufReader::new(stream).read_line(&mut line)?;
+            Ok(line)
+        };
+        ask().ok().and_then(|line| serde_json::from_str(&line).ok()).unwrap_or_default()
+    }
+
+    /// Waits until this holds of what each of these says; gives how long that took.
+    fn until(
+        &self,
+        what: &str,
+        most: Duration,
+        which: impl Iterator<Item = usize> + Clone,
+        holds: impl Fn(&Value) -> bool,
+    ) -> Duration {
+        let since = Instant::now();
+        loop {
+            let told: Vec<_> = which.clone().map(|n| (n, self.told(n))).collect();
+            if told.iter().all(|(_, told)| holds(told)) {
+                return since.elapsed();
+            }
+            assert!(since.elapsed() < most, "{what}: {told:?}");
+            std::thread::sleep(ms(10));
+        }
+    }
+
+    /// Waits until all these have the service's version, and not as kept word.
+    fn know(&self, most: Duration, which: impl Iterator<Item = usize> + Clone) -> Duration {
+        let version = self.store.lists().version();
+        self.until("the newest list", most, which, |told| {
+            told["revision"] == version && told["origin"] != "kept word" && told["origin"].is_string()
+        })
+    }
+
+    fn holders(&self) -> Vec<usize> {
+        (0..self.gateways.len()).filter(|n| self.told(*n)["watch"] == true).collect()
+    }
+
+    fn asked(&self) -> usize {
+        self.store.lists().asked().iter().filter(|asked| asked.fate != Fate::Dead).count()
+    }
+
+    fn play(&self, rate: f64, lasts: Duration, meanwhile: impl FnOnce() + Send) -> Opened {
+        let opening = Opening { rate, writes: 30, lasts, seed: 7 };
+        opening.run(&self.store, &self.gateways, Instant::now(), meanwhile)
+    }
+
+    /// Nothing was lost, doubled or stale.
+    fn sound(&self, opened: &Opened) {
+        assert_eq!((opened.lost, opened.doubled), (0, 0), "{opened:?}");
+        let audit = self.store.audit();
+        assert_eq!((audit.stale, audit.writes.values().filter(|n| **n > 1).count()), (0, 0));
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for n in 0..self.gateways.len() {
+                let log = std::fs::read_to_string(self.folder.join(format!("g{n}.log"))).unwrap_or_default();
+                eprintln!("g{n}:\n{log}");
+            }
+        }
+        (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn all_that_start_at_once_ask_in_turns_and_keep_to_the_services_word() {
+    let world = World::new("turns", 16, false, 10);
+    world.start(0..16);
+    world.know(ms(20_000), 0..16);
+    let asked = world.store.lists().asked();
+    // Sixteen asks over two seconds; in step all would fall into one moment.
+    assert!(worst(asked.iter().map(|asked| asked.at), ms(100)) <= 6, "{asked:?}");
+    // Dead and back: again not all at once.
+    let lists = world.store.lists();
+    lists.mood(None, Mood::Dead);
+    world.until("a lost watch", ms(5_000), 0..16, |told| told["watch"] == false);
+    lists.bear(Some(Bears { per_second: 10.0, line: ms(300) }));
+    let from = lists.elapsed();
+    lists.mood(None, Mood::Up);
+    world.until("a watch again", ms(40_000), 0..16, |told| told["watch"] == true);
+    let back: Vec<_> = lists.asked().into_iter().filter(|asked| asked.at >= from).collect();
+    assert!(worst(back.iter().map(|asked| asked.at), ms(100)) <= 6, "{back:?}");
+    assert!(back.len() <= 40, "{}", back.len());
+}
+
+#[test]
+fn a_gateway_that_knows_nothing_refuses_at_once_and_says_when_to_come_back() {
+    let world = World::new("nothing", 1, false, 10);
+    world.store.lists().mood(None, Mood::Half);
+    world.start(0..1);
+    world.until("a lost watch", ms(5_000), 0..1, |told| told["counts"]["watches"].as_u64() >= Some(1));
+    let address = world.gateways.address(0).expect("it runs");
+    let mut client = Client::connect(address).expect("a connection");
+    let since = Instant::now();
+    let text = "SELECT val FROM state WHERE uid = 'k' /* id=n1,c=look,d=1000,cluster=2 */";
+    assert_eq!(client.ask(text), Answer::Refused);
+    assert!(since.elapsed() < ms(300), "{:?}", since.elapsed());
+    let mut waits = Client::connect(address).expect("a connection");
+    waits.patience(ms(200));
+    assert!(!waits.is_ready(), "half a list is none");
+    for mood in [Mood::FirstByte, Mood::Silent] {
+        world.store.lists().mood(None, mood);
+        std::thread::sleep(ms(300));
+        assert_eq!(world.told(0)["ready"], false);
+    }
+    world.store.lists().mood(None, Mood::Up);
+    // A watch that hangs is given up after its silence.
+    world.know(ms(20_000), 0..1);
+    let mut client = Client::connect(address).expect("a connection");
+    assert_eq!(client.ask(&text.replace("n1", "n2")), Answer::Served(Vec::new()));
+}
+
+#[test]
+fn few_hold_the_watch_and_lost_holders_are_replaced() {
+    let world = World::new("holders", 9, true, 50);
+    world.start(0..9);
+    world.know(ms(10_000), 0..9);
+    let before = world.asked();
+    assert!(before <= 6, "{before} asks for 9 gateways");
+    // All holders are killed at once, and a drain is told: the rest finds new ones and hears of it.
+    let lost = world.holders();
+    assert!((1..=4).contains(&lost.len()), "{lost:?}");
+    lost.iter().for_each(|n| world.gateways.kill(*n));
+    world.store.announce(2, "draining");
+    let rest: Vec<_> = (0..9).filter(|n| !lost.contains(n)).collect();
+    let took = world.know(REPLACED, rest.iter().copied());
+    assert!(world.asked() - before <= 8, "{took:?}");
+    // A holder that is stopped for five seconds is passed over, and wakes to what it missed.
+    let stopped = world.holders()[0];
+    world.gateways.pause(stopped, true);
+    world.store.announce(1, "draining");
+    world.know(REPLACED, rest.iter().copied().filter(|n| *n != stopped));
+    std::thread::sleep(ms(5_000));
+    world.gateways.pause(stopped, false);
+    world.know(ms(2_000), std::iter::once(stopped));
+    // Those that were killed come back and are told.
+    world.start(lost.iter().copied());
+    world.know(ms(5_000), 0..9);
+}
+
+#[test]
+fn a_drain_is_everywhere_within_the_grace_under_load_and_with_datagrams_lost() {
+    let world = World::new("drain", 8, true, 50);
+    world.start(0..8);
+    world.know(ms(10_000), 0..8);
+    let net = world.gateways.net().expect("relays");
+    net.loss.store(300, Ordering::Relaxed);
+    let opened = world.play(20.0, ms(6_000), || {
+        std::thread::sleep(ms(2_000));
+        world.store.announce(2, "draining");
+    });
+    world.sound(&opened);
+    let after = world.store.audit().after_drain;
+    assert!(after <= GRACE + ms(50), "a request {after:?} after the drain was told");
+    assert!(opened.worth() > 0.9, "{opened:?}");
+}
+
+#[test]
+fn a_service_that_comes_back_behind_is_not_believed() {
+    let world = World::new("behind", 6, true, 50);
+    world.start(0..6);
+    world.know(ms(10_000), 0..6);
+    world.store.announce(2, "draining");
+    world.know(ms(5_000), 0..6);
+    let lists = world.store.lists();
+    lists.mood(None, Mood::Dead);
+    world.until("lost watches", ms(10_000), 0..6, |told| told["watch"] == false);
+    lists.mood(None, Mood::Behind(1));
+    world.gateways.kill(0);
+    world.start(0..1);
+    let since = Instant::now();
+    while !(0..6).any(|n| world.told(n)["behind"] == true) {
+        assert!(since.elapsed() < ms(20_000), "nobody noticed");
+        std::thread::sleep(ms(20));
+    }
+    // One that starts now has the disk's word and its peers'; the service's older one undoes neither.
+    world.until("no older list", ms(5_000), 0..6, |told| told["revision"] == 2);
+    let before = world.store.members[2].asked.load(Ordering::Relaxed);
+    let opened = world.play(10.0, ms(1_500), || {});
+    world.sound(&opened);
+    assert_eq!(world.store.members[2].asked.load(Ordering::Relaxed), before, "the drain binds");
+    lists.mood(None, Mood::Up);
+    world.store.announce(2, "ready");
+    world.know(ms(10_000), 0..6);
+}
+
+#[test]
+fn kept_word_serves_without_the_service_and_its_primary_gets_no_write() {
+    let world = World::new("kept", 8, true, 50);
+    world.start(0..8);
+    world.know(ms(10_000), 0..8);
+    world.until("a list on each disk", ms(5_000), 0..8, |told| told["ready"] == true);
+    for n in 0..8 {
+        let since = Instant::now();
+        while !world.folder.join(format!("g{n}.list")).exists() {
+            assert!(since.elapsed() < ms(5_000));
+            std::thread::sleep(ms(10));
+        }
+    }
+    // An hour passes for the disks; the service dies, another member leads, all gateways are killed.
+    (0..8).for_each(|n| world.gateways.kill(n));
+    world.store.lists().mood(None, Mood::Dead);
+    world.store.promote(1);
+    for n in 0..8 {
+        let file = world.folder.join(format!("g{n}.list"));
+        let text = std::fs::read_to_string(&file).expect("a list");
+        let (head, list) = text.split_once('\n').expect("two lines");
+        let mut head: Value = serde_json::from_str(head).expect("a head");
+        head["said_ms"] = Value::from(head["said_ms"].as_i64().expect("a time") - 3_600_000);
+        std::fs::write(&file, format!("{head}\n{list}")).expect("it is written");
+    }
+    let before = world.store.audit();
+    let opened = world.play(10.0, ms(6_000), || world.start(0..8));
+    assert_eq!(opened.ready_ms.len(), 8, "{opened:?}");
+    world.sound(&opened);
+    let audit = world.store.audit();
+    assert_eq!(audit.misplaced, before.misplaced, "a write went to the primary on the disk");
+    assert!(audit.writes.len() > before.writes.len(), "writes found the new one");
+    (0..8).for_each(|n| assert_eq!(world.told(n)["origin"], "kept word"));
+}
+
+#[test]
+fn halves_that_are_cut_apart_go_on_and_agree_again_once_they_are_healed() {
+    let world = World::new("halves", 8, true, 50);
+    world.start(0..8);
+    world.know(ms(10_000), 0..8);
+    let (net, lists) = (world.gateways.net().expect("relays"), world.store.lists());
+    let opened = world.play(10.0, ms(9_000), || {
+        for (a, b) in (0..8).flat_map(|a| (0..8).map(move |b| (a, b))).filter(|(a, b)| a % 2 != b % 2) {
+            net.cut(a, b);
+        }
+        lists.mood(Some(1), Mood::Silent);
+        std::thread::sleep(ms(500));
+        // Meanwhile another member leads, and one drains: only one half is told.
+        world.store.promote(1);
+        lists.lead(1);
+        world.store.announce(2, "draining");
+        world.know(ms(5_000), (0..8).step_by(2));
+        std::thread::sleep(ms(2_000));
+        assert!((1..8).step_by(2).all(|n| world.told(n)["revision"] == 1), "the other half cannot know");
+        net.mend();
+        world.know(ms(3_000), 0..8);
+        std::thread::sleep(GRACE);
+        let before = world.store.members[2].asked.load(Ordering::Relaxed);
+        std::thread::sleep(ms(500));
+        assert_eq!(
+            world.store.members[2].asked.load(Ordering::Relaxed),
+            before,
+            "told, and new work all the same"
+        );
+    });
+    world.sound(&opened);
+    lists.mood(Some(1), Mood::Up);
+}
+
+fn bearing() -> Bearing {
+    Bearing {
+        per_second: 300.0,
+        cold_share: 0.25,
+        warm_within: ms(10_000),
+        fall_multiple: 4.0,
+        fall_within: ms(1_000),
+        handshake: 2.0,
+        probe: 0.1,
+        line: ms(300),
+        down: ms(1_000),
+    }
+}
+
+#[test]
+fn seven_in_ten_killed_in_a_burst_and_all_anew_before_cold_members() {
+    let world = World::new("herd", 10, true, 50);
+    (0..3).for_each(|n| world.store.bear(n, bearing(), false));
+    world.start(0..10);
+    world.know(ms(10_000), 0..10);
+    let opened = world.play(20.0, ms(5_000), || {
+        std::thread::sleep(ms(2_000));
+        (0..7).for_each(|n| world.gateways.kill(n));
+        std::thread::sleep(ms(100));
+        world.start(0..7);
+    });
+    world.sound(&opened);
+    assert!(opened.worth() > 0.8, "{opened:?}");
+    for n in 0..3 {
+        world.store.bear(n, bearing(), true);
+        world.store.announce_start(n);
+    }
+    world.know(ms(5_000), 0..10);
+    let opened = world.play(20.0, ms(5_000), || world.start(0..10));
+    world.sound(&opened);
+    for n in 0..3 {
+        let borne = world.store.borne(n);
+        assert!(borne.fell == 0 && borne.worst < 1.0, "member {n}: {} of what it falls at", borne.worst);
+    }
+}
+
+#[test]
+fn a_fleet_grows_and_shrinks_within_seconds() {
+    let world = World::new("grows", 24, true, 50);
+    world.start(0..8);
+    world.know(ms(10_000), 0..8);
+    world.start(8..24);
+    world.know(ms(10_000), 0..24);
+    assert!(world.asked() <= 14, "{} asks for 24 gateways", world.asked());
+    // Of the four that are left none held the watch.
+    (0..20).for_each(|n| world.gateways.kill(n));
+    world.store.announce(2, "draining");
+    world.know(REPLACED, 20..24);
+}
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -50,10 +50,6 @@
     }
 }
 
-fn nanos(at: Duration) -> u64 {
-    u64::try_from(at.as_nanos()).unwrap_or_default()
-}
-
 /// One part of it.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Part {
@@ -139,16 +135,11 @@
         }
     }
 
-    /// Plays one part. Its requests' ids are its own.
     fn part(&self, store: &Store, gateways: &Gateways, meanwhile: &(dyn Fn() + Sync)) -> Part {
         let (lists_from, store_from) = (store.lists().elapsed(), store.elapsed());
         let before = store.audit().stale;
-        let opening = Opening {
-            rate: self.rate,
-            writes: 10,
-            lasts: Duration::from_secs(10),
-            seed: self.seed ^ nanos(store_from),
-        };
+        let opening =
+            Opening { rate: self.rate, writes: 10, lasts: Duration::from_secs(10), seed: self.seed };
         let opened: Opened = opening.run(store, gateways, Instant::now(), meanwhile);
         let ready = opened.ready(0.99, self.fleet);
         Part {
--- a/crates/stackgw-standin/src/lists.rs
+++ b/crates/stackgw-standin/src/lists.rs
@@ -56,7 +56,7 @@
 }
 
 /// One member as the list has it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 struct Entry {
     phase: &'static str,
     /// In Unix milliseconds; 0: long ago.
@@ -189,10 +189,9 @@
             |version: u64| version.checked_sub(1).and_then(|n| state.versions.get(usize::try_from(n).ok()?));
         let before = at(after).filter(|_| after <= now);
         let entry = |(n, entry): (usize, &Entry)| {
-            let told = before.and_then(|entries| entries.get(n));
-            let same = told.is_some_and(|told| {
-                (told.phase, told.up_since_ms, told.leads) == (entry.phase, entry.up_since_ms, entry.leads)
-            });
+            // All that changed since, be it there and back.
+            let same =
+                before.is_some() && (after..=now).filter_map(at).all(|entries| entries.get(n) == Some(entry));
             let (at, role) = (self.addresses[n], if entry.leads { "leader" } else { "follower" });
             let (phase, since) = (entry.phase, entry.up_since_ms);
             (!same).then(|| {
--- a/crates/stackgw-standin/src/opening.rs
+++ b/crates/stackgw-standin/src/opening.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,9 @@
     pub doubled: u64,
 }
 
+/// Each run's requests have ids of their own.
+static RUNS: AtomicU64 = AtomicU64::new(0);
+
 /// The aim of the class that reads are of.
 const AIM: Duration = Duration::from_millis(200);
 
@@ -76,13 +79,14 @@
         since: Instant,
         meanwhile: impl FnOnce() + Send,
     ) -> Opened {
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let (all, told, over) =
             (Mutex::new(Opened::default()), Mutex::new(Vec::new()), AtomicBool::new(false));
         std::thread::scope(|scope| {
             scope.spawn(meanwhile);
             for n in 0..gateways.len() {
                 let (all, told, over) = (&all, &told, &over);
-                scope.spawn(move || self.client(n, gateways, since, all, told, over));
+                scope.spawn(move || self.client((run, n), gateways, since, all, told, over));
             }
             std::thread::sleep((since + self.lasts).saturating_duration_since(Instant::now()));
             over.store(true, Ordering::SeqCst);
@@ -98,7 +102,7 @@
 
     fn client(
         &self,
-        n: usize,
+        (run, n): (u64, usize),
         gateways: &Gateways,
         since: Instant,
         all: &Mutex<Opened>,
@@ -132,7 +136,7 @@
                     return;
                 }
                 asked += 1;
-                let (id, key) = (format!("o{:x}g{n:x}r{asked:x}", self.seed), format!("k{}", asked % 50));
+                let (id, key) = (format!("o{run:x}g{n:x}r{asked:x}"), format!("k{}", asked % 50));
                 let started = Instant::now();
                 let writes = rng.random_range(0..100) < self.writes;
                 let answer = if writes { client.insert(&id, &key, asked) } else { client.look(&id, &key) };
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -45,6 +45,8 @@
     pub reads: [u64; 2],
     /// Reads with a bound of two seconds that a replica further behind ran.
     pub stale: u64,
+    /// Writes that came to a member that was no primary.
+    pub misplaced: u64,
     /// The latest request that a member got after the list had it draining or gone.
     pub after_drain: Duration,
 }
@@ -379,6 +381,7 @@
         data.audit.after_drain = data.audit.after_drain.max(told.unwrap_or_default());
         if statement.write {
             if !member.leads() {
+                data.audit.misplaced += 1;
                 return Done::NotHere(at);
             }
             *data.audit.writes.entry(statement.id.clone()).or_default() += 1;
--- a/crates/stackgw-start/src/circle.rs
+++ b/crates/stackgw-start/src/circle.rs
@@ -23,6 +23,8 @@
     me: SocketAddr,
     seeds: BTreeSet<SocketAddr>,
     up: BTreeSet<SocketAddr>,
+    /// All that may hold the watch, first those that should.
+    order: Vec<SocketAddr>,
     /// Asks in a row without an answer, and the last one.
     unanswered: BTreeMap<SocketAddr, (u32, Time)>,
     holders: u32,
@@ -35,13 +37,16 @@
 impl Circle {
     /// Seen from an instance of a fleet of about this size.
     pub fn new(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>, fleet: u32) -> Self {
-        Circle {
+        let mut circle = Circle {
             me,
             seeds: seeds.into_iter().collect(),
             up: BTreeSet::new(),
+            order: Vec::new(),
             unanswered: BTreeMap::new(),
             holders: HOLDERS_LEAST.max(fleet.div_ceil(EACH_ANSWERS)),
-        }
+        };
+        circle.arrange();
+        circle
     }
 
     /// How many hold the watch.
@@ -54,11 +59,13 @@
         let seeds = &self.seeds;
         self.unanswered.retain(|address, _| up.contains(address) || seeds.contains(address));
         self.up = up;
+        self.arrange();
     }
 
     /// Other seeds from now on.
     pub fn reload(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
         self.seeds = seeds.into_iter().collect();
+        self.arrange();
     }
 
     /// Everyone else that is there.
@@ -71,25 +78,28 @@
         self.unanswered.get(address).is_some_and(|(count, _)| *count >= UNANSWERED)
     }
 
-    /// All that may hold the watch, first those that should.
-    fn order(&self) -> Vec<SocketAddr> {
+    fn arrange(&mut self) {
         let mut order: Vec<_> = self.up.union(&self.seeds).copied().collect();
         if !order.contains(&self.me) {
             order.push(self.me);
         }
-        order.sort_unstable_by_key(|address| (!self.seeds.contains(address), rank(address), *address));
-        order
+        order.sort_by_cached_key(|address| (!self.seeds.contains(address), rank(address), *address));
+        self.order = order;
+    }
+
+    fn here(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let here = self.order.iter().filter(|address| !self.lost(address));
+        here.take(self.holders as usize).copied()
     }
 
     /// Those that should hold the watch now.
     pub fn chosen(&self) -> Vec<SocketAddr> {
-        let here = self.order().into_iter().filter(|address| !self.lost(address));
-        here.take(self.holders as usize).collect()
+        self.here().collect()
     }
 
     /// Whether this instance should.
     pub fn holds(&self) -> bool {
-        self.chosen().contains(&self.me)
+        self.here().any(|address| address == self.me)
     }
 
     /// Whether this instance is one that is always looked for.
@@ -99,8 +109,7 @@
 
     /// Whom to ask, in turn; a lost one is tried again now and then, so that one that is back is found.
     pub fn asked(&self, now: Time, turn: u32, again: Span) -> Option<SocketAddr> {
-        let order = self.order();
-        let back = order.iter().take(self.holders as usize).find(|address| {
+        let back = self.order.iter().take(self.holders as usize).find(|address| {
             let due = self.unanswered.get(address).is_some_and(|(_, last)| now - last >= again);
             **address != self.me && self.lost(address) && due
         });
--- /dev/null
+++ b/crates/stackgw-start/tests/common/mod.rs
@@ -0,0 +1,402 @@
+//! A fleet of [`Start`]s in simulated time: a list service that fails, a network that loses, delays and cuts, instances that
+//! are killed and started anew. Everything by one seed.
+
+#![allow(dead_code)]
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use stackgw_router::api::{Span, Standing, Time, MS, SECOND};
+use stackgw_start::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const GRACE: Span = SECOND;
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8 + 1], 7_000))
+}
+
+fn index(at: SocketAddr) -> usize {
+    let SocketAddr::V4(at) = at else { return usize::MAX };
+    let [_, _, a, b] = at.ip().octets();
+    usize::from(a) * 250 + usize::from(b) - 1
+}
+
+pub fn entry(n: usize, phase: Standing, leader: bool) -> Entry {
+    Entry {
+        id: format!("m{n}"),
+        address: SocketAddr::from(([10, 1, 0, n as u8 + 1], 6_543)),
+        locality: "room".to_owned(),
+        cell: 2,
+        phase,
+        size: 1.0,
+        up_since_ms: 0,
+        leader,
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mood {
+    Up,
+    Dead,
+    Silent,
+    /// It answers with the list as it was then.
+    Behind(usize),
+}
+
+enum Event {
+    Told(usize, u32, Message),
+    Due(usize, u32),
+    Watch(usize, u32, u32, Option<Update>),
+    Lost(usize, u32, u32),
+    Blank(usize, u32, u32),
+    Met,
+}
+
+pub struct Node {
+    pub start: Option<Start>,
+    pub kept: Option<Kept>,
+    /// Rises with each life, and with each watch.
+    life: u32,
+    watch: u32,
+    watches: bool,
+    /// The version that the watch has come to.
+    seen: u64,
+    due: Time,
+    pub ready_at: Option<Time>,
+    /// What its router was told last of each member: by name, the phase.
+    pub router: BTreeMap<String, Standing>,
+    pub highest: u64,
+}
+
+pub struct Sim {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub versions: Vec<Vec<Entry>>,
+    pub moods: Vec<Mood>,
+    pub cut: BTreeSet<(bool, bool)>,
+    /// Which instances stand on the far side of a cut.
+    pub far: BTreeSet<usize>,
+    pub loss: f64,
+    pub asks: Vec<Time>,
+    pub datagrams: u64,
+    pub bears: f64,
+    pub seeds: usize,
+    pub talks: bool,
+    /// The newest versions are refused by instances that held them: never, but in the test's own faults.
+    pub broken: Option<String>,
+    events: BTreeMap<(Time, u64), Event>,
+    next: u64,
+    rng: Pcg64Mcg,
+}
+
+impl Sim {
+    pub fn new(fleet: usize, members: usize, bears: f64, talks: bool, seed: u64) -> Self {
+        let node = |_| Node {
+            start: None,
+            kept: None,
+            life: 0,
+            watch: 0,
+            watches: false,
+            seen: 0,
+            due: Time::MAX,
+            ready_at: None,
+            router: BTreeMap::new(),
+            highest: 0,
+        };
+        let list = (0..members).map(|n| entry(n, Standing::Serving, n == 0)).collect();
+        let mut sim = Sim {
+            now: 1_000 * SECOND,
+            nodes: (0..fleet).map(node).collect(),
+            versions: vec![list],
+            moods: vec![Mood::Up; fleet],
+            cut: BTreeSet::new(),
+            far: BTreeSet::new(),
+            loss: 0.0,
+            asks: Vec::new(),
+            datagrams: 0,
+            bears,
+            seeds: 3,
+            talks,
+            broken: None,
+            events: BTreeMap::new(),
+            next: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        if talks {
+            sim.at(sim.now, Event::Met);
+        }
+        sim
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.next += 1;
+        self.events.insert((at, self.next), event);
+    }
+
+    pub fn version(&self) -> u64 {
+        self.versions.len() as u64
+    }
+
+    pub fn start(&mut self, n: usize) {
+        self.kill(n);
+        let set = Settings {
+            pace: Pace {
+                number: n as u32,
+                fleet: self.nodes.len() as u32,
+                bears: self.bears,
+                least: 100 * MS,
+            },
+            others: self.talks.then(|| (address(n), (0..self.seeds).map(address).collect())),
+            service: service("s"),
+            grace: GRACE,
+            silence: 5 * SECOND,
+            kept_wait: 300 * MS,
+            reset_after: 60 * SECOND,
+            seed: self.rng.random(),
+        };
+        let node = &mut self.nodes[n];
+        node.life += 1;
+        (node.ready_at, node.highest) = (None, 0);
+        node.router.clear();
+        let mut out = Vec::new();
+        node.start = Some(Start::new(self.now, set, node.kept.clone(), &mut out));
+        self.outputs(n, out);
+    }
+
+    /// Every second one of these in a part of a second, as a machine starts processes.
+    pub fn start_all(&mut self, which: impl Iterator<Item = usize>) {
+        for n in which {
+            self.start(n);
+        }
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        (node.start, node.watches) = (None, false);
+        node.watch += 1;
+    }
+
+    pub fn mood(&mut self, which: impl Iterator<Item = usize>, mood: Mood) {
+        for n in which {
+            self.moods[n] = mood;
+            if mood == Mood::Dead && self.nodes[n].watches {
+                let (life, watch) = (self.nodes[n].life, self.nodes[n].watch);
+                self.nodes[n].watches = false;
+                self.at(self.now, Event::Lost(n, life, watch));
+            }
+            self.feed(n);
+        }
+    }
+
+    /// The list changes; those that watch are told.
+    pub fn change(&mut self, change: impl FnOnce(&mut Vec<Entry>)) {
+        let mut list = self.versions.last().cloned().unwrap_or_default();
+        change(&mut list);
+        self.versions.push(list);
+        (0..self.nodes.len()).for_each(|n| self.feed(n));
+    }
+
+    /// What is in the list of a version and was not in some version since another: all that changed, be it there and back.
+    fn since(&self, after: u64, version: usize) -> Vec<Entry> {
+        let changed =
+            |e: &&Entry| self.versions[after as usize - 1..version].iter().any(|list| !list.contains(e));
+        self.versions[version - 1].iter().filter(changed).cloned().collect()
+    }
+
+    /// A watch is told what it has missed.
+    fn feed(&mut self, n: usize) {
+        let (version, seen) = (self.versions.len(), self.nodes[n].seen);
+        if !self.nodes[n].watches || self.moods[n] != Mood::Up || seen >= version as u64 {
+            return;
+        }
+        let members = self.since(seen, version);
+        let update = Update { revision: version as u64, complete: false, members };
+        let (life, watch) = (self.nodes[n].life, self.nodes[n].watch);
+        self.nodes[n].seen = version as u64;
+        // Behind what the watch began with.
+        self.at(self.now + 3 * MS, Event::Watch(n, life, watch, Some(update)));
+    }
+
+    pub fn drain(&mut self, member: usize) {
+        self.change(|list| list[member].phase = Standing::Draining);
+    }
+
+    fn outputs(&mut self, n: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Watch(after) => self.watch(n, after),
+                Output::Unwatch => {
+                    self.nodes[n].watch += 1;
+                    self.nodes[n].watches = false;
+                }
+                Output::Send(to, message) => {
+                    self.datagrams += 1;
+                    let to = index(to);
+                    let sides = (self.far.contains(&n), self.far.contains(&to));
+                    if self.cut.contains(&sides)
+                        || self.rng.random::<f64>() < self.loss
+                        || to >= self.nodes.len()
+                    {
+                        continue;
+                    }
+                    let message = Message::decode(&message.encode()).expect("what was sent can be read");
+                    let at = self.now + MS / 5 + (self.rng.random::<f64>() * MS as f64) as Span;
+                    let life = self.nodes[to].life;
+                    self.at(at, Event::Told(to, life, message));
+                }
+                Output::List(Taken::Whole(entries) | Taken::Cautious(entries)) => {
+                    self.nodes[n].router = entries.into_iter().map(|e| (e.id, e.phase)).collect();
+                }
+                Output::List(Taken::Changes(entries)) => {
+                    self.nodes[n].router.extend(entries.into_iter().map(|e| (e.id, e.phase)));
+                }
+                Output::Keep(kept) => self.nodes[n].kept = Some(kept),
+                Output::List(_) | Output::Said(_) | Output::Expect(_) => {}
+            }
+        }
+        let (now, node) = (self.now, &mut self.nodes[n]);
+        let Some(start) = &node.start else { return };
+        if let Some(revision) = start.book().revision() {
+            if revision < node.highest {
+                self.broken =
+                    Some(format!("instance {n} went from version {} back to {revision}", node.highest));
+            }
+            node.highest = revision;
+        }
+        if start.is_ready(now) {
+            node.ready_at = node.ready_at.or(Some(now));
+        }
+        let (due, life) = (start.next_due(now), node.life);
+        if due != node.due {
+            node.due = due;
+            self.at(due.max(now), Event::Due(n, life));
+        }
+    }
+
+    fn watch(&mut self, n: usize, after: Option<u64>) {
+        self.nodes[n].watch += 1;
+        let (life, watch, at) = (self.nodes[n].life, self.nodes[n].watch, self.now + 2 * MS);
+        if self.moods[n] != Mood::Dead {
+            self.asks.push(self.now);
+        }
+        match self.moods[n] {
+            Mood::Dead => self.at(at, Event::Lost(n, life, watch)),
+            Mood::Silent => {}
+            mood => {
+                let version = if let Mood::Behind(version) = mood { version } else { self.versions.len() };
+                let (list, revision) = (self.versions[version - 1].clone(), version as u64);
+                let news = after.filter(|after| *after <= revision && *after > 0);
+                let members = news.map_or(list, |after| self.since(after, version));
+                let update = Update { revision, complete: news.is_none(), members };
+                (self.nodes[n].watches, self.nodes[n].seen) = (true, revision);
+                self.at(at, Event::Watch(n, life, watch, Some(update)));
+                self.at(at + 2 * SECOND, Event::Blank(n, life, watch));
+            }
+        }
+    }
+
+    /// Plays on for so long.
+    pub fn pass(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            self.play(event);
+        }
+        self.now = end;
+    }
+
+    fn play(&mut self, event: Event) {
+        let (now, mut out) = (self.now, Vec::new());
+        let current = |node: &Node, life: u32| node.life == life && node.start.is_some();
+        let n = match event {
+            Event::Told(n, life, message) if current(&self.nodes[n], life) => {
+                let start = self.nodes[n].start.as_mut().expect("it is current");
+                start.message(now, message, &mut out);
+                n
+            }
+            Event::Due(n, life) if current(&self.nodes[n], life) => {
+                let node = &mut self.nodes[n];
+                if node.due > now {
+                    return;
+                }
+                node.due = Time::MAX;
+                node.start.as_mut().expect("it is current").due(now, &mut out);
+                n
+            }
+            Event::Watch(n, life, watch, update) if current(&self.nodes[n], life) => {
+                if self.nodes[n].watch != watch {
+                    return;
+                }
+                let start = self.nodes[n].start.as_mut().expect("it is current");
+                start.watch_said(now, update.expect("a list"), &mut out);
+                n
+            }
+            Event::Lost(n, life, watch) if current(&self.nodes[n], life) => {
+                if self.nodes[n].watch != watch {
+                    return;
+                }
+                self.nodes[n].start.as_mut().expect("it is current").watch_lost(now, None, &mut out);
+                n
+            }
+            Event::Blank(n, life, watch) if current(&self.nodes[n], life) => {
+                if self.nodes[n].watch != watch || !self.nodes[n].watches {
+                    return;
+                }
+                if matches!(self.moods[n], Mood::Up | Mood::Behind(_)) {
+                    self.nodes[n].start.as_mut().expect("it is current").watch_alive(now, &mut out);
+                }
+                self.at(now + 2 * SECOND, Event::Blank(n, life, watch));
+                n
+            }
+            Event::Met => {
+                self.at(now + SECOND, Event::Met);
+                for n in 0..self.nodes.len() {
+                    let side = self.far.contains(&n);
+                    let here = |m: &usize| {
+                        let there = self.far.contains(m);
+                        self.nodes[*m].start.is_some() && !self.cut.contains(&(side, there))
+                    };
+                    let up: BTreeSet<_> =
+                        (0..self.nodes.len()).filter(|m| *m != n).filter(here).map(address).collect();
+                    if let Some(start) = self.nodes[n].start.as_mut() {
+                        let mut out = Vec::new();
+                        start.met(now, up, &mut out);
+                        self.outputs(n, out);
+                    }
+                }
+                return;
+            }
+            _ => return,
+        };
+        self.outputs(n, out);
+    }
+
+    /// Instances that hold the newest version, and not as kept word.
+    pub fn current(&self) -> usize {
+        let version = Some(self.version());
+        let fresh = |start: &&Start| {
+            start.book().revision() == version && start.book().origin() != Some(Origin::Kept)
+        };
+        self.nodes.iter().filter_map(|node| node.start.as_ref()).filter(fresh).count()
+    }
+
+    pub fn up(&self) -> usize {
+        self.nodes.iter().filter(|node| node.start.is_some()).count()
+    }
+
+    /// Most asks within a span, since a moment.
+    pub fn worst(&self, from: Time, span: Span) -> usize {
+        let asks: Vec<_> = self.asks.iter().filter(|at| **at >= from).collect();
+        let most = asks
+            .iter()
+            .enumerate()
+            .map(|(n, at)| asks[n..].iter().take_while(|b| ***b < **at + span).count());
+        most.max().unwrap_or(0)
+    }
+
+    pub fn asked(&self, from: Time) -> usize {
+        self.asks.iter().filter(|at| **at >= from).count()
+    }
+}
--- /dev/null
+++ b/crates/stackgw-start/tests/histories.rs
@@ -0,0 +1,201 @@
+//! Fleets in simulated time: scripted ones, and random ones against the two invariants of the package.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use stackgw_router::api::{Standing, MS, SECOND};
+
+#[test]
+fn a_fleet_alone_spreads_its_asks_over_what_the_service_bears() {
+    for fleet in [100, 300, 2_000] {
+        let mut sim = Sim::new(fleet, 10, fleet as f64 / 1.5, false, 3);
+        sim.start_all(0..fleet);
+        sim.pass(10 * SECOND);
+        assert_eq!((sim.current(), sim.asks.len()), (fleet, fleet));
+        assert!(sim.worst(0, 100 * MS) * 10 <= fleet, "{} of {fleet}", sim.worst(0, 100 * MS));
+        // Dead for six seconds, and back.
+        sim.mood(0..fleet, Mood::Dead);
+        sim.pass(6 * SECOND);
+        let from = sim.now;
+        sim.mood(0..fleet, Mood::Up);
+        sim.pass(20 * SECOND);
+        assert_eq!(sim.asked(from), fleet);
+        assert!(sim.worst(from, 100 * MS) * 10 <= fleet, "{} of {fleet}", sim.worst(from, 100 * MS));
+    }
+}
+
+#[test]
+fn with_a_cluster_a_few_ask_for_all() {
+    for (fleet, holders) in [(8, 3), (100, 3), (500, 3)] {
+        let mut sim = Sim::new(fleet, 10, 100.0, true, 5);
+        sim.start_all(0..fleet);
+        sim.pass(2 * SECOND);
+        assert_eq!((sim.current(), sim.asks.len()), (fleet, holders), "at {fleet}");
+        // A release: all at once again.
+        let from = sim.now;
+        sim.start_all(0..fleet);
+        sim.pass(2 * SECOND);
+        assert_eq!((sim.current(), sim.asked(from)), (fleet, holders), "at {fleet}");
+        // An outage, however long, sends nobody else there while it lasts beyond its turn.
+        sim.mood(0..fleet, Mood::Dead);
+        sim.pass(6 * SECOND);
+        let from = sim.now;
+        sim.mood(0..fleet, Mood::Up);
+        sim.drain(2);
+        sim.pass(8 * SECOND);
+        assert_eq!(sim.current(), fleet);
+        assert!(sim.asked(from) <= 2 * holders, "{} asks for an outage at {fleet}", sim.asked(from));
+    }
+}
+
+#[test]
+fn a_drain_is_everywhere_within_the_grace_whatever_is_lost() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(40, 5, 100.0, true, seed);
+        sim.loss = 0.3;
+        sim.start_all(0..40);
+        sim.pass(5 * SECOND);
+        sim.drain(3);
+        sim.pass(GRACE);
+        assert_eq!(sim.current(), 40, "seed {seed}");
+        let told = |node: &Node| node.router.get("m3") == Some(&Standing::Draining);
+        assert!(sim.nodes.iter().all(told));
+    }
+}
+
+#[test]
+fn lost_holders_are_replaced_in_time() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(30, 5, 100.0, true, seed);
+        sim.start_all(0..30);
+        sim.pass(5 * SECOND);
+        (0..3).for_each(|n| sim.kill(n));
+        sim.drain(1);
+        sim.pass(3 * SECOND);
+        assert_eq!(sim.current(), 27, "seed {seed}");
+        assert!(sim.asks.len() <= 3 + 6, "{} asks", sim.asks.len());
+    }
+}
+
+#[test]
+fn a_half_that_the_service_cannot_reach_learns_once_it_is_healed() {
+    let mut sim = Sim::new(20, 5, 100.0, true, 9);
+    sim.start_all(0..20);
+    sim.pass(5 * SECOND);
+    sim.far = (10..20).collect();
+    sim.cut.extend([(true, false), (false, true)]);
+    sim.mood(10..20, Mood::Silent);
+    sim.pass(SECOND);
+    sim.drain(4);
+    sim.pass(20 * SECOND);
+    assert_eq!(sim.current(), 10);
+    sim.cut.clear();
+    sim.pass(2 * GRACE);
+    assert_eq!(sim.current(), 20);
+}
+
+#[test]
+fn kept_word_is_cautious_also_when_a_peer_passes_it_on() {
+    let mut sim = Sim::new(6, 3, 100.0, true, 2);
+    sim.start_all(0..6);
+    sim.pass(3 * SECOND);
+    (0..6).for_each(|n| sim.kill(n));
+    sim.mood(0..6, Mood::Dead);
+    sim.start_all(0..6);
+    sim.pass(2 * SECOND);
+    assert_eq!(sim.current(), 0, "nobody takes it for fresh");
+    assert!(sim.nodes.iter().all(|node| node.ready_at.is_some() && node.router.len() == 3));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Pass(u16),
+    Start(usize),
+    Kill(usize),
+    Drain(usize),
+    Back(usize),
+    Lead(usize),
+    Mood(usize, u8),
+    Cut(u8),
+    Heal,
+    Loss(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (1u16..4_000).prop_map(Step::Pass),
+        2 => (0usize..5).prop_map(Step::Start),
+        1 => (0usize..5).prop_map(Step::Kill),
+        2 => (0usize..3).prop_map(Step::Drain),
+        1 => (0usize..3).prop_map(Step::Back),
+        1 => (0usize..3).prop_map(Step::Lead),
+        2 => (0usize..5, 0u8..4).prop_map(|(n, mood)| Step::Mood(n, mood)),
+        1 => (0u8..32).prop_map(Step::Cut),
+        1 => Just(Step::Heal),
+        1 => (0u8..60).prop_map(Step::Loss),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Whatever happens: no life goes back to an older version, what its router was told of a drain holds until newer word
+    /// ends it, and once all is well everybody knows.
+    #[test]
+    fn nothing_told_is_forgotten(steps in prop::collection::vec(step(), 1..60), seed: u64) {
+        let mut sim = Sim::new(5, 3, 20.0, true, seed);
+        sim.start_all(0..5);
+        for step in steps {
+            match step {
+                Step::Pass(ms) => sim.pass(i64::from(ms) * MS),
+                Step::Start(n) => sim.start(n),
+                Step::Kill(n) => sim.kill(n),
+                Step::Drain(m) => sim.drain(m),
+                Step::Back(m) => sim.change(|list| list[m].phase = Standing::Serving),
+                Step::Lead(m) => sim.change(|list| {
+                    list.iter_mut().enumerate().for_each(|(n, e)| e.leader = n == m);
+                }),
+                Step::Mood(n, mood) => {
+                    let behind = sim.versions.len().saturating_sub(2).max(1);
+                    let moods = [Mood::Up, Mood::Dead, Mood::Silent, Mood::Behind(behind)];
+                    sim.mood(std::iter::once(n), moods[usize::from(mood)]);
+                }
+                Step::Cut(far) => {
+                    sim.far = (0..5).filter(|n| far >> n & 1 == 1).collect();
+                    sim.cut.extend([(true, false), (false, true)]);
+                }
+                Step::Heal => sim.cut.clear(),
+                Step::Loss(percent) => sim.loss = f64::from(percent) / 100.0,
+            }
+            prop_assert!(sim.broken.is_none(), "{:?}", sim.broken);
+            for node in &sim.nodes {
+                // What the router has is what the book has.
+                let Some(start) = &node.start else { continue };
+                for entry in start.book().present() {
+                    prop_assert_eq!(node.router.get(&entry.id), Some(&entry.phase));
+                }
+                // A version tells of each member what it was then, or of a drain told before it.
+                let Some(version) = start.book().revision().and_then(|v| sim.versions.get(v as usize - 1)) else { continue };
+                for (entry, told) in start.book().present().zip(version) {
+                    prop_assert!(entry.phase == told.phase, "{entry:?} where the version has {told:?}");
+                }
+            }
+        }
+        sim.cut.clear();
+        sim.loss = 0.0;
+        sim.mood(0..5, Mood::Up);
+        sim.start_all(0..5);
+        sim.pass(30 * SECOND);
+        prop_assert_eq!(sim.current(), 5);
+        prop_assert!(sim.broken.is_none(), "{:?}", sim.broken);
+    }
+
+    /// Any bytes are refused or read, and never more than that.
+    #[test]
+    fn any_bytes_are_judged(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        if let Some(message) = stackgw_start::Message::decode(&bytes) {
+            prop_assert!(stackgw_start::Message::decode(&message.encode()).is_some());
+        }
+    }
+}
