--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -71,6 +71,7 @@
                 least: self.limits.watch_pause,
             },
             others: others.map(|others| (others.reached_at(), others.seeds.clone())),
+            holders: stackgw_start::HOLDERS_LEAST,
             service: stackgw_start::service(&file.service),
             grace: self.limits.drain_grace,
             silence: self.limits.watch_silence,
--- a/crates/stackgw-start/src/book.rs
+++ b/crates/stackgw-start/src/book.rs
@@ -179,7 +179,7 @@
             }
         }
         for entry in word.members {
-            changed.extend(self.enter(now, entry, word.revision));
+            changed.extend(self.enter(now, entry, word.revision, known == Some(word.revision)));
         }
         (self.revision, self.origin) = (Some(word.revision), origin);
         self.said = if origin == Origin::Service { now } else { said };
@@ -194,7 +194,7 @@
     }
 
     /// Writes one entry down; gives it back as it stands where that is news.
-    fn enter(&mut self, now: Time, mut entry: Entry, revision: u64) -> Option<Entry> {
+    fn enter(&mut self, now: Time, mut entry: Entry, revision: u64, repeats: bool) -> Option<Entry> {
         let before = self.held.get(&entry.id);
         let mut bound = before.and_then(|held| held.bound);
         if entry.phase == Standing::Serving {
@@ -208,7 +208,9 @@
             bound = bound.or(Some((revision, now)));
         }
         let same = before.is_some_and(|held| held.entry == entry);
-        let revision = before.filter(|_| same).map_or(revision, |held| held.revision);
+        // Danger: one that is as it was may have changed there and back, and whoever is asked by one that knows it as it was
+        // between would leave that one with it.
+        let revision = before.filter(|_| same && repeats).map_or(revision, |held| held.revision);
         self.held.insert(entry.id.clone(), Held { entry: entry.clone(), revision, bound });
         (!same).then_some(entry)
     }
--- a/crates/stackgw-start/src/circle.rs
+++ b/crates/stackgw-start/src/circle.rs
@@ -13,7 +13,7 @@
 /// Asks that went unanswered in a row before an instance is left out.
 const UNANSWERED: u32 = 3;
 /// Holders at least: with three, one may be killed while another is stopped or cut off.
-const HOLDERS_LEAST: u32 = 3;
+pub const HOLDERS_LEAST: u32 = 3;
 /// Instances that one holder answers; more of them want more holders.
 const EACH_ANSWERS: u32 = 250;
 
@@ -36,14 +36,14 @@
 
 impl Circle {
     /// Seen from an instance of a fleet of about this size.
-    pub fn new(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>, fleet: u32) -> Self {
+    pub fn new(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>, fleet: u32, least: u32) -> Self {
         let mut circle = Circle {
             me,
             seeds: seeds.into_iter().collect(),
             up: BTreeSet::new(),
             order: Vec::new(),
             unanswered: BTreeMap::new(),
-            holders: HOLDERS_LEAST.max(fleet.div_ceil(EACH_ANSWERS)),
+            holders: least.max(fleet.div_ceil(EACH_ANSWERS)),
         };
         circle.arrange();
         circle
--- a/crates/stackgw-start/src/lib.rs
+++ b/crates/stackgw-start/src/lib.rs
@@ -19,7 +19,7 @@
 mod turns;
 
 pub use book::{Book, Origin, Taken};
-pub use circle::Circle;
+pub use circle::{Circle, HOLDERS_LEAST};
 pub use entry::{Entry, Update};
 pub use message::{Gathered, Message, Tell, MOST_BYTES, PARTS_MOST};
 pub use start::{Counts, Kept, Note, Output, Settings, Start};
--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -19,6 +19,8 @@
     pub pace: Pace,
     /// Where others reach it, and where some of them are always found; `None`: it talks to nobody.
     pub others: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// So many hold the watch at least; [`HOLDERS_LEAST`] unless there is a reason.
+    pub holders: u32,
     /// The service whose versions its list has, by a hash of its name.
     pub service: u64,
     /// Word of a drain has to be everywhere within this.
@@ -173,7 +175,8 @@
     /// An instance that starts now, with what it kept.
     pub fn new(now: Time, set: Settings, kept: Option<Kept>, out: &mut Vec<Output>) -> Self {
         let others = set.others.as_ref();
-        let circle = others.map(|(me, seeds)| Circle::new(*me, seeds.iter().copied(), set.pace.fleet));
+        let circle =
+            others.map(|(me, seeds)| Circle::new(*me, seeds.iter().copied(), set.pace.fleet, set.holders));
         let mut start = Start {
             book: Book::new(set.reset_after),
             turns: Turns::new(set.pace, set.seed),
--- a/crates/stackgw-start/tests/common/mod.rs
+++ b/crates/stackgw-start/tests/common/mod.rs
@@ -148,6 +148,7 @@
                 least: 100 * MS,
             },
             others: self.talks.then(|| (address(n), (0..self.seeds).map(address).collect())),
+            holders: HOLDERS_LEAST,
             service: service("s"),
             grace: GRACE,
             silence: 5 * SECOND,
