A handshake that a member has begun is kept for whoever asks next, not thrown away

A member's line is full of handshakes; each takes longer than the connect limit; the gateway then closes the connection (reducer/members.rs, conn_due and the cancel in reducer/mod.rs), though the member does the work all the same, and the next attempt asks for another. Ruled out: the list service (no asks while warm), readiness (99% after 48 ms), processor time.

Change: one connection for each member that has come up and waits for its greeting outlives the attempt that gave it up, takes the next one to that member, or stands idle; four connect limits at most, none to a member that drains. members_late counts them.

--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -48,6 +48,9 @@
     #[cfg(feature = "flight")]
     #[arg(long, conflicts_with = "off")]
     flight: bool,
+    /// Instead, a fleet that starts all at once, without its list service, and before cold members.
+    #[arg(long, conflicts_with = "off")]
+    start: bool,
     /// Afterwards say where the gateways listen and go on until standard input ends.
     #[arg(long)]
     hold: bool,
@@ -65,6 +68,9 @@
 impl Demo {
     /// Runs it and prints the verdict; an error where a read missed its write, or a request was lost or doubled.
     pub fn run(self) -> Result<(), String> {
+        if self.start {
+            return self.show_start();
+        }
         let folder = std::env::temp_dir().join(format!("stackgw-demo-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let verdict = self.play(&folder);
@@ -88,6 +94,26 @@
         }
     }
 
+    /// Plays a fleet's cold start and says of each part what it cost.
+    fn show_start(&self) -> Result<(), String> {
+        let program = std::env::current_exe().map_err(|e| e.to_string())?;
+        let fleet = usize::from(self.gateways.max(3));
+        println!("{fleet} gateways, three members, one list service; each part lasts ten seconds");
+        let line = super::measure_start::play(program, fleet, Some(true), 300.0, self.seed, |name, part| {
+            let ready = part.ready_ms.map_or("never".to_owned(), |ms| format!("after {ms} ms"));
+            println!(
+                "{name}: {} list asks ({} in the worst 100 ms), ready {ready}, {:.1}% served in time, {} handshakes, \
+                 cold members at {:.0}% of what they fall at",
+                part.asks.all, part.asks.worst, part.worth * 100.0, part.burden.handshakes, part.burden.cold * 100.0
+            );
+        })?;
+        if self.json {
+            println!("{}", serde_json::to_string(&line).map_err(|e| e.to_string())?);
+        }
+        let broken: u64 = line.parts().iter().map(|part| part.broken + part.burden.fell).sum();
+        (broken == 0).then_some(()).ok_or_else(|| format!("{broken} requests or members were broken"))
+    }
+
     fn play(&self, folder: &std::path::Path) -> Result<Verdict, String> {
         #[cfg(feature = "flight")]
         let (flight, speaks) = (self.flight, if self.flight { Speaks::Flight } else { Speaks::First });
--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -1,7 +1,7 @@
 //! `stackgw measure start`: a fleet of real processes that starts at once, with and without its list service.
 
 use clap::Args;
-use stackgw_standin::{ColdStart, Line, Part, StartPart};
+use stackgw_standin::{ColdStart, Line, Part, StartPart, PARTS};
 use std::path::PathBuf;
 
 /// Fleets that start at once: what list service and members bear, how soon clients are served.
@@ -61,31 +61,40 @@
     }
 
     fn case(&self, fleet: usize, case: &str, seed: u64) -> Result<Line, String> {
-        let folder =
-            std::env::temp_dir().join(format!("stackgw-start-{}-{case}-{fleet}", std::process::id()));
-        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let program = match (&self.before, case) {
             (Some(before), "before") => before.clone(),
             _ => std::env::current_exe().map_err(|e| e.to_string())?,
         };
-        let bears = fleet as f64 / SERVICE_SIZE;
-        let lines = vec![format!("bears: {}", bears as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
-        let start = match case {
+        let part = match case {
             "before" | "off" => None,
-            "alone" => Some(StartPart { cluster: false, lines }),
-            "cluster" => Some(StartPart { cluster: true, lines }),
+            "alone" => Some(false),
+            "cluster" => Some(true),
             other => return Err(format!("cases: '{other}' is none of off, alone, cluster")),
         };
-        let (rate, member) = (self.load / fleet as f64, self.load * 2.0 / 3.0);
-        let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
-        let line = cold.play();
-        let _ = std::fs::remove_dir_all(&folder);
-        line
+        play(program, fleet, part, self.load, seed, |_, _| {})
     }
 }
 
-/// Picks one part of a line.
-type Pick = fn(&Line) -> &Part;
+/// Plays one fleet in a folder of its own; `cluster`: how it comes to know the list, if not as the platform has it.
+pub fn play(
+    program: PathBuf,
+    fleet: usize,
+    cluster: Option<bool>,
+    load: f64,
+    seed: u64,
+    told: impl FnMut(&'static str, &Part),
+) -> Result<Line, String> {
+    let folder = std::env::temp_dir().join(format!("stackgw-start-{}-{fleet}", std::process::id()));
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let bears = fleet as f64 / SERVICE_SIZE;
+    let lines = vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
+    let start = cluster.map(|cluster| StartPart { cluster, lines });
+    let (rate, member) = (load / fleet as f64, load * 2.0 / 3.0);
+    let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
+    let line = cold.play(told);
+    let _ = std::fs::remove_dir_all(&folder);
+    line
+}
 
 /// Medians over the rounds, with the least and the most.
 fn table(fleet: u16, cases: &[String], lines: &[(String, Line)]) {
@@ -93,17 +102,13 @@
     println!("| case | part | list asks | in the worst 100 ms | refused | 99% ready, ms | served in time | answered | handshakes | at one in its worst 100 ms | cold, of what it falls at | fell | broken |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for case in cases {
-        let parts: [(&str, Pick); 5] = [
-            ("all start at once", |l| &l.boot),
-            ("warm", |l| &l.warm),
-            ("list service dead for 6 s", |l| &l.outage),
-            ("all start while it is dead", |l| &l.dark),
-            ("all start, members cold", |l| &l.cold),
-        ];
-        for (name, part) in parts {
+        for (n, name) in PARTS.iter().enumerate() {
             let of = |figure: &dyn Fn(&Part) -> f64, digits: usize| {
-                let mut figures: Vec<_> =
-                    lines.iter().filter(|(c, _)| c == case).map(|(_, line)| figure(part(line))).collect();
+                let mut figures: Vec<_> = lines
+                    .iter()
+                    .filter(|(c, _)| c == case)
+                    .map(|(_, line)| figure(line.parts()[n]))
+                    .collect();
                 figures.sort_by(f64::total_cmp);
                 let at = |n: usize| match figures.get(n).copied() {
                     Some(figure) if figure.is_finite() => format!("{figure:.digits$}"),
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -38,6 +38,8 @@
     streams_begun,
     /// Streams that ended before they were whole.
     streams_broken,
+    /// Connections that came up too late for whom they were opened, and were kept for the next.
+    members_late,
     /// Attempts asked for by the router.
     attempts,
     /// Attempts whose last byte was written to a member.
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -60,6 +60,8 @@
     pub only_drains_bind: bool,
     /// A connection to a member that is not up by then has failed.
     pub connect: Span,
+    /// One that a member has begun to shake hands on may come up by then after that, for whoever asks next.
+    pub connect_late: Span,
     /// A probe without an answer by then has failed.
     pub probe: Span,
     /// An answer that has begun and then stands still for this long is spoilt.
@@ -160,6 +162,8 @@
             drain_grace: settings.router.obligations.drain_grace,
             only_drains_bind: settings.router.obligations.only_drains_bind,
             connect: settings.router.limits.connect_timeout,
+            // As long again as a line of a few such limits takes.
+            connect_late: settings.router.limits.connect_timeout * 4,
             probe: settings.router.limits.connect_timeout,
             answer_stall: 150 * MS,
             clock_slack: 20 * MS,
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -94,8 +94,12 @@
             }
             return self.write_job(now, id, out);
         }
+        if let Some(id) = self.coming.remove(&member) {
+            self.bind(id, job);
+            return self.set_conn_timer(id, now + self.limits.connect);
+        }
         if self.conns.len() >= self.limits.member_connections {
-            match self.pool.oldest() {
+            match self.pool.oldest().or_else(|| self.coming.pop_first().map(|(_, id)| id)) {
                 Some(idle) => {
                     self.counters.members_evicted += 1;
                     out.push(Effect::MemberClose(idle));
@@ -120,7 +124,7 @@
 
     /// Closes the idle connections to a member.
     pub(super) fn close_idle(&mut self, member: MemberId, out: &mut Vec<Effect>) {
-        for conn in self.pool.drain(member) {
+        for conn in self.pool.drain(member).into_iter().chain(self.coming.remove(&member)) {
             out.push(Effect::MemberClose(conn));
             self.forget(conn);
         }
@@ -226,7 +230,15 @@
             (_, Ok(false)) => {}
             (Phase::Starting, Ok(true)) => {
                 self.counters.members_up += 1;
-                self.write_job(now, id, out);
+                if conn.job.is_some() {
+                    return self.write_job(now, id, out);
+                }
+                conn.phase = Phase::Idle;
+                let member = conn.member;
+                let timer = conn.timer.take();
+                timer.and_then(|timer| self.timers.remove(&timer));
+                self.coming.remove(&member);
+                self.pool.put(member, id, now);
             }
             (Phase::Writing | Phase::Waiting, Ok(true)) => {
                 let outcome = outcome(&conn.reply).unwrap_or(Outcome::Spoilt);
@@ -324,8 +336,28 @@
             Phase::Waiting => Outcome::TimedOut,
             Phase::Idle | Phase::Streaming { .. } => return,
         };
-        out.push(Effect::MemberClose(id));
-        self.end_job(now, id, outcome, out);
+        self.give_up_conn(now, id, outcome, out);
+    }
+
+    /// Ends the job of a connection and closes that, as it can carry nothing else.
+    ///
+    /// Danger: a handshake that a member has begun costs it the same whether or not somebody still waits. Thrown away, it is
+    /// asked for again by the next attempt, and a fleet that starts before busy members does nothing but shake hands. One for
+    /// each member is let come up for whoever asks next.
+    pub(super) fn give_up_conn(&mut self, now: Time, id: ConnId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let begun = |c: &&Conn| c.phase == Phase::Starting && !c.back && c.job.is_some();
+        let member = self.conns.get(&id).filter(begun).map(|conn| conn.member);
+        let serves = |m: &MemberId| self.members.get(m).is_some_and(|known| known.told.is_none());
+        let Some(member) = member.filter(serves).filter(|m| !self.coming.contains_key(m)) else {
+            out.push(Effect::MemberClose(id));
+            return self.end_job(now, id, outcome, out);
+        };
+        self.coming.insert(member, id);
+        self.counters.members_late += 1;
+        self.set_conn_timer(id, now + self.limits.connect_late);
+        if let Some(job) = self.unbind(id) {
+            self.job_ended(now, member, job, outcome, Reply::default(), out);
+        }
     }
 
     pub(super) fn unbind(&mut self, id: ConnId) -> Option<Job> {
@@ -341,6 +373,9 @@
     pub(super) fn forget(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.remove(&id) {
             self.counters.members_open -= 1;
+            if self.coming.get(&conn.member) == Some(&id) {
+                self.coming.remove(&conn.member);
+            }
             if let Some(timer) = conn.timer {
                 self.timers.remove(&timer);
             }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -321,6 +321,8 @@
     conns: HashMap<ConnId, Conn>,
     next_conn: u64,
     pool: Pool,
+    /// For each member the connection that comes up with nobody waiting for it.
+    coming: BTreeMap<MemberId, ConnId>,
     /// Which members speak another front's protocol.
     backs: streams::Backs,
     moments: Moments,
@@ -394,6 +396,7 @@
             conns: HashMap::new(),
             next_conn: 0,
             pool: Pool::default(),
+            coming: BTreeMap::new(),
             timers: BTreeMap::new(),
             next_timer: 0,
             events: VecDeque::new(),
@@ -533,8 +536,7 @@
                 let open = self.requests.get(&request);
                 let conn = open.and_then(|o| o.out.iter().find(|(n, _)| *n == attempt)).map(|(_, c)| *c);
                 if let Some(conn) = conn {
-                    out.push(Effect::MemberClose(conn));
-                    self.end_job(now, conn, Outcome::Cancelled, out);
+                    self.give_up_conn(now, conn, Outcome::Cancelled, out);
                 }
             }
             Action::Refuse { request, retry_after } => {
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -1056,3 +1056,47 @@
     rig.input(Input::ListenerClosed);
     assert!(retired(&rig.pass(SECOND)).is_empty());
 }
+
+#[test]
+fn a_handshake_that_a_member_has_begun_is_kept_for_whoever_asks_next() {
+    let mut rig = Rig::new(&three());
+    rig.connects = false;
+    let client = rig.client(1);
+    let (conn, member) = opened(&rig.ask(client, buy(900)))[0];
+    rig.input(Input::MemberUp(conn));
+    // It is too late for the attempt, which was never sent ...
+    let effects = rig.pass(251 * MS);
+    assert!(!closed(&effects).contains(&conn));
+    let counters = rig.reducer.counters();
+    assert_eq!((counters.ended_no_connection, counters.members_late, counters.written), (1, 1, 0));
+    // ... and carries the next one to that member, which opens none of its own.
+    let effects = [rig.pass(400 * MS), rig.ask(client, buy(900))].concat();
+    assert!(opened(&effects).iter().all(|(_, to)| *to != member), "{effects:?}");
+    let asked = rig.input(Input::MemberFrame(conn, ready()));
+    assert_eq!(statements(&asked).iter().map(|(on, _)| *on).collect::<Vec<_>>(), [conn]);
+}
+
+#[test]
+fn one_that_comes_up_with_nobody_waiting_stands_idle_and_one_that_does_not_is_closed() {
+    let late = |rig: &mut Rig, n: u64| {
+        rig.connects = false;
+        let client = rig.client(n);
+        let (conn, _) = opened(&rig.ask(client, buy(300)))[0];
+        rig.input(Input::MemberUp(conn));
+        (client, conn)
+    };
+    let mut rig = Rig::new(&three());
+    let (client, conn) = late(&mut rig, 1);
+    rig.pass(310 * MS);
+    assert!(answers(&rig.input(Input::MemberFrame(conn, ready()))).is_empty());
+    assert_eq!(statements(&rig.ask(client, buy(900))).first().map(|(on, _)| *on), Some(conn), "it is used");
+    let mut rig = Rig::new(&three());
+    let (_, conn) = late(&mut rig, 1);
+    let effects = rig.pass(310 * MS + 4 * 250 * MS);
+    assert!(closed(&effects).contains(&conn));
+    // A member that drains is not waited for.
+    let mut rig = Rig::new(&three());
+    let (_, conn) = late(&mut rig, 1);
+    rig.input(Input::List(list(2, false, &[entry(1, "draining", "leader")])));
+    assert!(closed(&rig.pass(251 * MS)).contains(&conn));
+}
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -84,9 +84,25 @@
     pub cold: Part,
 }
 
+/// What happens in each part, in their order.
+pub const PARTS: [&str; 5] = [
+    "all start at once",
+    "warm",
+    "list service dead for 6 s",
+    "all start while it is dead",
+    "all start, members cold",
+];
+
+impl Line {
+    /// Its parts, in their order.
+    pub fn parts(&self) -> [&Part; 5] {
+        [&self.boot, &self.warm, &self.outage, &self.dark, &self.cold]
+    }
+}
+
 impl ColdStart {
-    /// Plays it.
-    pub fn play(&self) -> Result<Line, String> {
+    /// Plays it; `told` hears of each part as it ends.
+    pub fn play(&self, mut told: impl FnMut(&'static str, &Part)) -> Result<Line, String> {
         let wrong = |e: std::io::Error| e.to_string();
         let (store, agent) = Store::start_speaking(&[10, 20], Speaks::First).map_err(wrong)?;
         store.lists().bear(Some(Bears { per_second: self.bears, line: Duration::from_secs(1) }));
@@ -100,23 +116,28 @@
         bear(false);
         let mut line = Line { fleet: self.fleet, ..Line::default() };
         line.boot = self.part(&store, &gateways, &all);
+        told(PARTS[0], &line.boot);
         bear(false);
         line.warm = self.part(&store, &gateways, &|| {});
+        told(PARTS[1], &line.warm);
         bear(false);
         line.outage = self.part(&store, &gateways, &|| {
             store.lists().mood(None, Mood::Dead);
             std::thread::sleep(Duration::from_secs(6));
             store.lists().mood(None, Mood::Up);
         });
+        told(PARTS[2], &line.outage);
         // What was put off for the outage is over.
         std::thread::sleep(Duration::from_secs(4));
         bear(false);
         store.lists().mood(None, Mood::Dead);
         line.dark = self.part(&store, &gateways, &all);
+        told(PARTS[3], &line.dark);
         store.lists().mood(None, Mood::Up);
         bear(true);
         (0..store.members.len()).for_each(|n| store.announce_start(n));
         line.cold = self.part(&store, &gateways, &all);
+        told(PARTS[4], &line.cold);
         Ok(line)
     }
 
--- a/crates/stackgw-standin/src/lib.rs
+++ b/crates/stackgw-standin/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use bearing::{Bearing, Borne};
 pub use client::{Answer, Client};
-pub use cold_start::{Asks, ColdStart, Line, Part};
+pub use cold_start::{Asks, ColdStart, Line, Part, PARTS};
 pub use gateways::{Gateways, Mode, Setup, StartPart, USER};
 pub use lists::{worst, Asked, Bears, Fate, Lists, Mood};
 pub use net::Net;
