A first ask after the service's put-off is spread too

Cause: Turns::first took the later of the drawn moment and the end of the put-off (turns.rs), so that all holders and all that ask for themselves, told the same Retry-After by a peer, would have come back in the same moment; Turns::again spread them already. Seen on reading over, shown by a test of 100 instances that are put off together.

Change: the span of the whole fleet is drawn from the end of the put-off on.

--- a/crates/stackgw-start/src/turns.rs
+++ b/crates/stackgw-start/src/turns.rs
@@ -65,9 +65,11 @@
 
     /// When to ask for the first time, one of so many that may.
     pub fn first(&mut self, now: Time, askers: u32) -> Time {
-        let span = self.span(askers);
+        // Danger: all that were told the same time to come back would come back in it.
+        let put_off = self.put_off > now;
+        let span = self.span(if put_off { self.pace.fleet } else { askers });
         let place = if askers >= self.pace.fleet { self.place() } else { self.rng.random() };
-        (now + (span as f64 * place) as Span).max(self.put_off)
+        now.max(self.put_off) + (span as f64 * place) as Span
     }
 
     /// It asks now.
@@ -86,7 +88,6 @@
         let place = if askers >= self.pace.fleet { self.place() } else { self.rng.random() };
         let pause = (2.0 * span * place) as Span;
         let put_off = self.put_off.max(now);
-        // Danger: all that were told the same time to come back would come back in it.
         let spread = if put_off > now { pause.max((fleet * place) as Span) } else { pause };
         put_off + spread
     }
--- a/crates/stackgw-start/tests/histories.rs
+++ b/crates/stackgw-start/tests/histories.rs
@@ -200,3 +200,20 @@
         }
     }
 }
+
+#[test]
+fn those_that_were_put_off_together_do_not_come_back_together() {
+    let now = 1_000 * SECOND;
+    let pace = |number| stackgw_start::Pace { number, fleet: 100, bears: 50.0, least: 100 * MS };
+    let mut back: Vec<_> = (0..100)
+        .flat_map(|n| {
+            let mut turns = stackgw_start::Turns::new(pace(n), u64::from(n));
+            turns.put_off(now, 3 * SECOND);
+            [turns.again(now, 100, false), turns.first(now, 3)]
+        })
+        .collect();
+    back.sort_unstable();
+    assert!(back[0] >= now + 3 * SECOND);
+    let most = back.iter().map(|at| back.iter().filter(|b| (*at..at + 100 * MS).contains(b)).count()).max();
+    assert!(most <= Some(24), "{most:?} of 200 in 100 ms");
+}
