Read over: one thread behind both writers of files, one spread of figures, what can be derived derived

Both writers of stackgw-store had a thread, a line and a drop of their own: a Worker stands behind them now. Set-ups of gateways name only what differs from Setup::new; the logs of a failed test and the median with its least and most are printed in one place, for Flight's table too. In stackgw-start: that a service fell behind is told from the book instead of a flag beside it, so that another service's falling behind is logged too; asking at once and an instance's place in a span are worded once; a list of changes that nobody read is gone from the book. An instance's peer is made by its Life in one place, a question for the list has no arm that cannot be reached. Gateways::reload, which nobody called, is gone.

--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -2,7 +2,7 @@
 
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Troubles, Verdict, GROUP};
+use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict, GROUP};
 use std::time::Duration;
 
 /// Stand-ins, gateways and clients on loopback; gateways are killed.
@@ -124,9 +124,6 @@
         let keepers = usize::from(self.keepers.unwrap_or(self.gateways)).clamp(1, gateways);
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let gateways = Gateways::start(Setup {
-            program,
-            folder: folder.to_owned(),
-            agents: vec![agent],
             gateways,
             keepers,
             mode: if self.off { Mode::Off } else { Mode::Shared },
@@ -136,8 +133,7 @@
             relays: true,
             flight,
             speaks,
-            auth: None,
-            start: StartPart::default(),
+            ..Setup::new(program, folder.to_owned(), vec![agent])
         })?;
         if self.kill_every_ms == 0 && !self.off {
             // A calm run is to show what it is like once all are sure of each other.
--- a/crates/stackgw-cli/src/cmd/measure.rs
+++ b/crates/stackgw-cli/src/cmd/measure.rs
@@ -2,7 +2,7 @@
 
 use clap::{Args, Subcommand};
 use serde::Serialize;
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Verdict};
+use stackgw_standin::{Gateways, Mode, Setup, Store, Trial, Verdict};
 use std::path::Path;
 use std::time::Duration;
 
@@ -122,20 +122,12 @@
         let (store, agent) = Store::start(&[10, 20]).map_err(|e| e.to_string())?;
         let count = usize::from(instances);
         let gateways = Gateways::start(Setup {
-            program: std::env::current_exe().map_err(|e| e.to_string())?,
-            folder: folder.to_owned(),
-            agents: vec![agent],
             gateways: count,
             keepers: count,
             mode,
             disks,
-            lease_ms: 400,
             horizon_ms,
-            relays: false,
-            flight: false,
-            speaks: Speaks::First,
-            auth: None,
-            start: StartPart::default(),
+            ..Setup::new(std::env::current_exe().map_err(|e| e.to_string())?, folder.to_owned(), vec![agent])
         })?;
         std::thread::sleep(Duration::from_millis(4_000));
         let seed = round * 1_000 + u64::from(instances) * 10 + 1;
@@ -205,6 +197,18 @@
     line.trim().strip_suffix(" kB")?.trim().parse::<f64>().ok().map(|kb| kb / 1_024.0)
 }
 
+/// The median of figures, with the least and the most.
+pub(super) fn spread(figures: impl Iterator<Item = f64>, digits: usize) -> String {
+    let mut figures: Vec<_> = figures.collect();
+    figures.sort_by(f64::total_cmp);
+    let at = |n: usize| match figures.get(n).copied().unwrap_or_default() {
+        figure if figure.is_finite() => format!("{figure:.digits$}"),
+        _ => "never".to_owned(),
+    };
+    let last = figures.len().saturating_sub(1);
+    format!("{} ({} to {})", at(last / 2), at(0), at(last))
+}
+
 /// Medians over the rounds, with the least and the most.
 fn table(instances: u16, lines: &[Line]) {
     println!("{instances} gateways: median (least to most) over the rounds");
@@ -213,11 +217,7 @@
     for (case, ..) in CASES {
         let of = |figure: &dyn Fn(&Line) -> f64, digits: usize| {
             let rounds = lines.iter().filter(|line| (line.instances, line.case) == (instances, case));
-            let mut figures: Vec<_> = rounds.map(figure).collect();
-            figures.sort_by(f64::total_cmp);
-            let at = |n: usize| figures.get(n).copied().unwrap_or_default();
-            let last = figures.len().saturating_sub(1);
-            format!("{:.digits$} ({:.digits$} to {:.digits$})", at(last / 2), at(0), at(last))
+            spread(rounds.map(figure), digits)
         };
         println!(
             "| {case} | {} | {} | {} | {} | {} | {} | {} | {} |",
--- a/crates/stackgw-cli/src/cmd/measure_flight.rs
+++ b/crates/stackgw-cli/src/cmd/measure_flight.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use futures::{Stream, StreamExt};
 use serde::Serialize;
-use stackgw_standin::{Client, Gateways, Mode, Setup, Speaks, StartPart, Store, GROUP};
+use stackgw_standin::{Client, Gateways, Setup, Speaks, Store, GROUP};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -64,20 +64,13 @@
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let (store, agent) = Store::start_speaking(&[10, 20], speaks).map_err(|e| e.to_string())?;
         let gateways = Gateways::start(Setup {
-            program: std::env::current_exe().map_err(|e| e.to_string())?,
-            folder: folder.clone(),
-            agents: vec![agent],
             gateways: 1,
             keepers: 1,
-            mode: Mode::Shared,
             disks: false,
-            lease_ms: 400,
             horizon_ms: 2_000,
-            relays: false,
             flight: true,
             speaks,
-            auth: None,
-            start: StartPart::default(),
+            ..Setup::new(std::env::current_exe().map_err(|e| e.to_string())?, folder.clone(), vec![agent])
         })?;
         // Until its caution at start is over.
         std::thread::sleep(Duration::from_millis(2_500));
@@ -260,17 +253,11 @@
         }
         done.push((&line.case, line.figure));
         let same = lines.iter().filter(|l| (&l.case, l.figure) == (&line.case, line.figure));
-        let mut values: Vec<_> = same.map(|l| l.value).collect();
-        values.sort_by(f64::total_cmp);
-        let at = |n: usize| values.get(n).copied().unwrap_or_default();
-        let last = values.len().saturating_sub(1);
         println!(
-            "| {} | {} | {:.2} ({:.2} to {:.2}) |",
+            "| {} | {} | {} |",
             line.case,
             line.figure,
-            at(last / 2),
-            at(0),
-            at(last)
+            super::measure::spread(same.map(|l| l.value), 2)
         );
     }
 }
--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -1,5 +1,6 @@
 //! `stackgw measure start`: a fleet of real processes that starts at once, with and without its list service.
 
+use super::measure::spread;
 use clap::Args;
 use stackgw_standin::{ColdStart, Line, Part, StartPart, PARTS};
 use std::path::PathBuf;
@@ -104,18 +105,8 @@
     for case in cases {
         for (n, name) in PARTS.iter().enumerate() {
             let of = |figure: &dyn Fn(&Part) -> f64, digits: usize| {
-                let mut figures: Vec<_> = lines
-                    .iter()
-                    .filter(|(c, _)| c == case)
-                    .map(|(_, line)| figure(line.parts()[n]))
-                    .collect();
-                figures.sort_by(f64::total_cmp);
-                let at = |n: usize| match figures.get(n).copied() {
-                    Some(figure) if figure.is_finite() => format!("{figure:.digits$}"),
-                    _ => "never".to_owned(),
-                };
-                let last = figures.len().saturating_sub(1);
-                format!("{} ({} to {})", at(last / 2), at(0), at(last))
+                let rounds = lines.iter().filter(|(c, _)| c == case);
+                spread(rounds.map(|(_, line)| figure(line.parts()[n])), digits)
             };
             println!(
                 "| {case} | {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -7,7 +7,7 @@
 use arrow_flight::sql::client::FlightSqlServiceClient;
 use arrow_flight::{FlightData, FlightInfo};
 use futures::{StreamExt, TryStreamExt};
-use stackgw_standin::{Answer, Client, Gateways, Mode, Setup, Speaks, StartPart, Store, GROUP};
+use stackgw_standin::{Answer, Client, Gateways, Setup, Speaks, Store, GROUP};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -36,20 +36,13 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let (store, agent) = Store::start_speaking(lags_ms, speaks).expect("members");
         let gateways = Gateways::start(Setup {
-            program: env!("CARGO_BIN_EXE_stackgw").into(),
-            folder: folder.clone(),
-            agents: vec![agent],
-            gateways: 2,
-            keepers: 2,
-            mode: Mode::Shared,
             disks: false,
             lease_ms: 300,
             horizon_ms: 2_000,
-            relays: false,
             flight: true,
             speaks,
             auth,
-            start: StartPart::default(),
+            ..Setup::new(env!("CARGO_BIN_EXE_stackgw").into(), folder.clone(), vec![agent])
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
--- a/crates/stackgw-cli/tests/sessions.rs
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions across real processes on loopback: gateways are killed, paused, started anew with and without their disks, between
 //! paired writes and reads. The stand-ins' audit is the judge. Every wait is for an event and bounded.
 
-use stackgw_standin::{Gateways, Mode, Setup, Speaks, StartPart, Store, Trial, Troubles, Verdict};
+use stackgw_standin::{Gateways, Mode, Setup, Store, Trial, Troubles, Verdict};
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,9 +24,6 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let (store, agent) = Store::start(&[20, 1_500]).expect("members");
         let gateways = Gateways::start(Setup {
-            program: env!("CARGO_BIN_EXE_stackgw").into(),
-            folder: folder.clone(),
-            agents: vec![agent],
             gateways,
             keepers,
             mode,
@@ -34,10 +31,7 @@
             lease_ms: LEASE_MS,
             horizon_ms: HORIZON_MS,
             relays: true,
-            flight: false,
-            speaks: Speaks::First,
-            auth: None,
-            start: StartPart::default(),
+            ..Setup::new(env!("CARGO_BIN_EXE_stackgw").into(), folder.clone(), vec![agent])
         });
         World { store, gateways: gateways.unwrap_or_else(|why| panic!("{why}")), folder }
     }
@@ -70,10 +64,7 @@
 impl Drop for World {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            for n in 0..self.gateways.len() {
-                let log = std::fs::read_to_string(self.folder.join(format!("g{n}.log"))).unwrap_or_default();
-                eprintln!("g{n}:\n{log}");
-            }
+            self.gateways.print_logs();
         }
         (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
         let _ = std::fs::remove_dir_all(&self.folder);
--- a/crates/stackgw-cli/tests/start.rs
+++ b/crates/stackgw-cli/tests/start.rs
@@ -109,10 +109,7 @@
 impl Drop for World {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            for n in 0..self.gateways.len() {
-                let log = std::fs::read_to_string(self.folder.join(format!("g{n}.log"))).unwrap_or_default();
-                eprintln!("g{n}:\n{log}");
-            }
+            self.gateways.print_logs();
         }
         (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
         let _ = std::fs::remove_dir_all(&self.folder);
--- a/crates/stackgw-gateway/src/io/cluster.rs
+++ b/crates/stackgw-gateway/src/io/cluster.rs
@@ -6,7 +6,7 @@
 use async_channel::Receiver;
 use async_io::Async;
 use slog::{info, Logger};
-use stackgw_sessions::{NodeId, Peer};
+use stackgw_sessions::NodeId;
 use stackgw_store::{Done, File, ListWriter, Owner, Writer};
 use std::net::UdpSocket;
 use std::rc::Rc;
@@ -15,7 +15,6 @@
 /// What turns sessions across instances on.
 pub(super) struct Start {
     pub(super) socket: Rc<Async<UdpSocket>>,
-    pub(super) peer: Peer,
     pub(super) life: Life,
     pub(super) writer: Option<Writer>,
     pub(super) disk: Option<Receiver<Done>>,
@@ -32,9 +31,9 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let mut life = Life { incarnation: u64::try_from(now).unwrap_or(u64::MAX), recovered: None };
     let (mut writer, mut disk) = (None, None);
-    let node = NodeId::of(&config.name);
     let file = config.together.as_ref().map(|together| &together.file);
     if let Some((file, path)) = file.and_then(|file| Some((file, file.store.as_ref()?))) {
+        let node = NodeId::of(&config.name);
         let owner = Owner { cluster: file.cluster.clone(), node, horizon_ms: file.horizon.as_millis() };
         let opened = File::open(path, &owner).map_err(|failed| failed.to_string())?;
         if let Some(said) = opened.set_aside {
@@ -46,8 +45,7 @@
         writer = Some(Writer::start(opened.file, done).map_err(|failed| failed.to_string())?);
         disk = Some(word);
     }
-    let peer = Peer { node, incarnation: life.incarnation };
-    Ok(Some(Start { socket, peer, life, writer, disk }))
+    Ok(Some(Start { socket, life, writer, disk }))
 }
 
 /// The list as the disk kept it, and what keeps it from now on, if the operator's file names a place. What cannot be read is
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -311,7 +311,7 @@
     let limits = config.limits.clone();
     let clock = Clock::new();
     let (together, reread) = (config.together.clone(), config.reread());
-    let (others, start) = (config.others.clone(), config.start.clone());
+    let (others, start, name) = (config.others.clone(), config.start.clone(), config.name.clone());
     let mut reducer = Reducer::new(config);
     let mut effects = Vec::new();
     if let (Some(together), Some(shared)) = (&together, &mut shared) {
@@ -319,7 +319,7 @@
         reducer.share_sessions(clock.now(), together, life, &mut effects);
     }
     if let (Some(others), Some(shared), None) = (&others, &shared, &together) {
-        reducer.join(clock.now(), others, shared.peer);
+        reducer.join(clock.now(), others, shared.life.peer(&name));
     }
     let kept = start.as_ref().and_then(|start| cluster::kept(start, &log));
     let (kept, keeper) = kept.map_or((None, None), |(kept, writer)| (kept, Some(writer)));
--- a/crates/stackgw-gateway/src/reducer/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/sessions.rs
@@ -28,6 +28,13 @@
     pub recovered: Option<Recovered>,
 }
 
+impl Life {
+    /// The instance of this name in this life.
+    pub fn peer(&self, name: &str) -> Peer {
+        Peer { node: NodeId::of(name), incarnation: self.incarnation }
+    }
+}
+
 /// Everything of it.
 pub(super) struct Shared {
     sessions: Sessions,
@@ -51,7 +58,7 @@
 impl Shared {
     fn new(now: Time, config: &Together, name: &str, life: Life, outputs: &mut Vec<Output>) -> Self {
         let file = &config.file;
-        let me = Peer { node: NodeId::of(name), incarnation: life.incarnation };
+        let me = life.peer(name);
         let settings = Settings {
             me,
             keepers: file.keepers.iter().map(|name| NodeId::of(name)).collect(),
@@ -160,8 +167,7 @@
     /// Turns sessions across instances on, before [`Input::Start`].
     pub fn share_sessions(&mut self, now: Time, config: &Together, life: Life, out: &mut Vec<Effect>) {
         let mut outputs = Vec::new();
-        let me = Peer { node: NodeId::of(&self.fixed.name), incarnation: life.incarnation };
-        self.join(now, &Others::from(config), me);
+        self.join(now, &Others::from(config), life.peer(&self.fixed.name));
         let shared = Shared::new(now, config, &self.fixed.name, life, &mut outputs);
         self.shared = Some(Box::new(shared));
         self.shared_outputs(now, outputs, out);
@@ -376,16 +382,11 @@
 
     /// Answers somebody at the local socket.
     pub(super) fn tell(&self, now: Time, question: Question) -> Value {
-        if question == Question::List {
-            return self.tell_list(now);
-        }
-        let (Some(shared), Some(member)) = (self.shared.as_ref(), self.cluster.as_ref()) else {
-            return json!({"error": "sessions across instances are off"});
-        };
-        match question {
-            Question::List => Value::Null,
-            Question::Sessions => shared.tell(now, &member.cluster),
-            Question::Session(group, session) => {
+        match (question, self.shared.as_ref().zip(self.cluster.as_ref())) {
+            (Question::List, _) => self.tell_list(now),
+            (_, None) => json!({"error": "sessions across instances are off"}),
+            (Question::Sessions, Some((shared, member))) => shared.tell(now, &member.cluster),
+            (Question::Session(group, session), Some((shared, _))) => {
                 let key = SessionKey::of(group, &session);
                 let name = |node| shared.name(&node);
                 let (seen, sure) = shared.sessions.held(now, key);
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -4,7 +4,7 @@
 use crate::bearing::Bearing;
 use crate::gateways::{Gateways, Mode, Setup, StartPart};
 use crate::lists::{worst, Asked, Bears, Fate, Mood};
-use crate::opening::{Burden, Opened, Opening};
+use crate::opening::{Burden, Opening};
 use crate::store::{Speaks, Store};
 use serde::Serialize;
 use std::path::PathBuf;
@@ -141,7 +141,7 @@
         Ok(line)
     }
 
-    /// Members with a third of what they are asked for to spare.
+    /// What each member can do.
     fn bearing(&self) -> Bearing {
         Bearing {
             per_second: self.member,
@@ -161,7 +161,7 @@
         let before = store.audit().stale;
         let opening =
             Opening { rate: self.rate, writes: 10, lasts: Duration::from_secs(10), seed: self.seed };
-        let opened: Opened = opening.run(store, gateways, Instant::now(), meanwhile);
+        let opened = opening.run(store, gateways, Instant::now(), meanwhile);
         let ready = opened.ready(0.99, self.fleet);
         Part {
             asks: Asks::of(&store.lists().asked(), lists_from),
--- a/crates/stackgw-standin/src/gateways.rs
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -203,11 +203,6 @@
         Ok(())
     }
 
-    /// Sends a gateway a signal to read its configuration anew.
-    pub fn reload(&self, n: usize) {
-        self.signal(n, Signal::HUP);
-    }
-
     fn signal(&self, n: usize, signal: Signal) {
         if let Some(pid) = self.pid(n).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
             let _ = kill_process(pid, signal);
@@ -244,6 +239,14 @@
         lock(&self.gateways).get(n)?.child.as_ref().map(Child::id)
     }
 
+    /// Prints what all of them have logged, for whoever looks into a test that failed.
+    pub fn print_logs(&self) {
+        for n in 0..self.len() {
+            let log = self.setup.folder.join(format!("g{n}.log"));
+            eprintln!("g{n}:\n{}", std::fs::read_to_string(log).unwrap_or_default());
+        }
+    }
+
     /// A gateway's local socket.
     pub fn control(&self, n: usize) -> PathBuf {
         self.setup.folder.join(format!("g{n}.sock"))
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -94,9 +94,7 @@
         match (lock(&self.load).as_mut(), message) {
             (None, _) => Took::Done(Duration::ZERO),
             (Some(load), None) => load.handshake(now),
-            (Some(load), Some(frame)) if frame.body().starts_with(b"S") && !frame.body().contains(&b'\'') => {
-                load.probe(now)
-            }
+            (Some(load), Some(frame)) if frame.body().starts_with(b"SHOW") => load.probe(now),
             (Some(load), Some(_)) => load.request(now),
         }
     }
--- a/crates/stackgw-start/src/book.rs
+++ b/crates/stackgw-start/src/book.rs
@@ -12,7 +12,7 @@
 
 use crate::entry::{Entry, Update};
 use stackgw_router::api::{Span, Standing, Time, MS};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Where word of the list comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -170,12 +170,11 @@
         let confirms = self.origin == Origin::Kept;
         let mut changed = Vec::new();
         if whole {
-            let named: std::collections::BTreeSet<_> = word.members.iter().map(|e| e.id.as_str()).collect();
+            let named: BTreeSet<_> = word.members.iter().map(|e| e.id.as_str()).collect();
             let missing = self.held.values_mut().filter(|held| !named.contains(held.entry.id.as_str()));
             for held in missing.filter(|held| held.entry.phase != Standing::Gone) {
                 (held.entry.phase, held.revision) = (Standing::Gone, word.revision);
                 held.bound = held.bound.or(Some((word.revision, now)));
-                changed.push(held.entry.clone());
             }
         }
         for entry in word.members {
--- a/crates/stackgw-start/src/entry.rs
+++ b/crates/stackgw-start/src/entry.rs
@@ -20,7 +20,7 @@
     pub phase: Standing,
     /// Its weight.
     pub size: f64,
-    /// When it last started, in Unix milliseconds; 0 means long ago.
+    /// When it last started, in Unix milliseconds; 0 means long ago, and below 0 that nobody knows.
     pub up_since_ms: i64,
     /// The list holds it for the primary.
     pub leader: bool,
--- a/crates/stackgw-start/src/lib.rs
+++ b/crates/stackgw-start/src/lib.rs
@@ -19,9 +19,9 @@
 mod turns;
 
 pub use book::{Book, Origin, Taken};
-pub use circle::{Circle, HOLDERS_LEAST};
+pub use circle::HOLDERS_LEAST;
 pub use entry::{Entry, Update};
-pub use message::{Gathered, Message, Tell, MOST_BYTES, PARTS_MOST};
+pub use message::{Message, Tell};
 pub use start::{Counts, Kept, Note, Output, Settings, Start};
 pub use turns::{Pace, Turns};
 
--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -167,7 +167,6 @@
     /// What its router makes of members; what others make of them has been taken as a start.
     rate: f64,
     expects: bool,
-    said_behind: bool,
     counts: Counts,
 }
 
@@ -197,7 +196,6 @@
             kept_at: None,
             rate: 0.0,
             expects: false,
-            said_behind: false,
             counts: Counts::default(),
             set,
         };
@@ -251,12 +249,8 @@
     /// For how long a client that comes now had better stay away, while this is not ready.
     pub fn comes_back(&self, now: Time) -> Span {
         let kept = self.book.origin().map(|_| self.started + self.set.kept_wait);
-        let turn = match self.watch {
-            Watch::Due(at) => Some(at + self.pace()),
-            _ => Some(now + self.pace()),
-        };
-        let at = [kept, turn].into_iter().flatten().min().unwrap_or(now);
-        (at - now).max(self.set.pace.least)
+        let turn = if let Watch::Due(at) = self.watch { at } else { now } + self.pace();
+        (kept.map_or(turn, |kept| kept.min(turn)) - now).max(self.set.pace.least)
     }
 
     /// How often others are asked.
@@ -379,7 +373,7 @@
     /// The watch brought a list.
     pub fn watch_said(&mut self, now: Time, update: Update, out: &mut Vec<Output>) {
         self.heard = now;
-        let had = self.book.revision();
+        let (had, behind) = (self.book.revision(), self.book.is_behind());
         let resets = self.book.resets();
         let taken = self.book.take(now, update, Origin::Service, now, None);
         self.turns.served();
@@ -388,19 +382,18 @@
         }
         if taken == Taken::Older {
             self.counts.older += 1;
-            if !std::mem::replace(&mut self.said_behind, self.book.is_behind()) && self.said_behind {
+            if self.book.is_behind() && !behind {
                 out.push(Output::Said(Note::Behind(had.unwrap_or_default())));
             }
             return;
         }
-        self.said_behind = false;
         let first = !std::mem::replace(&mut self.live, true);
         if first {
             out.push(Output::Said(Note::Holds(!self.alone)));
         }
         // That the service is back is news to others too, even where it tells nothing new.
         if first || matches!(taken, Taken::Whole(_) | Taken::Changes(_)) {
-            self.push(had, out);
+            self.push(now, had, out);
         }
         self.news(now, taken, out);
     }
@@ -435,12 +428,12 @@
             self.kept_at = None;
         }
         let due = self.kept_at.is_none_or(|at| now - at >= KEEP_EVERY);
-        if let (true, Some(revision), Some(age)) = (due, self.book.revision(), self.book.age(now)) {
+        if let (true, Some(revision), Some(said)) = (due, self.book.revision(), self.book.said()) {
             if self.book.origin() != Some(Origin::Kept) {
                 self.kept_at = Some(now);
                 let members = self.book.present().cloned().collect();
                 let list = Update { revision, complete: true, members };
-                out.push(Output::Keep(Kept { list, said: now - age, rate: self.rate }));
+                out.push(Output::Keep(Kept { list, said, rate: self.rate }));
             }
         }
     }
@@ -544,11 +537,10 @@
     }
 
     /// Tells all others what has changed since a version, and those that waited for it all of it.
-    fn push(&mut self, had: Option<u64>, out: &mut Vec<Output>) {
+    fn push(&mut self, now: Time, had: Option<u64>, out: &mut Vec<Output>) {
         let Some(circle) = &self.circle else { return };
         let waiting = std::mem::take(&mut self.waiting);
         let others: BTreeSet<_> = circle.others().chain(waiting.iter().copied()).collect();
-        let now = self.heard;
         let Some(tell) = self.tell(now, 0) else { return };
         let (base, entries) = self.book.since(had);
         let parts = Tell { base, ..tell.clone() }.parts(entries).filter(|parts| parts.len() == 1);
@@ -621,10 +613,7 @@
         }
         let Some(revision) = tell.revision else { return self.look(now, out) };
         if tell.part.1 == 0 {
-            // The version alone: what it brings is asked for at once.
-            if fresh && Some(revision) > self.book.revision() && self.asking.is_none() {
-                self.ask_at = now;
-            }
+            self.ask_for(now, revision, fresh);
             return self.look(now, out);
         }
         let origin = if fresh { Origin::Peer } else { Origin::Kept };
@@ -633,9 +622,7 @@
         match taken {
             Taken::Older => {
                 self.counts.older += 1;
-                if fresh && Some(revision) > self.book.revision() && self.asking.is_none() {
-                    self.ask_at = now;
-                }
+                self.ask_for(now, revision, fresh);
             }
             taken => {
                 self.counts.taken += 1;
@@ -644,4 +631,11 @@
         }
         self.look(now, out);
     }
+
+    /// What a newer version brings, and could not be taken as it was told, is asked for at once.
+    fn ask_for(&mut self, now: Time, revision: u64, fresh: bool) {
+        if fresh && Some(revision) > self.book.revision() && self.asking.is_none() {
+            self.ask_at = now;
+        }
+    }
 }
--- a/crates/stackgw-start/src/turns.rs
+++ b/crates/stackgw-start/src/turns.rs
@@ -56,8 +56,12 @@
         (seconds * SECOND as f64) as Span
     }
 
-    /// A share below one: this instance's place in a span, moved by chance within its own part of it.
-    fn place(&mut self) -> f64 {
+    /// A share below one: this instance's place in a span that so many share, by chance; where the whole fleet does, moved
+    /// by chance within its own part of it.
+    fn place(&mut self, askers: u32) -> f64 {
+        if askers < self.pace.fleet {
+            return self.rng.random();
+        }
         let fleet = f64::from(self.pace.fleet.max(1));
         let part = (f64::from(self.pace.number) + self.rng.random::<f64>()) / fleet;
         (part + f64::from(self.asked) * GOLDEN).fract()
@@ -68,7 +72,7 @@
         // Danger: all that were told the same time to come back would come back in it.
         let put_off = self.put_off > now;
         let span = self.span(if put_off { self.pace.fleet } else { askers });
-        let place = if askers >= self.pace.fleet { self.place() } else { self.rng.random() };
+        let place = self.place(askers);
         now.max(self.put_off) + (span as f64 * place) as Span
     }
 
@@ -85,7 +89,7 @@
         // A pause is anything up to twice the span: the span on average, which keeps all of them within what is borne.
         let span = (mine * 2f64.powi(self.failed.min(16) as i32)).min(most.max(mine)).max(least);
         self.failed += 1;
-        let place = if askers >= self.pace.fleet { self.place() } else { self.rng.random() };
+        let place = self.place(askers);
         let pause = (2.0 * span * place) as Span;
         let put_off = self.put_off.max(now);
         let spread = if put_off > now { pause.max((fleet * place) as Span) } else { pause };
--- a/crates/stackgw-store/src/lib.rs
+++ b/crates/stackgw-store/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod file;
 mod list;
+mod worker;
 mod writer;
 
 pub use file::{File, Opened, Owner};
--- a/crates/stackgw-store/src/list.rs
+++ b/crates/stackgw-store/src/list.rs
@@ -1,14 +1,14 @@
 //! The list of members on a disk: one file, replaced whole. A damaged one, or another service's, is not believed.
 
 use crate::file::{free_name, unix_ms};
+use crate::worker::Worker;
 use crate::Failed;
 use serde::{Deserialize, Serialize};
 use stackgw_router::api::{Time, MS};
 use stackgw_start::{Kept, Update};
 use std::io::Write;
 use std::path::Path;
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::thread::JoinHandle;
+use std::sync::mpsc::Receiver;
 
 /// The form of the file.
 const VERSION: u32 = 1;
@@ -82,39 +82,22 @@
     std::fs::rename(&beside, path)
 }
 
-/// A thread that keeps the newest list; what came while it wrote and is no longer the newest is passed over.
+/// A thread that keeps the newest list; what came while it wrote and is no longer the newest is passed over. Dropped, it writes
+/// the newest first.
 #[derive(Debug)]
-pub struct ListWriter {
-    lists: Option<Sender<Kept>>,
-    thread: Option<JoinHandle<()>>,
-}
+pub struct ListWriter(Worker<Kept>);
 
 impl ListWriter {
     /// Starts the thread; `said` is told, on it, of the first failure in a row.
     pub fn start(path: &Path, service: &str, said: impl Fn(Failed) + Send + 'static) -> Result<Self, Failed> {
-        let (lists, line) = channel();
         let (path, service) = (path.to_owned(), service.to_owned());
-        let thread = std::thread::Builder::new().name("list".to_owned());
-        let thread = thread.spawn(move || run(&path, &service, &line, &said));
-        let thread = thread.map_err(|e| Failed(format!("start.list: no thread: {e}")))?;
-        Ok(ListWriter { lists: Some(lists), thread: Some(thread) })
+        let worker = Worker::start("list", move |line| run(&path, &service, &line, &said));
+        worker.map(ListWriter).map_err(|e| Worker::<Kept>::failed("start.list", &e))
     }
 
     /// Keeps this one from now on.
     pub fn put(&self, kept: Kept) {
-        if let Some(lists) = &self.lists {
-            let _ = lists.send(kept);
-        }
-    }
-}
-
-impl Drop for ListWriter {
-    /// The newest is written first.
-    fn drop(&mut self) {
-        drop(self.lists.take());
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+        self.0.put(kept);
     }
 }
 
--- a/crates/stackgw-store/src/writer.rs
+++ b/crates/stackgw-store/src/writer.rs
@@ -1,9 +1,9 @@
 //! A thread that commits: all that has come while the last commit was written goes into the next one.
 
+use crate::worker::Worker;
 use crate::{Disk, Failed};
 use stackgw_sessions::Record;
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::thread::JoinHandle;
+use std::sync::mpsc::Receiver;
 
 /// What became of records.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,13 +19,10 @@
     },
 }
 
-/// Records wait in line for the thread that commits them. The line is as long as its sender lets it grow: sessions bound what
-/// waits for the disk.
+/// Records wait in line for the thread that commits them; sessions bound what waits for the disk. Dropped, it commits what is
+/// in line first.
 #[derive(Debug)]
-pub struct Writer {
-    records: Option<Sender<Record>>,
-    thread: Option<JoinHandle<()>>,
-}
+pub struct Writer(Worker<Record>);
 
 /// Records of one commit at most.
 const BATCH: usize = 4_096;
@@ -33,29 +30,13 @@
 impl Writer {
     /// Starts the thread; `done` is called on it.
     pub fn start(disk: impl Disk + 'static, done: impl Fn(Done) + Send + 'static) -> Result<Self, Failed> {
-        let (records, line) = channel();
-        let thread = std::thread::Builder::new().name("store".to_owned());
-        let thread = thread.spawn(move || run(disk, &line, &done));
-        let thread = thread.map_err(|e| Failed(format!("store: no thread: {e}")))?;
-        Ok(Writer { records: Some(records), thread: Some(thread) })
+        let worker = Worker::start("store", move |line| run(disk, &line, &done));
+        worker.map(Writer).map_err(|e| Worker::<Record>::failed("store", &e))
     }
 
-    /// Adds a record to the line. After a failure it goes nowhere.
+    /// Adds a record to the line. After a failure it goes nowhere: the thread ends only after it has said that the disk failed.
     pub fn put(&self, record: Record) {
-        if let Some(records) = &self.records {
-            // The thread ends only after it has said that the disk failed.
-            let _ = records.send(record);
-        }
-    }
-}
-
-impl Drop for Writer {
-    /// What is in line is committed first.
-    fn drop(&mut self) {
-        drop(self.records.take());
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+        self.0.put(record);
     }
 }
 
