Connections to cold members dealt out over the fleet; members' roles and positions from peers

Each gateway that looks for a primary probed every member over a connection of its own (router `probe`, `sought`), and `employ` (reducer/members.rs) opened one for each attempt that found none idle. Ruled out: the list (3 to 4 asks in all) and readiness (99% after 0.8 s).

Change: `stackgw_start::Deal` (heart) gives each instance its turns at each cold member by its number, moved by chance, at what the operator's file says such a member bears (`start.opens`, off by default), growing with warmth; each failure doubles the wait. The reducer tells the router how many ways to a member are free and from when one may be opened (`Router::reach`); a member without a way gets neither requests nor probes. What answers show of positions and roles goes with the questions to the holders of the watch, and from them to all (`Sightings`), so that few probe; word older than a member's start does not make it lead.

--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -33,6 +33,21 @@
 
 /// Seconds of its fleet's asking that the list service bears in one.
 const SERVICE_SIZE: f64 = 1.5;
+/// Part of what a cold member can do that it spends on handshakes at most.
+const OPENS_USE: f64 = 0.6;
+
+/// How a measured fleet comes to know the list.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// As the platform has it.
+    Off,
+    /// Each gateway for itself, in turns.
+    Alone,
+    /// From each other, connecting to members as they like.
+    Undealt,
+    /// From each other, connections to cold members dealt.
+    Cluster,
+}
 
 impl StartCost {
     /// Runs it and prints the figures.
@@ -66,21 +81,22 @@
             (Some(before), "before") => before.clone(),
             _ => std::env::current_exe().map_err(|e| e.to_string())?,
         };
-        let part = match case {
-            "before" | "off" => None,
-            "alone" => Some(false),
-            "cluster" => Some(true),
-            other => return Err(format!("cases: '{other}' is none of off, alone, cluster")),
+        let way = match case {
+            "before" | "off" => Way::Off,
+            "alone" => Way::Alone,
+            "undealt" => Way::Undealt,
+            "cluster" => Way::Cluster,
+            other => return Err(format!("cases: '{other}' is none of off, alone, undealt, cluster")),
         };
-        play(program, fleet, part, self.load, seed, |_, _| {})
+        play(program, fleet, way, self.load, seed, |_, _| {})
     }
 }
 
-/// Plays one fleet in a folder of its own; `cluster`: how it comes to know the list, if not as the platform has it.
+/// Plays one fleet in a folder of its own.
 pub fn play(
     program: PathBuf,
     fleet: usize,
-    cluster: Option<bool>,
+    way: Way,
     load: f64,
     seed: u64,
     told: impl FnMut(&'static str, &Part),
@@ -88,9 +104,14 @@
     let folder = std::env::temp_dir().join(format!("stackgw-start-{}-{fleet}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let bears = fleet as f64 / SERVICE_SIZE;
-    let lines = vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
-    let start = cluster.map(|cluster| StartPart { cluster, lines });
     let (rate, member) = (load / fleet as f64, load * 2.0 / 3.0);
+    let mut lines =
+        vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
+    if matches!(way, Way::Alone | Way::Cluster) {
+        lines.push(format!("opens: {}", ColdStart::opens(member, OPENS_USE)));
+    }
+    let cluster = matches!(way, Way::Undealt | Way::Cluster);
+    let start = (way != Way::Off).then_some(StartPart { cluster, lines });
     let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
     let line = cold.play(told);
     let _ = std::fs::remove_dir_all(&folder);
--- a/crates/stackgw-config/src/lib.rs
+++ b/crates/stackgw-config/src/lib.rs
@@ -89,6 +89,11 @@
     /// Requests a second that the list service bears from all gateways together.
     #[garde(range(min = 1, max = 1_000_000))]
     pub bears: u32,
+    /// New connections a second that a member which has just started bears from all gateways together; it grows with its warmth.
+    /// They take turns at such a member, and at one whose start nobody knows. Absent: they connect as they like.
+    #[serde(default)]
+    #[garde(inner(range(min = 1, max = 1_000_000)))]
+    pub opens: Option<u32>,
     /// The list service's name. Instances tell each other of the list only where this is the same; a new name says that its
     /// versions are counted anew.
     #[serde(default)]
--- a/crates/stackgw-gateway/src/pool.rs
+++ b/crates/stackgw-gateway/src/pool.rs
@@ -22,6 +22,11 @@
         self.since.insert(id, (now, member));
     }
 
+    /// How many of a member's there are.
+    pub fn idle(&self, member: MemberId) -> usize {
+        self.members.get(&member).map_or(0, BTreeSet::len)
+    }
+
     /// The member's connection used last.
     pub fn take(&mut self, member: MemberId) -> Option<ConnId> {
         let (_, id) = *self.members.get(&member)?.last()?;
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -87,6 +87,7 @@
         let Some((address, back)) = self.members.get(&member).map(|m| (m.address, m.back)) else {
             return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
         };
+        self.ways_changed(member);
         if let Some(id) = self.pool.take(member) {
             self.bind(id, job);
             if let Some(conn) = self.conns.get_mut(&id) {
@@ -98,6 +99,9 @@
             self.bind(id, job);
             return self.set_conn_timer(id, now + self.limits.connect);
         }
+        if !self.may_open(now, member) {
+            return self.job_ended(now, member, job, Outcome::Unsent, Reply::default(), out);
+        }
         if self.conns.len() >= self.limits.member_connections {
             match self.pool.oldest().or_else(|| self.coming.pop_first().map(|(_, id)| id)) {
                 Some(idle) => {
@@ -112,6 +116,7 @@
         self.next_conn += 1;
         self.counters.members_opened += 1;
         self.counters.members_open += 1;
+        self.deal(|deal| deal.opens(now, member));
         let timer = Some(self.set_timer(now + self.limits.connect, Due::Conn(id)));
         let phase = Phase::Connecting;
         let reply = Reply::default();
@@ -230,15 +235,18 @@
             (_, Ok(false)) => {}
             (Phase::Starting, Ok(true)) => {
                 self.counters.members_up += 1;
-                if conn.job.is_some() {
+                let (member, busy) = (conn.member, conn.job.is_some());
+                self.deal(|deal| deal.came_up(member));
+                let Some(conn) = self.conns.get_mut(&id) else { return };
+                if busy {
                     return self.write_job(now, id, out);
                 }
                 conn.phase = Phase::Idle;
-                let member = conn.member;
                 let timer = conn.timer.take();
                 timer.and_then(|timer| self.timers.remove(&timer));
                 self.coming.remove(&member);
                 self.pool.put(member, id, now);
+                self.ways_changed(member);
             }
             (Phase::Writing | Phase::Waiting, Ok(true)) => {
                 let outcome = outcome(&conn.reply).unwrap_or(Outcome::Spoilt);
@@ -254,6 +262,7 @@
                 let member = conn.member;
                 self.end_job(now, id, outcome, out);
                 self.pool.put(member, id, now);
+                self.ways_changed(member);
             }
         }
     }
@@ -283,7 +292,11 @@
             self.counters.members_bad += 1;
             log_rarely(self.counters.members_bad, "bad bytes from members:", out);
         }
-        let job = conn.job;
+        let (job, member, phase) = (conn.job, conn.member, conn.phase);
+        if matches!(phase, Phase::Connecting | Phase::Starting) {
+            self.deal(|deal| deal.failed(now, member));
+        }
+        let Some(conn) = self.conns.get_mut(&id) else { return };
         if why == Closed::Unasked {
             self.counters.members_unasked += 1;
             log_rarely(self.counters.members_unasked, "connections with more than was asked for:", out);
@@ -330,6 +343,11 @@
     pub(super) fn conn_due(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.timer = None;
+        let (member, phase) = (conn.member, conn.phase);
+        if matches!(phase, Phase::Connecting | Phase::Starting) {
+            self.deal(|deal| deal.failed(now, member));
+        }
+        let Some(conn) = self.conns.get_mut(&id) else { return };
         let outcome = match conn.phase {
             Phase::Connecting | Phase::Starting | Phase::Writing => Outcome::NoConnection,
             Phase::Waiting if conn.partial && now < conn.until => Outcome::Spoilt,
@@ -373,6 +391,7 @@
     pub(super) fn forget(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.remove(&id) {
             self.counters.members_open -= 1;
+            self.ways_changed(conn.member);
             if self.coming.get(&conn.member) == Some(&id) {
                 self.coming.remove(&conn.member);
             }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -359,6 +359,8 @@
         }
         // Where the file says how the list comes to be known, a watch brings it.
         settings.list_on_request &= config.start.is_none();
+        // What members tell is carried beside the list where the platform has no messages for it.
+        settings.limits.carried = config.start.is_some() && config.others.is_some() && !settings.limits.peers;
         Reducer {
             fixed,
             discovery: config.discovery,
@@ -519,7 +521,9 @@
 
     /// Hands the router what is queued and carries out what it asks for, until nothing is left.
     fn route(&mut self, now: Time, out: &mut Vec<Effect>) {
-        while let Some(event) = self.events.pop_front() {
+        loop {
+            self.tell_ways(now);
+            let Some(event) = self.events.pop_front() else { return };
             let mut actions = std::mem::take(&mut self.actions);
             self.router.handle(self.moments.of(now), event, &mut actions);
             for action in actions.drain(..) {
@@ -623,6 +627,7 @@
 
     fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.shared_look(now, out);
+        self.ways_aged();
         for conn in self.pool.expired(now - self.limits.idle) {
             self.counters.members_retired += 1;
             out.push(Effect::MemberClose(conn));
--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -3,7 +3,9 @@
 
 use super::*;
 use serde_json::{json, Value};
-use stackgw_start::{Kept, Message, Note, Origin, Output, Pace, Settings, Start, Taken};
+use stackgw_start::{
+    Deal, Dealt, Kept, Message, Note, Origin, Output, Pace, Settings, Sighting, Start, Taken,
+};
 
 /// Everything of it.
 pub(super) struct Starting {
@@ -11,6 +13,12 @@
     outputs: Vec<Output>,
     due: Option<TimerKey>,
     service: String,
+    /// Who may open a connection to a cold member when; `None`: that is not dealt.
+    deal: Option<Deal>,
+    /// Members to which the ways have changed since the router was last told.
+    ways: BTreeSet<MemberId>,
+    /// When each member of the list started, where that is recent.
+    began: BTreeMap<MemberId, Time>,
 }
 
 impl Starting {
@@ -22,12 +30,21 @@
         let age = book.age(now).map_or_else(|| "never".to_owned(), |age| format!("{} ms", age / MS));
         format!(
             "list from {origin}, version {:?}, vouched for {age} ago, watch={live} holders={holders:?} watches={} alone={} asked={} \
-             unanswered={} answered={} pushed={} taken={} older={} foreign={}",
+             unanswered={} answered={} pushed={} taken={} older={} foreign={} sighted={} dealt={} waited={}",
             book.revision(), counts.watches, counts.alone, counts.asked, counts.unanswered, counts.answered, counts.pushed,
-            counts.taken, counts.older, counts.foreign
+            counts.taken, counts.older, counts.foreign, counts.sighted, self.dealt(), self.waited()
         )
     }
 
+    /// Members whose connections are dealt, and how often somebody would have opened one out of turn.
+    fn dealt(&self) -> usize {
+        self.deal.as_ref().map_or(0, |deal| deal.members().count())
+    }
+
+    fn waited(&self) -> u64 {
+        self.deal.as_ref().map_or(0, Deal::waited)
+    }
+
     fn tell(&self, now: Time) -> Value {
         let (counts, book) = (self.start.counts(), self.start.book());
         let (holders, live) = self.start.holders();
@@ -39,7 +56,9 @@
             "holders": holders.iter().map(ToString::to_string).collect::<Vec<_>>(),
             "counts": {"watches": counts.watches, "alone": counts.alone, "asked": counts.asked,
                 "unanswered": counts.unanswered, "answered": counts.answered, "pushed": counts.pushed,
-                "taken": counts.taken, "older": counts.older, "foreign": counts.foreign},
+                "taken": counts.taken, "older": counts.older, "foreign": counts.foreign, "sighted": counts.sighted,
+                "waited": self.waited()},
+            "dealt": self.dealt(),
         })
     }
 }
@@ -63,13 +82,14 @@
         kept: Option<Kept>,
         out: &mut Vec<Effect>,
     ) {
+        let pace = Pace {
+            number: self.me as u32,
+            fleet: self.fixed.settings.router.fleet_size.max(others.map_or(0, |o| o.expected)),
+            bears: f64::from(file.bears),
+            least: self.limits.watch_pause,
+        };
         let set = Settings {
-            pace: Pace {
-                number: self.me as u32,
-                fleet: self.fixed.settings.router.fleet_size.max(others.map_or(0, |o| o.expected)),
-                bears: f64::from(file.bears),
-                least: self.limits.watch_pause,
-            },
+            pace,
             others: others.map(|others| (others.reached_at(), others.seeds.clone())),
             holders: stackgw_start::HOLDERS_LEAST,
             service: stackgw_start::service(&file.service),
@@ -85,7 +105,23 @@
         let mut outputs = Vec::new();
         let start = Start::new(now, set, newer, &mut outputs);
         let service = file.service.clone();
-        self.starting = Some(Box::new(Starting { start, outputs: Vec::new(), due: None, service }));
+        let rules = &self.fixed.settings.router.obligations;
+        let dealt = |opens| Dealt {
+            number: pace.number,
+            fleet: pace.fleet,
+            opens: f64::from(opens),
+            cold_share: rules.cold_share,
+            warm_within: rules.warm_within,
+        };
+        self.starting = Some(Box::new(Starting {
+            start,
+            outputs: Vec::new(),
+            due: None,
+            service,
+            deal: file.opens.map(|opens| Deal::new(dealt(opens), self.secret)),
+            ways: BTreeSet::new(),
+            began: BTreeMap::new(),
+        }));
         self.start_outputs(now, outputs, out);
         self.start_due_set(now);
     }
@@ -115,6 +151,7 @@
                     self.cluster_send(out, |cluster, effects| cluster.tell(to, &body, effects));
                 }
                 Output::Expect(rate) => self.router.expect(rate),
+                Output::Seen(seen) => self.sighted(now, &seen),
                 Output::Keep(kept) => out.push(Effect::Keep(Box::new(kept))),
                 Output::List(Taken::Whole(entries)) => self.told(now, ListScope::Full, &entries, out),
                 Output::List(Taken::Cautious(entries)) => self.told(now, ListScope::Cached, &entries, out),
@@ -152,13 +189,116 @@
         if let Some(starting) = self.starting.as_mut() {
             starting.due = None;
         }
-        let rate = self.router.warm_rate();
+        let (rate, seen) = (self.router.warm_rate(), self.saw(now));
         self.with_start(now, out, |start, outputs| {
             start.answers(rate);
+            start.saw(now, seen);
             start.due(now, outputs);
         });
     }
 
+    /// What members have told here, in the form in which others are told.
+    fn saw(&mut self, now: Time) -> Vec<Sighting> {
+        let news = self.router.news();
+        let seen = |news: &News| {
+            let name = &self.members.get(&news.member)?.name;
+            let position_ms = u64::try_from(news.position? / MS).ok()?;
+            let at_ms = u64::try_from(now / MS).ok()?;
+            Some(Sighting { member: Sighting::of(name), position_ms, leads: news.primary, at_ms })
+        };
+        news.iter().filter_map(seen).collect()
+    }
+
+    /// What members have told elsewhere, for the router.
+    fn sighted(&mut self, now: Time, seen: &[Sighting]) {
+        let known: HashMap<_, _> = self.members.iter().map(|(id, m)| (Sighting::of(&m.name), *id)).collect();
+        for seen in seen {
+            let Some(member) = known.get(&seen.member).copied() else { continue };
+            let position = Some(seen.position()).filter(|at| *at > 0);
+            if !self.can_be(now, position) {
+                continue;
+            }
+            // Danger: a process that has started since leads nobody until it says so itself.
+            let began = self.starting.as_ref().and_then(|s| s.began.get(&member).copied());
+            let primary = seen.leads.filter(|_| began.is_none_or(|began| seen.at() > began));
+            let news = vec![News { member, position, primary, strain: 0.0, answers: 0 }];
+            self.events.push_back(Event::Peer { told: seen.at().min(now), relay: false, news });
+        }
+    }
+
+    // Connections that are dealt.
+
+    pub(super) fn deal(&mut self, act: impl FnOnce(&mut Deal)) {
+        if let Some(deal) = self.starting.as_mut().and_then(|starting| starting.deal.as_mut()) {
+            act(deal);
+        }
+    }
+
+    /// Members as the list has them now. Kept word knows of nobody whether it has just started.
+    pub(super) fn deal_listed(
+        &mut self,
+        now: Time,
+        scope: ListScope,
+        members: &[Member],
+        list: &[ListEntry],
+    ) {
+        let Some(starting) = self.starting.as_mut() else { return };
+        for member in members {
+            let Some(name) = self.members.get(&member.id).map(|m| m.name.as_str()) else { continue };
+            let unknown = list.iter().any(|e| e.up_since_ms < 0 && e.id == name);
+            let started = member.started.map(|at| Some(at).filter(|_| !unknown));
+            match started.flatten() {
+                Some(at) => drop(starting.began.insert(member.id, at)),
+                None => drop(starting.began.remove(&member.id)),
+            }
+            if let Some(deal) = starting.deal.as_mut() {
+                deal.listed(now, member.id, name, member.group, started);
+                starting.ways.insert(member.id);
+            }
+        }
+        if scope == ListScope::Full {
+            starting.began.retain(|id, _| members.iter().any(|m| m.id == *id));
+        }
+    }
+
+    /// Whether a connection may be opened now that nobody has opened yet.
+    pub(super) fn may_open(&mut self, now: Time, member: MemberId) -> bool {
+        let Some(deal) = self.starting.as_mut().and_then(|starting| starting.deal.as_mut()) else {
+            return true;
+        };
+        let may = deal.from(now, member).is_none_or(|from| from <= now);
+        if !may {
+            deal.waits();
+        }
+        may
+    }
+
+    /// A connection to a member has come, gone, fallen idle or been taken.
+    pub(super) fn ways_changed(&mut self, member: MemberId) {
+        if let Some(starting) = self.starting.as_mut().filter(|starting| starting.deal.is_some()) {
+            starting.ways.insert(member);
+        }
+    }
+
+    /// All that are dealt: some may be warm by now.
+    pub(super) fn ways_aged(&mut self) {
+        if let Some(starting) = self.starting.as_mut() {
+            starting.ways.extend(starting.deal.iter().flat_map(Deal::members));
+        }
+    }
+
+    /// Tells the router how it can reach those members to which that has changed.
+    pub(super) fn tell_ways(&mut self, now: Time) {
+        let Some(starting) = self.starting.as_mut().filter(|starting| !starting.ways.is_empty()) else {
+            return;
+        };
+        let Some(deal) = starting.deal.as_ref() else { return };
+        for member in std::mem::take(&mut starting.ways) {
+            let free = u32::try_from(self.pool.idle(member)).unwrap_or(u32::MAX);
+            self.router.reach(member, deal.from(now, member).map(|from| (free, from)));
+        }
+    }
+
     pub(super) fn start_heard(&mut self, now: Time, body: &[u8], out: &mut Vec<Effect>) {
         let message = Message::decode(body);
         if message.is_none() {
--- a/crates/stackgw-router/src/api.rs
+++ b/crates/stackgw-router/src/api.rs
@@ -145,6 +145,8 @@
     pub retry_after_max: Span,
     /// Routers may message each other.
     pub peers: bool,
+    /// The host carries word between routers by ways of its own ([`crate::Router::news`]).
+    pub carried: bool,
     /// A connection that is not up by then has failed.
     pub connect_timeout: Span,
 }
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -177,6 +177,17 @@
         self.warm_rate
     }
 
+    /// What members told since this was last asked, for a host that carries word to other routers.
+    pub fn news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news).into_values().collect()
+    }
+
+    /// Where a host deals out connections: how many to a member are free, and from when on it may open one.
+    /// `None`: it opens what it is asked for.
+    pub fn reach(&mut self, member: MemberId, ways: Option<(u32, Time)>) {
+        self.nodes.entry(member).and_modify(|node| node.ways = ways);
+    }
+
     /// What it was before, or is elsewhere; own answers take its place.
     pub fn expect(&mut self, rate: f64) {
         self.warm_rate = if self.warm_rate > 0.0 { self.warm_rate } else { rate };
@@ -210,8 +221,8 @@
             });
             if member.started.is_some() && node.started != member.started {
                 // A restarted process is cold; its past tells no health or role, but its drain holds.
-                let Node { position, in_flight, standing, told, .. } = *node;
-                *node = Node { position, in_flight, standing, told, ..fresh };
+                let Node { position, in_flight, standing, told, ways, .. } = *node;
+                *node = Node { position, in_flight, standing, told, ways, ..fresh };
                 group.primary = group.primary.filter(|id| *id != member.id);
             }
             if member.started.is_none() && scope != ListScope::Cached {
@@ -355,7 +366,7 @@
     }
 
     fn share(&mut self, word: News) {
-        if self.set.limits.peers {
+        if self.set.limits.peers || self.set.limits.carried {
             self.news.entry(word.member).and_modify(|news| news.add(&word)).or_insert(word);
         }
     }
@@ -535,7 +546,8 @@
         let Some(node) = self.nodes.get(&id) else { return false };
         let safe = self.class(entry).effect != Effect::Unsafe;
         let met = entry.tried.iter().chain(&entry.erred).any(|met| *met == id);
-        !met && self.open(now, node, as_primary) && self.room(now, node, share, as_primary, safe)
+        let reached = !met && node.has_way(now);
+        reached && self.open(now, node, as_primary) && self.room(now, node, share, as_primary, safe)
     }
 
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
@@ -547,6 +559,7 @@
         group.turn = group.turn.max(node.turn);
         node.turn = node.turn.max(group.turn - 1.0) + 1.0 / (node.weight * warmth).max(0.01);
         node.quiet_since = if node.in_flight == 0 { now } else { node.quiet_since };
+        node.take_way();
         (node.in_flight, node.sent_at) = (node.in_flight + 1, now);
         if node.out {
             node.trial_wait = (node.trial_wait * 2).min(TRIAL_LONGEST);
@@ -683,9 +696,9 @@
         let replicas: Vec<_> = self.members(group).filter(usable).collect();
         let aged = |n: &Node| now - n.position > self.bound / 2 && self.probe_due(now, n);
         let seeks = primary.is_none() && !state.held.is_empty();
-        let sought = replicas.iter().filter(|(_, n)| seeks && n.unasked_for(now, pace));
+        let sought = replicas.iter().filter(|(_, n)| seeks && n.has_way(now) && n.unasked_for(now, pace));
         let mut due: Vec<_> = sought.map(|(id, _)| *id).collect();
-        let mut next: Vec<_> = replicas.iter().filter(|(_, n)| !n.out && aged(n)).collect();
+        let mut next: Vec<_> = replicas.iter().filter(|(_, n)| !n.out && n.has_way(now) && aged(n)).collect();
         next.sort_by(|a, b| a.1.turn.total_cmp(&b.1.turn));
         let asked = replicas.iter().any(|(_, n)| n.asked_within(now, PROBE_WAIT));
         if due.is_empty() && !asked && state.held.iter().any(read) {
@@ -695,7 +708,10 @@
             self.probes -= due.len() as f64;
         }
         for id in due {
-            self.nodes.entry(id).and_modify(|node| (node.probed_at, node.probe_out) = (now, true));
+            self.nodes.entry(id).and_modify(|node| {
+                (node.probed_at, node.probe_out) = (now, true);
+                node.take_way();
+            });
             out.push(Action::Probe(id));
         }
     }
--- a/crates/stackgw-router/src/state.rs
+++ b/crates/stackgw-router/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) turn: f64,
     /// Sends to it while cold, within the last fall window.
     pub(crate) cold_sends: VecDeque<Time>,
+    /// Where connections to it are dealt: those that are free, and from when on one may be opened.
+    pub(crate) ways: Option<(u32, Time)>,
 }
 
 impl Node {
@@ -63,6 +65,16 @@
         Belief { in_flight, out, strain, limit, position: Some(self.position).filter(|at| *at > 0) }
     }
 
+    /// It can be reached now.
+    pub(crate) fn has_way(&self, now: Time) -> bool {
+        self.ways.is_none_or(|(free, from)| free > 0 || now >= from)
+    }
+
+    /// Something goes to it: one way less, until the host says what there is.
+    pub(crate) fn take_way(&mut self) {
+        self.ways = self.ways.map(|(free, from)| if free > 0 { (free - 1, from) } else { (0, Time::MAX) });
+    }
+
     /// A probe is out, and was sent inside this span.
     pub(crate) fn asked_within(&self, now: Time, span: Span) -> bool {
         self.probe_out && now - self.probed_at < span
--- a/crates/stackgw-settings/src/document.rs
+++ b/crates/stackgw-settings/src/document.rs
@@ -153,6 +153,7 @@
             retry_after: flag(limits, "RetryAfter")?,
             retry_after_max: int_or(limits, "MaxRetryAfterNs", 0)?,
             peers: flag(limits, "MayTell")?,
+            carried: false,
             connect_timeout: int(limits, "DialTimeoutNs")?,
         },
         obligations: Obligations {
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -143,8 +143,18 @@
 
     /// What each member can do.
     fn bearing(&self) -> Bearing {
+        Self::can(self.member)
+    }
+
+    /// New connections a second that a member which can do so much, warm, bears cold with this share of what it can do then.
+    pub fn opens(member: f64, share: f64) -> u32 {
+        let can = Self::can(member);
+        (can.per_second * can.cold_share / can.handshake * share).max(1.0) as u32
+    }
+
+    fn can(per_second: f64) -> Bearing {
         Bearing {
-            per_second: self.member,
+            per_second,
             cold_share: 0.25,
             warm_within: Duration::from_secs(10),
             fall_multiple: 4.0,
--- a/crates/stackgw-start/src/lib.rs
+++ b/crates/stackgw-start/src/lib.rs
@@ -13,15 +13,19 @@
 
 mod book;
 mod circle;
+mod deal;
 mod entry;
 mod message;
+mod seen;
 mod start;
 mod turns;
 
 pub use book::{Book, Origin, Taken};
 pub use circle::HOLDERS_LEAST;
+pub use deal::{Deal, Dealt};
 pub use entry::{Entry, Update};
 pub use message::{Message, Tell};
+pub use seen::{Sighting, Sightings};
 pub use start::{Counts, Kept, Note, Output, Settings, Start};
 pub use turns::{Pace, Turns};
 
--- a/crates/stackgw-start/src/message.rs
+++ b/crates/stackgw-start/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other of the list, as datagrams' bodies.
 
 use crate::entry::Entry;
+use crate::seen::{Sighting, SEEN_EACH};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -22,6 +23,8 @@
         service: u64,
         /// The version held; `None`: nothing, or kept word.
         have: Option<u64>,
+        /// What the asker has learned of members since it asked last.
+        seen: Vec<Sighting>,
     },
     /// What is known.
     Tell(Tell),
@@ -54,6 +57,8 @@
     pub part: (u16, u16),
     /// The entries.
     pub entries: Vec<Entry>,
+    /// What is known of members; beside the first part alone.
+    pub seen: Vec<Sighting>,
 }
 
 impl Message {
@@ -66,13 +71,14 @@
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (message, rest) = postcard::take_from_bytes::<Message>(bytes).ok()?;
         let sound = match &message {
-            Message::Ask { .. } => true,
+            Message::Ask { seen, .. } => seen.len() <= SEEN_EACH,
             Message::Tell(tell) => {
                 let (part, parts) = tell.part;
                 let finite = |e: &Entry| e.size.is_finite() && e.size >= 0.0 && !e.id.is_empty();
                 parts <= PARTS_MOST
                     && (part < parts || (parts == 0 && tell.entries.is_empty()))
                     && tell.entries.iter().all(finite)
+                    && tell.seen.len() <= SEEN_EACH
             }
         };
         (sound && rest.is_empty()).then_some(message)
@@ -98,7 +104,9 @@
         }
         parts.push(now);
         let count = u16::try_from(parts.len()).ok().filter(|count| *count <= PARTS_MOST)?;
-        let part = |(n, entries)| Tell { part: (n as u16, count), entries, ..self.clone() };
+        let later = Tell { seen: Vec::new(), ..self.clone() };
+        let of = |n: usize| if n == 0 { self.clone() } else { later.clone() };
+        let part = |(n, entries)| Tell { part: (n as u16, count), entries, ..of(n) };
         Some(parts.into_iter().enumerate().map(part).collect())
     }
 }
--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -5,6 +5,7 @@
 use crate::circle::Circle;
 use crate::entry::Update;
 use crate::message::{Gathered, Message, Tell};
+use crate::seen::{Sighting, Sightings};
 use crate::turns::{Pace, Turns};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -61,6 +62,8 @@
     Keep(Kept),
     /// Requests a second that a warm member may be taken to answer this instance, until its own answers tell.
     Expect(f64),
+    /// What others' answers showed of members, to be taken for a start.
+    Seen(Vec<Sighting>),
     /// Something for the log.
     Said(Note),
 }
@@ -99,6 +102,8 @@
     pub older: u64,
     /// Word of another service, or that makes no sense here.
     pub foreign: u64,
+    /// News of members' positions and roles that others told.
+    pub sighted: u64,
 }
 
 /// The watch.
@@ -167,6 +172,8 @@
     /// What its router makes of members; what others make of them has been taken as a start.
     rate: f64,
     expects: bool,
+    /// What answers have shown of members, here and elsewhere.
+    seen: Sightings,
     counts: Counts,
 }
 
@@ -196,6 +203,7 @@
             kept_at: None,
             rate: 0.0,
             expects: false,
+            seen: Sightings::default(),
             counts: Counts::default(),
             set,
         };
@@ -213,6 +221,21 @@
         self.rate = rate;
     }
 
+    /// What answers have shown here, to be told to others.
+    pub fn saw(&mut self, now: Time, seen: impl IntoIterator<Item = Sighting>) {
+        for seen in seen {
+            self.seen.take(now, seen, self.set.silence);
+        }
+    }
+
+    /// What answers have shown elsewhere.
+    fn sighted(&mut self, now: Time, seen: Vec<Sighting>, out: &mut Vec<Output>) {
+        let (keep, known) = (self.set.silence, &mut self.seen);
+        let news: Vec<_> = seen.into_iter().filter(|seen| known.take(now, *seen, keep)).collect();
+        self.counts.sighted += news.len() as u64;
+        out.extend((!news.is_empty()).then_some(Output::Seen(news)));
+    }
+
     /// Takes what is known elsewhere for a start, once.
     fn expect(&mut self, rate: f64, out: &mut Vec<Output>) {
         let known = rate > 0.0 && rate.is_finite() && self.rate <= 0.0;
@@ -364,7 +387,8 @@
         let have = self.book.revision().filter(|_| self.book.origin() != Some(Origin::Kept));
         self.asking = Some(Asking { to, nonce, sent: now, gathered: None });
         self.counts.asked += 1;
-        let ask = Message::Ask { from, nonce, service: self.set.service, have };
+        let seen = self.seen.news();
+        let ask = Message::Ask { from, nonce, service: self.set.service, have, seen };
         out.push(Output::Send(to, ask));
     }
 
@@ -477,16 +501,21 @@
     /// Word of another instance.
     pub fn message(&mut self, now: Time, message: Message, out: &mut Vec<Output>) {
         match message {
-            Message::Ask { from, nonce, service, have } if service == self.set.service => {
+            Message::Ask { from, nonce, service, have, seen } if service == self.set.service => {
+                self.sighted(now, seen, out);
                 self.answer(now, from, nonce, have, out);
             }
-            Message::Tell(tell) if tell.service == self.set.service => self.told(now, tell, out),
+            Message::Tell(mut tell) if tell.service == self.set.service => {
+                self.sighted(now, std::mem::take(&mut tell.seen), out);
+                self.told(now, tell, out);
+            }
             _ => self.counts.foreign += 1,
         }
     }
 
     /// What is held, without its entries.
-    fn tell(&self, now: Time, nonce: u32) -> Option<Tell> {
+    fn tell(&mut self, now: Time, nonce: u32) -> Option<Tell> {
+        let seen = self.seen.all(now, self.set.silence);
         let (from, _) = self.set.others.as_ref()?;
         let age = self.book.age(now).unwrap_or_default();
         let live = self.live && !self.book.is_behind();
@@ -503,6 +532,7 @@
             base: None,
             part: (0, 0),
             entries: Vec::new(),
+            seen,
         })
     }
 
@@ -538,8 +568,8 @@
 
     /// Tells all others what has changed since a version, and those that waited for it all of it.
     fn push(&mut self, now: Time, had: Option<u64>, out: &mut Vec<Output>) {
-        let Some(circle) = &self.circle else { return };
         let waiting = std::mem::take(&mut self.waiting);
+        let Some(circle) = &self.circle else { return };
         let others: BTreeSet<_> = circle.others().chain(waiting.iter().copied()).collect();
         let Some(tell) = self.tell(now, 0) else { return };
         let (base, entries) = self.book.since(had);
--- a/crates/stackgw-start/tests/common/mod.rs
+++ b/crates/stackgw-start/tests/common/mod.rs
@@ -253,7 +253,7 @@
                     self.nodes[n].router.extend(entries.into_iter().map(|e| (e.id, e.phase)));
                 }
                 Output::Keep(kept) => self.nodes[n].kept = Some(kept),
-                Output::List(_) | Output::Said(_) | Output::Expect(_) => {}
+                Output::List(_) | Output::Said(_) | Output::Seen(_) | Output::Expect(_) => {}
             }
         }
         let (now, node) = (self.now, &mut self.nodes[n]);
--- a/crates/stackgw-start/tests/model.rs
+++ b/crates/stackgw-start/tests/model.rs
@@ -132,7 +132,7 @@
                     }
                 }
                 Output::Keep(kept) => world.nodes[n].kept = Some(kept),
-                Output::List(_) | Output::Expect(_) | Output::Said(_) => {}
+                Output::List(_) | Output::Expect(_) | Output::Seen(_) | Output::Said(_) => {}
             }
         }
         let Some(start) = &world.nodes[n].start else { return };
