measure start: worth by the second, and what members could do

The table told ten seconds as one figure, so that a slow start and a bad end looked alike. Each part now also gives what was served of the first five seconds, the share that members could do if they did nothing else, and (as JSON) asked, served and late by the second.

--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -121,8 +121,8 @@
 /// Medians over the rounds, with the least and the most.
 fn table(fleet: u16, cases: &[String], lines: &[(String, Line)]) {
     println!("{fleet} gateways: median (least to most) over the rounds");
-    println!("| case | part | list asks | in the worst 100 ms | refused | 99% ready, ms | served in time | answered | handshakes | at one in its worst 100 ms | cold, of what it falls at | fell | broken |");
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| case | part | list asks | in the worst 100 ms | refused | 99% ready, ms | served in time | in the first 5 s | members could | answered | handshakes | at one in its worst 100 ms | cold, of what it falls at | fell | broken |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for case in cases {
         for (n, name) in PARTS.iter().enumerate() {
             let of = |figure: &dyn Fn(&Part) -> f64, digits: usize| {
@@ -130,12 +130,14 @@
                 spread(rounds.map(|(_, line)| figure(line.parts()[n])), digits)
             };
             println!(
-                "| {case} | {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+                "| {case} | {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
                 of(&|p| p.asks.all as f64, 0),
                 of(&|p| p.asks.worst as f64, 0),
                 of(&|p| p.asks.refused as f64, 0),
                 of(&|p| p.ready_ms.map_or(f64::INFINITY, |ms| ms as f64), 0),
                 of(&|p| p.worth, 3),
+                of(&|p| p.worth_first, 3),
+                of(&|p| p.could[1], 3),
                 of(&|p| p.answered, 3),
                 of(&|p| p.burden.handshakes as f64, 0),
                 of(&|p| p.burden.worst_handshakes as f64, 0),
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -59,6 +59,12 @@
     pub ready_ms: Option<u64>,
     /// Requests served in time, of those asked.
     pub worth: f64,
+    /// The same of those asked in the first five seconds.
+    pub worth_first: f64,
+    /// Of those asked, what members that do nothing else could serve, in all and in the first five seconds.
+    pub could: [f64; 2],
+    /// Asked, served in time and served late, by the second in which they were asked.
+    pub seconds: Vec<[u64; 3]>,
     /// The same with late ones counted too.
     pub answered: f64,
     /// What members bore.
@@ -84,6 +90,11 @@
     pub cold: Part,
 }
 
+/// Seconds that each part lasts.
+const LASTS: f64 = 10.0;
+/// Members.
+const MEMBERS: usize = 3;
+
 /// What happens in each part, in their order.
 pub const PARTS: [&str; 5] = [
     "all start at once",
@@ -115,13 +126,13 @@
         let bear = |cold| (0..store.members.len()).for_each(|n| store.bear(n, self.bearing(), cold));
         bear(false);
         let mut line = Line { fleet: self.fleet, ..Line::default() };
-        line.boot = self.part(&store, &gateways, &all);
+        line.boot = self.part(&store, &gateways, false, &all);
         told(PARTS[0], &line.boot);
         bear(false);
-        line.warm = self.part(&store, &gateways, &|| {});
+        line.warm = self.part(&store, &gateways, false, &|| {});
         told(PARTS[1], &line.warm);
         bear(false);
-        line.outage = self.part(&store, &gateways, &|| {
+        line.outage = self.part(&store, &gateways, false, &|| {
             store.lists().mood(None, Mood::Dead);
             std::thread::sleep(Duration::from_secs(6));
             store.lists().mood(None, Mood::Up);
@@ -131,12 +142,12 @@
         std::thread::sleep(Duration::from_secs(4));
         bear(false);
         store.lists().mood(None, Mood::Dead);
-        line.dark = self.part(&store, &gateways, &all);
+        line.dark = self.part(&store, &gateways, false, &all);
         told(PARTS[3], &line.dark);
         store.lists().mood(None, Mood::Up);
         bear(true);
         (0..store.members.len()).for_each(|n| store.announce_start(n));
-        line.cold = self.part(&store, &gateways, &all);
+        line.cold = self.part(&store, &gateways, true, &all);
         told(PARTS[4], &line.cold);
         Ok(line)
     }
@@ -166,17 +177,34 @@
         }
     }
 
-    fn part(&self, store: &Store, gateways: &Gateways, meanwhile: &(dyn Fn() + Sync)) -> Part {
+    /// The share of what is asked within so many seconds that members can do if they do nothing else.
+    fn could(&self, cold: bool, seconds: f64) -> f64 {
+        let can = self.bearing();
+        let asked = self.rate * self.fleet as f64;
+        let share = |at: f64| match cold {
+            true => (can.cold_share + (1.0 - can.cold_share) * at / can.warm_within.as_secs_f64()).min(1.0),
+            false => 1.0,
+        };
+        let steps = 1_000;
+        let at = |n: i32| (f64::from(n) + 0.5) * seconds / f64::from(steps);
+        let done = |at| (MEMBERS as f64 * can.per_second * share(at) / asked).min(1.0);
+        (0..steps).map(|n| done(at(n))).sum::<f64>() / f64::from(steps)
+    }
+
+    fn part(&self, store: &Store, gateways: &Gateways, cold: bool, meanwhile: &(dyn Fn() + Sync)) -> Part {
         let (lists_from, store_from) = (store.lists().elapsed(), store.elapsed());
         let before = store.audit().stale;
         let opening =
-            Opening { rate: self.rate, writes: 10, lasts: Duration::from_secs(10), seed: self.seed };
+            Opening { rate: self.rate, writes: 10, lasts: Duration::from_secs_f64(LASTS), seed: self.seed };
         let opened = opening.run(store, gateways, Instant::now(), meanwhile);
         let ready = opened.ready(0.99, self.fleet);
         Part {
             asks: Asks::of(&store.lists().asked(), lists_from),
             ready_ms: ready.and_then(|at| u64::try_from(at.as_millis()).ok()),
             worth: opened.worth(),
+            worth_first: opened.worth_within(5),
+            could: [LASTS, 5.0].map(|seconds| self.could(cold, seconds)),
+            seconds: opened.seconds.clone(),
             answered: (opened.served + opened.late) as f64 / opened.asked.max(1) as f64,
             burden: Burden::of(store, store_from),
             broken: opened.lost + opened.doubled + store.audit().stale - before,
--- a/crates/stackgw-standin/src/opening.rs
+++ b/crates/stackgw-standin/src/opening.rs
@@ -48,6 +48,8 @@
     pub lost: u64,
     /// Writes that ran more than once, or ran though they were refused.
     pub doubled: u64,
+    /// For each second from the beginning, by when they were asked: asked, served in time, served late.
+    pub seconds: Vec<[u64; 3]>,
 }
 
 /// Each run's requests have ids of their own.
@@ -63,6 +65,12 @@
         self.ready_ms.get(n.checked_sub(1)?).map(|ms| Duration::from_millis(*ms))
     }
 
+    /// Served in time, of what was asked in the first so many seconds.
+    pub fn worth_within(&self, seconds: usize) -> f64 {
+        let sum = |n: usize| self.seconds.iter().take(seconds).map(|second| second[n]).sum::<u64>();
+        sum(1) as f64 / sum(0).max(1) as f64
+    }
+
     /// Served in time, of what was asked.
     pub fn worth(&self) -> f64 {
         self.served as f64 / self.asked.max(1) as f64
@@ -142,6 +150,14 @@
                 let answer = if writes { client.insert(&id, &key, asked) } else { client.look(&id, &key) };
                 let mut all = lock(all);
                 all.asked += 1;
+                let second = started.saturating_duration_since(since).as_secs() as usize;
+                if all.seconds.len() <= second {
+                    all.seconds.resize(second + 1, [0; 3]);
+                }
+                all.seconds[second][0] += 1;
+                if matches!(answer, Answer::Served(_)) {
+                    all.seconds[second][if started.elapsed() <= AIM { 1 } else { 2 }] += 1;
+                }
                 match &answer {
                     Answer::Served(_) if started.elapsed() <= AIM => all.served += 1,
                     Answer::Served(_) => all.late += 1,
