Cold members: a router reached by few uses what the others cannot; load by member in the rig

Seen with connections dealt, 300 gateways, members cold: in the second second 90 gateways had a connection, 180 requests a second wanted to go, 50 went. The router's `cold_room` gives each router a three hundredth of what a member bears, also while only a third of the routers can reach that member. Checked on the counters by member, which the rig now prints: capacity was idle.

--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -99,21 +99,16 @@
         let program = std::env::current_exe().map_err(|e| e.to_string())?;
         let fleet = usize::from(self.gateways.max(3));
         println!("{fleet} gateways, three members, one list service; each part lasts ten seconds");
-        let line = super::measure_start::play(
-            program,
-            fleet,
-            super::measure_start::Way::Cluster,
-            300.0,
-            self.seed,
-            |name, part| {
-                let ready = part.ready_ms.map_or("never".to_owned(), |ms| format!("after {ms} ms"));
-                println!(
+        let said = |name: &'static str, part: &stackgw_standin::Part| {
+            let ready = part.ready_ms.map_or("never".to_owned(), |ms| format!("after {ms} ms"));
+            println!(
                 "{name}: {} list asks ({} in the worst 100 ms), ready {ready}, {:.1}% served in time, {} handshakes, \
                  cold members at {:.0}% of what they fall at",
                 part.asks.all, part.asks.worst, part.worth * 100.0, part.burden.handshakes, part.burden.cold * 100.0
             );
-            },
-        )?;
+        };
+        let way = (super::measure_start::Way::Cluster, super::measure_start::OPENS_USE);
+        let line = super::measure_start::play(program, fleet, way, 300.0, self.seed, None, said)?;
         if self.json {
             println!("{}", serde_json::to_string(&line).map_err(|e| e.to_string())?);
         }
--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -23,18 +23,24 @@
     /// Rounds; each plays every case once.
     #[arg(long, default_value_t = 3)]
     rounds: u64,
+    /// Part of what a cold member can do that handshakes may take, where connections are dealt.
+    #[arg(long, default_value_t = OPENS_USE)]
+    opens: f64,
     /// For the choices by chance; each round takes the next one.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Print each case as a line of JSON.
     #[arg(long)]
     json: bool,
+    /// Keep the gateways' files and logs here, with their counters after each part.
+    #[arg(long)]
+    logs: Option<PathBuf>,
 }
 
 /// Seconds of its fleet's asking that the list service bears in one.
 const SERVICE_SIZE: f64 = 1.5;
-/// Part of what a cold member can do that it spends on handshakes at most.
-const OPENS_USE: f64 = 0.6;
+/// Unless it is asked for.
+pub const OPENS_USE: f64 = 0.4;
 
 /// How a measured fleet comes to know the list.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -88,33 +94,40 @@
             "cluster" => Way::Cluster,
             other => return Err(format!("cases: '{other}' is none of off, alone, undealt, cluster")),
         };
-        play(program, fleet, way, self.load, seed, |_, _| {})
+        let logs = self.logs.as_ref().map(|logs| logs.join(format!("{case}-{fleet}-{seed}")));
+        play(program, fleet, (way, self.opens), self.load, seed, logs, |_, _| {})
     }
 }
 
-/// Plays one fleet in a folder of its own.
+/// Plays one fleet in a folder of its own, which is kept where it is named.
 pub fn play(
     program: PathBuf,
     fleet: usize,
-    way: Way,
+    (way, opens): (Way, f64),
     load: f64,
     seed: u64,
+    kept: Option<PathBuf>,
     told: impl FnMut(&'static str, &Part),
 ) -> Result<Line, String> {
-    let folder = std::env::temp_dir().join(format!("stackgw-start-{}-{fleet}", std::process::id()));
+    let keep = kept.is_some();
+    let folder = kept.unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("stackgw-start-{}-{fleet}", std::process::id()))
+    });
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let bears = fleet as f64 / SERVICE_SIZE;
     let (rate, member) = (load / fleet as f64, load * 2.0 / 3.0);
     let mut lines =
         vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
     if matches!(way, Way::Alone | Way::Cluster) {
-        lines.push(format!("opens: {}", ColdStart::opens(member, OPENS_USE)));
+        lines.push(format!("opens: {}", ColdStart::opens(member, opens)));
     }
     let cluster = matches!(way, Way::Undealt | Way::Cluster);
     let start = (way != Way::Off).then_some(StartPart { cluster, lines });
     let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
     let line = cold.play(told);
-    let _ = std::fs::remove_dir_all(&folder);
+    if !keep {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
     line
 }
 
--- a/crates/stackgw-router/tests/ways.rs
+++ b/crates/stackgw-router/tests/ways.rs
@@ -72,3 +72,29 @@
     assert_eq!(sent(&bench.ask(WRITE).1), [2], "the primary as others heard it, without a probe");
     assert!(bench.pass(2 * SECOND).iter().all(|action| !matches!(action, Action::Tell { .. })));
 }
+
+#[test]
+fn a_router_with_few_connections_to_cold_members_uses_what_the_others_cannot() {
+    // All three have just started; what a window allows at one that is reached grows as others are not.
+    let most = |reached: usize| {
+        let mut bench = Bench::heard(Settings { fleet_size: 10, lagging: Lagging::Refuses, ..settings() }, 4);
+        let started = |id| Member { started: Some(bench.now), ..member(id, false) };
+        let members = (1..4).map(started).collect();
+        bench.tell(Event::List { scope: ListScope::Changes, members });
+        bench.router.expect(10.0);
+        (1..4).for_each(|id| bench.probed(id, false, START));
+        let free = |id: usize| (if id <= reached { 50 } else { 0 }, Time::MAX);
+        (1..4).for_each(|id| bench.router.reach(MemberId(id as u32), Some(free(id))));
+        let mut to_one = 0;
+        for _ in 0..60 {
+            let (id, actions) = bench.ask(LOOSE);
+            for member in sent(&actions) {
+                to_one += usize::from(member == 1);
+                bench.end(id, member, Outcome::Served, MS);
+            }
+        }
+        to_one
+    };
+    let (one, all) = (most(1), most(3));
+    assert!(one >= 2 * all && one <= 4 * all, "{one} where one is reached, {all} where all are");
+}
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -197,6 +197,7 @@
         let opening =
             Opening { rate: self.rate, writes: 10, lasts: Duration::from_secs_f64(LASTS), seed: self.seed };
         let opened = opening.run(store, gateways, Instant::now(), meanwhile);
+        gateways.report();
         let ready = opened.ready(0.99, self.fleet);
         Part {
             asks: Asks::of(&store.lists().asked(), lists_from),
--- a/crates/stackgw-standin/src/gateways.rs
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Has all of them write their counters into their logs.
+    pub fn report(&self) {
+        (0..self.len()).for_each(|n| self.signal(n, Signal::USR1));
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.setup.gateways
--- a/crates/stackgw-standin/src/opening.rs
+++ b/crates/stackgw-standin/src/opening.rs
@@ -182,7 +182,7 @@
 }
 
 /// What all members of a store were asked to bear from a moment on (counted from the store's start).
-#[derive(Debug, Clone, Copy, Default, Serialize)]
+#[derive(Debug, Clone, Default, Serialize)]
 pub struct Burden {
     /// New connections at all of them.
     pub handshakes: usize,
@@ -196,6 +196,8 @@
     pub shed: u64,
     /// Probes.
     pub probes: u64,
+    /// For each member, the first one being the primary: new connections, requests taken, requests turned away.
+    pub members: Vec<[u64; 3]>,
 }
 
 impl Burden {
@@ -203,9 +205,10 @@
     pub fn of(store: &Store, from: Duration) -> Self {
         let mut all = Burden::default();
         for n in 0..store.members.len() {
-            let Borne { handshakes, worst: cold, fell, shed, probes, .. } = store.borne(n);
+            let Borne { handshakes, worst: cold, fell, taken, shed, probes } = store.borne(n);
             let since: Vec<_> = handshakes.into_iter().filter(|at| *at >= from).collect();
             all.handshakes += since.len();
+            all.members.push([since.len() as u64, taken, shed]);
             all.worst_handshakes = all.worst_handshakes.max(worst(since, Duration::from_millis(100)));
             (all.cold, all.fell, all.shed) = (all.cold.max(cold), all.fell + fell, all.shed + shed);
             all.probes += probes;
