--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -224,7 +224,7 @@
     /// What answers have shown here, to be told to others.
     pub fn saw(&mut self, now: Time, seen: impl IntoIterator<Item = Sighting>) {
         for seen in seen {
-            self.seen.take(now, seen, self.set.silence);
+            self.seen.own(now, seen, self.set.silence);
         }
     }
 
--- a/crates/stackgw-start/tests/histories.rs
+++ b/crates/stackgw-start/tests/histories.rs
@@ -217,3 +217,27 @@
     let most = back.iter().map(|at| back.iter().filter(|b| (*at..at + 100 * MS).contains(b)).count()).max();
     assert!(most <= Some(24), "{most:?} of 200 in 100 ms");
 }
+
+#[test]
+fn what_one_sees_of_members_is_everywhere_within_two_paces_and_goes_no_further() {
+    let mut sim = Sim::new(30, 5, 100.0, true, 4);
+    sim.start_all(0..30);
+    sim.pass(5 * SECOND);
+    let seen = |now: i64, leads| stackgw_start::Sighting {
+        member: stackgw_start::Sighting::of("m1"),
+        position_ms: (now / MS) as u64,
+        leads: Some(leads),
+        at_ms: (now / MS) as u64,
+    };
+    let now = sim.now;
+    sim.nodes[17].start.as_mut().expect("it runs").saw(now, [seen(now, true)]);
+    // Its own question tells a holder, and the others' questions bring it from there: one grace, as each asks four times in it and
+    // the holders in turn.
+    sim.pass(GRACE * 3 / 2);
+    let told = |sim: &Sim| sim.nodes.iter().filter(|node| node.sighted.contains(&seen(now, true))).count();
+    assert!(told(&sim) >= 28, "{} of 29 others", told(&sim));
+    let heard: usize = sim.nodes.iter().map(|node| node.sighted.len()).sum();
+    sim.pass(10 * SECOND);
+    let after: usize = sim.nodes.iter().map(|node| node.sighted.len()).sum();
+    assert!(after <= heard + 1, "{after} tellings, {heard} before");
+}
