The rig lets go of connections that are over; a list of members is gone through once

Now a clone goes with its connection.

On reading over: `Deal::arrange` went through a group once for each member of a list, `deal_listed` through the list for each member, and `sighted` through all members for each datagram; now each is one pass, or a map kept beside the list.

--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -61,7 +61,7 @@
     pub(super) fn told(&mut self, now: Time, scope: ListScope, list: &[ListEntry], out: &mut Vec<Effect>) {
         self.counters.lists += 1;
         let members: Vec<_> = list.iter().filter_map(|e| self.listed(now, e, out)).collect();
-        self.deal_listed(now, scope, &members, list);
+        self.deal_listed(now, &members, list);
         if scope == ListScope::Full && !self.limits.only_drains_bind {
             let named: BTreeSet<_> = members.iter().map(|m| m.id).collect();
             let missing = self.members.iter_mut().filter(|(id, _)| !named.contains(id));
@@ -95,7 +95,7 @@
         let Some(Listed { name, .. }) = self.members.remove(&member) else { return };
         self.member_ids.remove(&name);
         self.digests.remove(member);
-        self.deal(|deal| deal.forget(member));
+        self.start_forgets(member, &name);
         self.counters.members_known -= 1;
         self.counters.members_forgotten += 1;
         self.close_idle(member, out);
--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -19,6 +19,8 @@
     ways: BTreeSet<MemberId>,
     /// When each member of the list started, where that is recent.
     began: BTreeMap<MemberId, Time>,
+    /// Members by their names as sightings carry them.
+    sights: HashMap<u64, MemberId>,
 }
 
 impl Starting {
@@ -121,6 +123,7 @@
             deal: file.opens.map(|opens| Deal::new(dealt(opens), self.secret)),
             ways: BTreeSet::new(),
             began: BTreeMap::new(),
+            sights: HashMap::new(),
         }));
         self.start_outputs(now, outputs, out);
         self.start_due_set(now);
@@ -211,9 +214,9 @@
 
     /// What members have told elsewhere, for the router.
     fn sighted(&mut self, now: Time, seen: &[Sighting]) {
-        let known: HashMap<_, _> = self.members.iter().map(|(id, m)| (Sighting::of(&m.name), *id)).collect();
         for seen in seen {
-            let Some(member) = known.get(&seen.member).copied() else { continue };
+            let known = self.starting.as_ref().and_then(|s| s.sights.get(&seen.member).copied());
+            let Some(member) = known else { continue };
             let position = Some(seen.position()).filter(|at| *at > 0);
             if !self.can_be(now, position) {
                 continue;
@@ -235,18 +238,13 @@
     }
 
     /// Members as the list has them now. Kept word knows of nobody whether it has just started.
-    pub(super) fn deal_listed(
-        &mut self,
-        now: Time,
-        scope: ListScope,
-        members: &[Member],
-        list: &[ListEntry],
-    ) {
+    pub(super) fn deal_listed(&mut self, now: Time, members: &[Member], list: &[ListEntry]) {
         let Some(starting) = self.starting.as_mut() else { return };
+        let unknown: HashSet<_> = list.iter().filter(|e| e.up_since_ms < 0).map(|e| e.id.as_str()).collect();
         for member in members {
             let Some(name) = self.members.get(&member.id).map(|m| m.name.as_str()) else { continue };
-            let unknown = list.iter().any(|e| e.up_since_ms < 0 && e.id == name);
-            let started = member.started.map(|at| Some(at).filter(|_| !unknown));
+            starting.sights.insert(Sighting::of(name), member.id);
+            let started = member.started.map(|at| Some(at).filter(|_| !unknown.contains(name)));
             match started.flatten() {
                 Some(at) => drop(starting.began.insert(member.id, at)),
                 None => drop(starting.began.remove(&member.id)),
@@ -256,8 +254,18 @@
                 starting.ways.insert(member.id);
             }
         }
-        if scope == ListScope::Full {
-            starting.began.retain(|id, _| members.iter().any(|m| m.id == *id));
+        if let Some(deal) = starting.deal.as_mut() {
+            deal.arrange(now);
+        }
+    }
+
+    /// Drops what goes by a member's number.
+    pub(super) fn start_forgets(&mut self, member: MemberId, name: &str) {
+        let Some(starting) = self.starting.as_mut() else { return };
+        starting.began.remove(&member);
+        starting.sights.remove(&Sighting::of(name));
+        if let Some(deal) = starting.deal.as_mut() {
+            deal.forget(member);
         }
     }
 
--- a/crates/stackgw-standin/src/store.rs
+++ b/crates/stackgw-standin/src/store.rs
@@ -116,6 +116,11 @@
         }
         alive
     }
+
+    /// A connection is over. Danger: held on to, thousands of them take all descriptors of a rig of hundreds of gateways.
+    fn leaves(&self, peer: Option<SocketAddr>) {
+        lock(&self.sockets).retain(|socket| socket.peer_addr().ok() != peer);
+    }
 }
 
 impl Drop for Running {
@@ -191,7 +196,11 @@
                     let store = store.clone();
                     Box::new(move |socket| {
                         let store = store.clone();
-                        std::thread::spawn(move || store.serve(n, socket));
+                        std::thread::spawn(move || {
+                            let peer = socket.peer_addr().ok();
+                            store.serve(n, socket);
+                            store.members[n].leaves(peer);
+                        });
                     })
                 }
                 #[cfg(feature = "flight")]
--- a/crates/stackgw-start/benches/scale.rs
+++ b/crates/stackgw-start/benches/scale.rs
@@ -50,6 +50,7 @@
         for n in 0..members {
             deal.listed(now, MemberId(n), &format!("m{n}"), GroupId(2), Some(Some(now)));
         }
+        deal.arrange(now);
         (0..members).map(|n| deal.from(now, MemberId(n)).unwrap_or(now) - now).collect()
     };
     (0..fleet).map(of).collect()
--- a/crates/stackgw-start/src/deal.rs
+++ b/crates/stackgw-start/src/deal.rs
@@ -103,22 +103,26 @@
         let name = xxh3_64(name.as_bytes());
         let lane = Lane { group, name, started, from, next: now, failed: 0, unopened: Some(now) };
         self.lanes.insert(member, lane);
-        self.arrange(now, group);
     }
 
-    /// Gives each member of a group that was listed in this moment its place in the row.
-    fn arrange(&mut self, now: Time, group: GroupId) {
-        let mut row: Vec<_> = self.lanes.iter().filter(|(_, lane)| lane.group == group).collect();
-        row.sort_by_key(|(_, lane)| lane.name);
-        let row: Vec<_> = row.into_iter().map(|(id, lane)| (*id, lane.from, lane.unopened)).collect();
+    /// The list has been gone through: gives each member that was listed in this moment its place in its group's row.
+    pub fn arrange(&mut self, now: Time) {
+        let mut rows: BTreeMap<GroupId, Vec<_>> = BTreeMap::new();
+        for (id, lane) in &self.lanes {
+            rows.entry(lane.group).or_default().push((lane.name, *id, lane.from, lane.unopened));
+        }
+        rows.retain(|_, row| row.iter().any(|(_, _, _, unopened)| *unopened == Some(now)));
         let fleet = f64::from(self.set.fleet.max(1));
         let mine = (f64::from(self.set.number) + self.rng.random::<f64>()) / fleet;
-        let count = row.len() as f64;
-        for (rank, (id, from, unopened)) in row.into_iter().enumerate() {
-            if unopened == Some(now) {
-                let place = (mine + rank as f64 / count).fract();
-                let next = self.borne(now, now - from, place * fleet);
-                self.lanes.entry(id).and_modify(|lane| lane.next = next);
+        for mut row in rows.into_values() {
+            row.sort_unstable();
+            let count = row.len() as f64;
+            for (rank, (_, id, from, unopened)) in row.into_iter().enumerate() {
+                if unopened == Some(now) {
+                    let place = (mine + rank as f64 / count).fract();
+                    let next = self.borne(now, now - from, place * fleet);
+                    self.lanes.entry(id).and_modify(|lane| lane.next = next);
+                }
             }
         }
     }
@@ -188,6 +192,7 @@
         for n in 0..3 {
             deal.listed(now, MemberId(n), &format!("m{n}"), GroupId(2), started);
         }
+        deal.arrange(now);
     }
 
     /// When each instance's first turn at each member comes.
