Read over: one check of a handshake's end, a member's start beside its other figures

Both ends of a connection that was still coming up asked the same thing by hand and looked the connection up twice (handshake_failed); the start of each member stood in a map of its own beside the member's record, and the list was gone through by way of its members, with a set of those whose start is unknown, to find out what the entry itself says. The router counted a group twice for each look at a cold member's budget. Behaviour as before.

--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -10,6 +10,8 @@
     pub(super) address: SocketAddr,
     /// It speaks another front's protocol.
     pub(super) back: bool,
+    /// When its process started, where that is recent or not known.
+    pub(super) started: Option<Time>,
     /// Since when the list has had it draining or gone, in a way that binds.
     pub(super) told: Option<Time>,
 }
@@ -61,7 +63,7 @@
     pub(super) fn told(&mut self, now: Time, scope: ListScope, list: &[ListEntry], out: &mut Vec<Effect>) {
         self.counters.lists += 1;
         let members: Vec<_> = list.iter().filter_map(|e| self.listed(now, e, out)).collect();
-        self.deal_listed(now, &members, list);
+        self.start_listed(now, list);
         if scope == ListScope::Full && !self.limits.only_drains_bind {
             let named: BTreeSet<_> = members.iter().map(|m| m.id).collect();
             let missing = self.members.iter_mut().filter(|(id, _)| !named.contains(id));
@@ -111,7 +113,8 @@
                 let (name, group) = (entry.id.clone(), entry.cell);
                 self.member_ids.insert(name.clone(), id);
                 let back = self.backs.speaks(entry);
-                self.members.insert(id, Listed { name, group, address: entry.address, back, told: None });
+                let known = Listed { name, group, address: entry.address, back, started: None, told: None };
+                self.members.insert(id, known);
                 self.digests.add(id, &entry.id);
                 self.counters.members_known += 1;
                 id
@@ -121,8 +124,11 @@
             known.address = entry.address;
             self.close_idle(id, out);
         }
+        // Below zero: nobody knows, so that it may have started just now.
+        let started =
+            Some(entry.up_since_ms * MS).map(|at| if at < 0 { now } else { at }).filter(|at| *at > 0);
         if let Some(known) = self.members.get_mut(&id) {
-            known.group = entry.cell;
+            (known.group, known.started) = (entry.cell, started);
             let binds = match entry.phase {
                 Standing::Serving => false,
                 Standing::Draining => true,
@@ -135,10 +141,7 @@
             group: GroupId(entry.cell),
             zone: self.names.zones.iter().position(|z| *z == entry.locality).unwrap_or(0) as u32,
             weight: entry.size,
-            // Below zero: nobody knows, so that it may have started just now.
-            started: Some(entry.up_since_ms * MS)
-                .map(|at| if at < 0 { now } else { at })
-                .filter(|at| *at > 0),
+            started,
             standing: entry.phase,
             primary: entry.leader,
         })
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -287,16 +287,13 @@
 
     /// A connection is over. Whether its request's last byte was written tells what that means.
     pub(super) fn member_closed(&mut self, now: Time, id: ConnId, why: Closed, out: &mut Vec<Effect>) {
+        self.handshake_failed(now, id);
         let Some(conn) = self.conns.get_mut(&id) else { return };
         if why == Closed::Bad {
             self.counters.members_bad += 1;
             log_rarely(self.counters.members_bad, "bad bytes from members:", out);
         }
-        let (job, member, phase) = (conn.job, conn.member, conn.phase);
-        if matches!(phase, Phase::Connecting | Phase::Starting) {
-            self.deal(|deal| deal.failed(now, member));
-        }
-        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let job = conn.job;
         if why == Closed::Unasked {
             self.counters.members_unasked += 1;
             log_rarely(self.counters.members_unasked, "connections with more than was asked for:", out);
@@ -339,15 +336,19 @@
         }
     }
 
+    /// A connection ends, or its time is up: where it was still coming up, that turn has brought nothing.
+    fn handshake_failed(&mut self, now: Time, id: ConnId) {
+        let coming = |c: &&Conn| matches!(c.phase, Phase::Connecting | Phase::Starting);
+        if let Some(member) = self.conns.get(&id).filter(coming).map(|conn| conn.member) {
+            self.deal(|deal| deal.failed(now, member));
+        }
+    }
+
     /// A connection's time is up: it did not come up, or its attempt or probe is given up.
     pub(super) fn conn_due(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        self.handshake_failed(now, id);
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.timer = None;
-        let (member, phase) = (conn.member, conn.phase);
-        if matches!(phase, Phase::Connecting | Phase::Starting) {
-            self.deal(|deal| deal.failed(now, member));
-        }
-        let Some(conn) = self.conns.get_mut(&id) else { return };
         let outcome = match conn.phase {
             Phase::Connecting | Phase::Starting | Phase::Writing => Outcome::NoConnection,
             Phase::Waiting if conn.partial && now < conn.until => Outcome::Spoilt,
--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -17,8 +17,6 @@
     deal: Option<Deal>,
     /// Members to which the ways have changed since the router was last told.
     ways: BTreeSet<MemberId>,
-    /// When each member of the list started, where that is recent.
-    began: BTreeMap<MemberId, Time>,
     /// Members by their names as sightings carry them.
     sights: HashMap<u64, MemberId>,
 }
@@ -122,7 +120,6 @@
             service,
             deal: file.opens.map(|opens| Deal::new(dealt(opens), self.secret)),
             ways: BTreeSet::new(),
-            began: BTreeMap::new(),
             sights: HashMap::new(),
         }));
         self.start_outputs(now, outputs, out);
@@ -222,7 +219,7 @@
                 continue;
             }
             // Danger: a process that has started since leads nobody until it says so itself.
-            let began = self.starting.as_ref().and_then(|s| s.began.get(&member).copied());
+            let began = self.members.get(&member).and_then(|known| known.started);
             let primary = seen.leads.filter(|_| began.is_none_or(|began| seen.at() > began));
             let news = vec![News { member, position, primary, strain: 0.0, answers: 0 }];
             self.events.push_back(Event::Peer { told: seen.at().min(now), relay: false, news });
@@ -238,21 +235,18 @@
     }
 
     /// Members as the list has them now. Kept word knows of nobody whether it has just started.
-    pub(super) fn deal_listed(&mut self, now: Time, members: &[Member], list: &[ListEntry]) {
+    pub(super) fn start_listed(&mut self, now: Time, list: &[ListEntry]) {
         let Some(starting) = self.starting.as_mut() else { return };
-        let unknown: HashSet<_> = list.iter().filter(|e| e.up_since_ms < 0).map(|e| e.id.as_str()).collect();
-        for member in members {
-            let Some(name) = self.members.get(&member.id).map(|m| m.name.as_str()) else { continue };
-            starting.sights.insert(Sighting::of(name), member.id);
-            let started = member.started.map(|at| Some(at).filter(|_| !unknown.contains(name)));
-            match started.flatten() {
-                Some(at) => drop(starting.began.insert(member.id, at)),
-                None => drop(starting.began.remove(&member.id)),
-            }
-            if let Some(deal) = starting.deal.as_mut() {
-                deal.listed(now, member.id, name, member.group, started);
-                starting.ways.insert(member.id);
-            }
+        for entry in list {
+            let Some(member) = self.member_ids.get(&entry.id).copied() else { continue };
+            starting.sights.insert(Sighting::of(&entry.id), member);
+            let Some(deal) = starting.deal.as_mut() else { continue };
+            let started = match entry.up_since_ms {
+                0 => None,
+                ms => Some(Some(ms * MS).filter(|_| ms > 0)),
+            };
+            deal.listed(now, member, &entry.id, GroupId(entry.cell), started);
+            starting.ways.insert(member);
         }
         if let Some(deal) = starting.deal.as_mut() {
             deal.arrange(now);
@@ -262,7 +256,6 @@
     /// Drops what goes by a member's number.
     pub(super) fn start_forgets(&mut self, member: MemberId, name: &str) {
         let Some(starting) = self.starting.as_mut() else { return };
-        starting.began.remove(&member);
         starting.sights.remove(&Sighting::of(name));
         if let Some(deal) = starting.deal.as_mut() {
             deal.forget(member);
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -359,11 +359,12 @@
         let rate = self.warm_rate * warmth * rules.fall_multiple * COLD_USE;
         let least = 4.0 / f64::from(self.set.fleet_size.max(1));
         // Where connections are dealt, few routers have one here yet: theirs is what the others cannot use.
-        let dealt = |reached: bool| {
-            let of_group = self.members(node.group).filter(|(_, n)| n.ways.is_some());
-            of_group.filter(|(_, n)| !reached || !n.has_none_free() || n.in_flight > 0).count().max(1) as f64
-        };
-        let part = if node.ways.is_some() { dealt(false) / dealt(true) } else { 1.0 };
+        let (mut dealt, mut reached) = (0, 0);
+        for (_, n) in self.members(node.group).filter(|(_, n)| node.ways.is_some() && n.ways.is_some()) {
+            dealt += 1;
+            reached += u32::from(!n.has_none_free() || n.in_flight > 0);
+        }
+        let part = f64::from(dealt.max(1)) / f64::from(reached.max(1));
         let budget = (rate * part * rules.fall_window as f64 / SECOND as f64).max(least);
         let spent = node.cold_sends.iter().filter(|t| now - **t < rules.fall_window).count();
         // A part of one is a chance, drawn by each router for each window: else hundreds would each send one.
--- a/crates/stackgw-start/src/message.rs
+++ b/crates/stackgw-start/src/message.rs
@@ -104,9 +104,8 @@
         }
         parts.push(now);
         let count = u16::try_from(parts.len()).ok().filter(|count| *count <= PARTS_MOST)?;
-        let later = Tell { seen: Vec::new(), ..self.clone() };
-        let of = |n: usize| if n == 0 { self.clone() } else { later.clone() };
-        let part = |(n, entries)| Tell { part: (n as u16, count), entries, ..of(n) };
+        let seen = |n| if n == 0 { self.seen.clone() } else { Vec::new() };
+        let part = |(n, entries)| Tell { part: (n as u16, count), entries, seen: seen(n), ..self.clone() };
         Some(parts.into_iter().enumerate().map(part).collect())
     }
 }
