Read over: the rig's one formula of a warming member, one judgment of an answer, how a fleet starts as a type

cold_start.rs worked out again what a member of some age can do, which bearing.rs had (Bearing::at now serves both); each answer was held against its aim twice, at two moments, so that totals and seconds could differ by one; four cases and a pair stood for what is a flag and a share (Way). Two tests shared their members' new start and the check that none fell: members_start, stands.

--- a/crates/stackgw-cli/src/cmd/demo.rs
+++ b/crates/stackgw-cli/src/cmd/demo.rs
@@ -1,5 +1,6 @@
 //! `stackgw demo`: gateways are killed between writes and reads on loopback, and the audit says what sessions saw.
 
+use super::measure_start::{play, Way, OPENS_USE};
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
 use stackgw_standin::{Gateways, Mode, Setup, Speaks, Store, Trial, Troubles, Verdict, GROUP};
@@ -107,8 +108,8 @@
                 part.asks.all, part.asks.worst, part.worth * 100.0, part.burden.handshakes, part.burden.cold * 100.0
             );
         };
-        let way = (super::measure_start::Way::Cluster, super::measure_start::OPENS_USE);
-        let line = super::measure_start::play(program, fleet, way, 300.0, self.seed, None, said)?;
+        let way = Way { cluster: true, opens: Some(OPENS_USE) };
+        let line = play(program, fleet, Some(way), 300.0, self.seed, None, said)?;
         if self.json {
             println!("{}", serde_json::to_string(&line).map_err(|e| e.to_string())?);
         }
--- a/crates/stackgw-cli/src/cmd/measure_start.rs
+++ b/crates/stackgw-cli/src/cmd/measure_start.rs
@@ -42,17 +42,13 @@
 /// Unless it is asked for.
 pub const OPENS_USE: f64 = 0.4;
 
-/// How a measured fleet comes to know the list.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Way {
-    /// As the platform has it.
-    Off,
-    /// Each gateway for itself, in turns.
-    Alone,
-    /// From each other, connecting to members as they like.
-    Undealt,
-    /// From each other, connections to cold members dealt.
-    Cluster,
+/// How a measured fleet comes to know the list, where not as the platform has it.
+#[derive(Clone, Copy)]
+pub struct Way {
+    /// Gateways tell each other.
+    pub cluster: bool,
+    /// Part of what a cold member can do that handshakes may take; `None`: connections are not dealt.
+    pub opens: Option<f64>,
 }
 
 impl StartCost {
@@ -87,15 +83,16 @@
             (Some(before), "before") => before.clone(),
             _ => std::env::current_exe().map_err(|e| e.to_string())?,
         };
+        let dealt = Some(self.opens);
         let way = match case {
-            "before" | "off" => Way::Off,
-            "alone" => Way::Alone,
-            "undealt" => Way::Undealt,
-            "cluster" => Way::Cluster,
+            "before" | "off" => None,
+            "alone" => Some(Way { cluster: false, opens: dealt }),
+            "undealt" => Some(Way { cluster: true, opens: None }),
+            "cluster" => Some(Way { cluster: true, opens: dealt }),
             other => return Err(format!("cases: '{other}' is none of off, alone, undealt, cluster")),
         };
         let logs = self.logs.as_ref().map(|logs| logs.join(format!("{case}-{fleet}-{seed}")));
-        play(program, fleet, (way, self.opens), self.load, seed, logs, |_, _| {})
+        play(program, fleet, way, self.load, seed, logs, |_, _| {})
     }
 }
 
@@ -103,7 +100,7 @@
 pub fn play(
     program: PathBuf,
     fleet: usize,
-    (way, opens): (Way, f64),
+    way: Option<Way>,
     load: f64,
     seed: u64,
     kept: Option<PathBuf>,
@@ -116,13 +113,12 @@
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let bears = fleet as f64 / SERVICE_SIZE;
     let (rate, member) = (load / fleet as f64, load * 2.0 / 3.0);
-    let mut lines =
-        vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
-    if matches!(way, Way::Alone | Way::Cluster) {
-        lines.push(format!("opens: {}", ColdStart::opens(member, opens)));
-    }
-    let cluster = matches!(way, Way::Undealt | Way::Cluster);
-    let start = (way != Way::Off).then_some(StartPart { cluster, lines });
+    let start = way.map(|Way { cluster, opens }| {
+        let mut lines =
+            vec![format!("bears: {}", bears.ceil() as u64), "list: \"{folder}/g{n}.list\"".to_owned()];
+        lines.extend(opens.map(|share| format!("opens: {}", ColdStart::opens(member, share))));
+        StartPart { cluster, lines }
+    });
     let cold = ColdStart { program, folder: folder.clone(), fleet, start, bears, rate, member, seed };
     let line = cold.play(told);
     if !keep {
--- a/crates/stackgw-cli/tests/start.rs
+++ b/crates/stackgw-cli/tests/start.rs
@@ -3,7 +3,7 @@
 
 use serde_json::Value;
 use stackgw_standin::{
-    worst, Answer, Bearing, Bears, Client, Fate, Gateways, Mode, Mood, Opened, Opening, Setup, Speaks,
+    worst, Answer, Bearing, Bears, Borne, Client, Fate, Gateways, Mode, Mood, Opened, Opening, Setup, Speaks,
     StartPart, Store,
 };
 use std::io::{BufRead, BufReader, Write};
@@ -104,6 +104,21 @@
         opening.run(&self.store, &self.gateways, Instant::now(), meanwhile)
     }
 
+    /// All members start anew, cold, and the list says so.
+    fn members_start(&self) {
+        for n in 0..3 {
+            self.store.bear(n, bearing(), true);
+            self.store.announce_start(n);
+        }
+    }
+
+    /// What a member has borne; it never came near falling over.
+    fn stands(&self, n: usize) -> Borne {
+        let borne = self.store.borne(n);
+        assert!(borne.fell == 0 && borne.worst < 1.0, "member {n}: {} of what it falls at", borne.worst);
+        borne
+    }
+
     /// Nothing was lost, doubled or stale.
     fn sound(&self, opened: &Opened) {
         assert_eq!((opened.lost, opened.doubled), (0, 0), "{opened:?}");
@@ -341,17 +356,11 @@
     });
     world.sound(&opened);
     assert!(opened.worth() > 0.8, "{opened:?}");
-    for n in 0..3 {
-        world.store.bear(n, bearing(), true);
-        world.store.announce_start(n);
-    }
+    world.members_start();
     world.know(ms(5_000), 0..10);
     let opened = world.play(20.0, ms(5_000), || world.start(0..10));
     world.sound(&opened);
-    for n in 0..3 {
-        let borne = world.store.borne(n);
-        assert!(borne.fell == 0 && borne.worst < 1.0, "member {n}: {} of what it falls at", borne.worst);
-    }
+    (0..3).for_each(|n| drop(world.stands(n)));
 }
 
 #[test]
@@ -363,17 +372,13 @@
     world.know(ms(10_000), 0..24);
     world.play(8.0, ms(6_000), || {});
     // All start anew, gateways and members.
-    for n in 0..3 {
-        world.store.bear(n, bearing(), true);
-        world.store.announce_start(n);
-    }
+    world.members_start();
     let from = world.store.elapsed();
     let opened = world.play(8.0, ms(6_000), || world.start(0..24));
     world.sound(&opened);
     assert!(opened.served + opened.late > opened.asked / 3, "{opened:?}");
     for n in 0..3 {
-        let borne = world.store.borne(n);
-        assert!(borne.fell == 0 && borne.worst < 1.0, "member {n}: {} of what it falls at", borne.worst);
+        let borne = world.stands(n);
         // In one second the turns that fall into it, and those that chance moves; without turns all 24 and more.
         let dealt = worst(borne.handshakes.into_iter().filter(|at| *at >= from), ms(1_000));
         assert!(dealt <= 16, "member {n}: {dealt} new connections in a second");
--- a/crates/stackgw-standin/src/bearing.rs
+++ b/crates/stackgw-standin/src/bearing.rs
@@ -27,6 +27,14 @@
     pub down: Duration,
 }
 
+impl Bearing {
+    /// Requests a second that a member of this age can do; `None`: it has been up for long.
+    pub(crate) fn at(&self, age: Option<Duration>) -> f64 {
+        let age = age.map_or(1.0, |age| age.as_secs_f64() / self.warm_within.as_secs_f64());
+        self.per_second * (self.cold_share + (1.0 - self.cold_share) * age.min(1.0))
+    }
+}
+
 /// What one member was asked to bear.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Borne {
@@ -94,9 +102,7 @@
 
     /// Requests a second that it can do now.
     fn present(&self, now: Duration) -> f64 {
-        let Bearing { per_second, cold_share, warm_within, .. } = self.can;
-        let age = self.started.map_or(1.0, |at| (now - at).as_secs_f64() / warm_within.as_secs_f64());
-        per_second * (cold_share + (1.0 - cold_share) * age.min(1.0))
+        self.can.at(self.started.map(|at| now - at))
     }
 
     /// A new connection.
--- a/crates/stackgw-standin/src/cold_start.rs
+++ b/crates/stackgw-standin/src/cold_start.rs
@@ -92,8 +92,6 @@
 
 /// Seconds that each part lasts.
 const LASTS: f64 = 10.0;
-/// Members.
-const MEMBERS: usize = 3;
 
 /// What happens in each part, in their order.
 pub const PARTS: [&str; 5] = [
@@ -177,18 +175,15 @@
         }
     }
 
-    /// The share of what is asked within so many seconds that members can do if they do nothing else.
-    fn could(&self, cold: bool, seconds: f64) -> f64 {
-        let can = self.bearing();
-        let asked = self.rate * self.fleet as f64;
-        let share = |at: f64| match cold {
-            true => (can.cold_share + (1.0 - can.cold_share) * at / can.warm_within.as_secs_f64()).min(1.0),
-            false => 1.0,
-        };
+    /// The share of what is asked within so many seconds that so many members can do if they do nothing else.
+    fn could(&self, members: usize, cold: bool, seconds: f64) -> f64 {
+        let (can, asked) = (self.bearing(), self.rate * self.fleet as f64);
         let steps = 1_000;
-        let at = |n: i32| (f64::from(n) + 0.5) * seconds / f64::from(steps);
-        let done = |at| (MEMBERS as f64 * can.per_second * share(at) / asked).min(1.0);
-        (0..steps).map(|n| done(at(n))).sum::<f64>() / f64::from(steps)
+        let share = |n: i32| {
+            let at = Duration::from_secs_f64((f64::from(n) + 0.5) * seconds / f64::from(steps));
+            (members as f64 * can.at(cold.then_some(at)) / asked).min(1.0)
+        };
+        (0..steps).map(share).sum::<f64>() / f64::from(steps)
     }
 
     fn part(&self, store: &Store, gateways: &Gateways, cold: bool, meanwhile: &(dyn Fn() + Sync)) -> Part {
@@ -204,7 +199,7 @@
             ready_ms: ready.and_then(|at| u64::try_from(at.as_millis()).ok()),
             worth: opened.worth(),
             worth_first: opened.worth_within(5),
-            could: [LASTS, 5.0].map(|seconds| self.could(cold, seconds)),
+            could: [LASTS, 5.0].map(|seconds| self.could(store.members.len(), cold, seconds)),
             seconds: opened.seconds.clone(),
             answered: (opened.served + opened.late) as f64 / opened.asked.max(1) as f64,
             burden: Burden::of(store, store_from),
--- a/crates/stackgw-standin/src/opening.rs
+++ b/crates/stackgw-standin/src/opening.rs
@@ -155,12 +155,13 @@
                     all.seconds.resize(second + 1, [0; 3]);
                 }
                 all.seconds[second][0] += 1;
+                let late = started.elapsed() > AIM;
                 if matches!(answer, Answer::Served(_)) {
-                    all.seconds[second][if started.elapsed() <= AIM { 1 } else { 2 }] += 1;
+                    all.seconds[second][1 + usize::from(late)] += 1;
                 }
                 match &answer {
-                    Answer::Served(_) if started.elapsed() <= AIM => all.served += 1,
-                    Answer::Served(_) => all.late += 1,
+                    Answer::Served(_) if late => all.late += 1,
+                    Answer::Served(_) => all.served += 1,
                     Answer::Refused => all.refused += 1,
                     Answer::Failed | Answer::Malformed => all.failed += 1,
                     Answer::Cut => all.cut += 1,
