A test of tickets waits until its restarted gateway has the list

Seen beside a busy machine: 3 of 8 runs of flight.rs failed with 'no list of members is known yet', code Unavailable. The restart waits for the listener alone, and the test asked in the moment before the first list; the gateway's answer is right.

--- a/crates/stackgw-cli/tests/flight.rs
+++ b/crates/stackgw-cli/tests/flight.rs
@@ -10,7 +10,7 @@
 use arrow_schema::{DataType, Field, Schema};
 use driver::{code, fetch, sql, Sql, World};
 use futures::TryStreamExt;
-use stackgw_standin::{Speaks, USER};
+use stackgw_standin::{Client, Speaks, USER};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -107,6 +107,9 @@
         let mut first = sql(world.flight(0), "look").await;
         let info = first.execute(SELECT.to_owned(), None).await.expect("a ticket");
         world.gateways.restart(0).expect("it starts");
+        // It listens, and may not have the list yet.
+        let mut waits = world.gateways.address(0).and_then(Client::connect).expect("a connection");
+        assert!(waits.is_ready());
         for n in 0..2 {
             let mut other = sql(world.flight(n), "look").await;
             assert_eq!(fetch(&mut other, info.clone()).await.expect("served").len(), 1);
