Cold members are judged by what replicas or primaries bear, whichever is more

Traced by attempt: until the fourth second members answer in 10 to 60 ms while a tenth of the reads waits 400 ms in its gateway. At fault: tick counted answers over all serving members, so the idle primary made the warm rate 200 a second where replicas had shown 285.

Change: the warm rate is kept for replicas and for primaries, and the greater one is the yardstick. Both are what members did bear, so the sum of the fleet stays under what makes one fall. Beside it: a sighting is stamped with the gathering before, so that a role told before its member started again is not taken for later; 'dealt' no longer counts members that are warm by now.

--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -19,6 +19,8 @@
     ways: BTreeSet<MemberId>,
     /// Members by their names as sightings carry them.
     sights: HashMap<u64, MemberId>,
+    /// When members' word was last gathered from the router.
+    gathered: Time,
 }
 
 impl Starting {
@@ -32,15 +34,16 @@
             "list from {origin}, version {:?}, vouched for {age} ago, watch={live} holders={holders:?} watches={} alone={} asked={} \
              unanswered={} answered={} pushed={} taken={} older={} foreign={} sighted={} dealt={} waited={}",
             book.revision(), counts.watches, counts.alone, counts.asked, counts.unanswered, counts.answered, counts.pushed,
-            counts.taken, counts.older, counts.foreign, counts.sighted, self.dealt(), self.waited()
+            counts.taken, counts.older, counts.foreign, counts.sighted, self.dealt(now), self.waited()
         )
     }
 
-    /// Members whose connections are dealt, and how often somebody would have opened one out of turn.
-    fn dealt(&self) -> usize {
-        self.deal.as_ref().map_or(0, |deal| deal.members().count())
+    /// Members whose connections are dealt now: not those that have become warm since they were listed.
+    fn dealt(&self, now: Time) -> usize {
+        self.deal.as_ref().map_or(0, |deal| deal.members().filter(|m| deal.from(now, *m).is_some()).count())
     }
 
+    /// How often somebody would have opened a connection out of turn.
     fn waited(&self) -> u64 {
         self.deal.as_ref().map_or(0, Deal::waited)
     }
@@ -58,7 +61,7 @@
                 "unanswered": counts.unanswered, "answered": counts.answered, "pushed": counts.pushed,
                 "taken": counts.taken, "older": counts.older, "foreign": counts.foreign, "sighted": counts.sighted,
                 "waited": self.waited()},
-            "dealt": self.dealt(),
+            "dealt": self.dealt(now),
         })
     }
 }
@@ -121,6 +124,7 @@
             deal: file.opens.map(|opens| Deal::new(dealt(opens), self.secret)),
             ways: BTreeSet::new(),
             sights: HashMap::new(),
+            gathered: now,
         }));
         self.start_outputs(now, outputs, out);
         self.start_due_set(now);
@@ -199,11 +203,14 @@
 
     /// What members have told here, in the form in which others are told.
     fn saw(&mut self, now: Time) -> Vec<Sighting> {
+        // Danger: an answer may be as old as the gathering before, and a role told just before its member started again must not
+        // pass for one told after it.
+        let since = self.starting.as_mut().map_or(now, |s| std::mem::replace(&mut s.gathered, now));
         let news = self.router.news();
         let seen = |news: &News| {
             let name = &self.members.get(&news.member)?.name;
             let position_ms = u64::try_from(news.position? / MS).ok()?;
-            let at_ms = u64::try_from(now / MS).ok()?;
+            let at_ms = u64::try_from(since / MS).ok()?;
             Some(Sighting { member: Sighting::of(name), position_ms, leads: news.primary, at_ms })
         };
         news.iter().filter_map(seen).collect()
@@ -222,7 +229,9 @@
             let began = self.members.get(&member).and_then(|known| known.started);
             let primary = seen.leads.filter(|_| began.is_none_or(|began| seen.at() > began));
             let news = vec![News { member, position, primary, strain: 0.0, answers: 0 }];
-            self.events.push_back(Event::Peer { told: seen.at().min(now), relay: false, news });
+            // No earlier than its position, which the answer that told it had.
+            let told = seen.at().max(seen.position()).min(now);
+            self.events.push_back(Event::Peer { told, relay: false, news });
         }
     }
 
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -92,9 +92,10 @@
     stretch: f64,
     /// Strain over all replicas, and over all primaries.
     strain: [f64; 2],
-    /// Answers since the last count, and per second and member: the yardstick for cold members.
-    taken: f64,
-    warm_rate: f64,
+    /// Answers since the last count, and per second and member, of replicas and of primaries: what either
+    /// bears warm is the yardstick for cold members.
+    taken: [f64; 2],
+    warm: [f64; 2],
     counted_at: Time,
     probes: f64,
     ticking: bool,
@@ -174,7 +175,7 @@
 
     /// Requests a second that a warm member answers this router: a start for a later life, or for a peer.
     pub fn warm_rate(&self) -> f64 {
-        self.warm_rate
+        self.warm[0].max(self.warm[1])
     }
 
     /// What members told since this was last asked, for a host that carries word to other routers.
@@ -190,7 +191,7 @@
 
     /// What it was before, or is elsewhere; own answers take its place.
     pub fn expect(&mut self, rate: f64) {
-        self.warm_rate = if self.warm_rate > 0.0 { self.warm_rate } else { rate };
+        self.warm = if self.warm_rate() > 0.0 { self.warm } else { [rate; 2] };
     }
 
     fn list(&mut self, now: Time, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
@@ -302,7 +303,8 @@
         }
         if let Some(strain) = strain {
             // Quick errors and refusals are no service: they change no limit.
-            self.taken += 1.0;
+            let leads = self.groups.get(&node.group).is_some_and(|g| g.primary == Some(answer.member));
+            self.taken[usize::from(leads)] += 1.0;
             node.latency += (took - node.latency) * STRAIN_STEP * 2.0;
             let over = &mut self.strain[usize::from(answer.primary == Some(true))];
             *over += (strain - *over) * STRAIN_STEP;
@@ -356,7 +358,7 @@
     fn cold_room(&self, now: Time, node: &Node) -> bool {
         let rules = &self.set.obligations;
         let warmth = node.warmth(now, rules);
-        let rate = self.warm_rate * warmth * rules.fall_multiple * COLD_USE;
+        let rate = self.warm_rate() * warmth * rules.fall_multiple * COLD_USE;
         let least = 4.0 / f64::from(self.set.fleet_size.max(1));
         // Where connections are dealt, few routers have one here yet: theirs is what the others cannot use.
         let (mut dealt, mut reached) = (0, 0);
@@ -664,14 +666,7 @@
             self.end(id, out);
         }
         if now - self.counted_at >= SECOND {
-            let serving = self.nodes.values().filter(|n| n.standing == Standing::Serving).count().max(1);
-            let rate = self.taken / serving as f64 * SECOND as f64 / (now - self.counted_at) as f64;
-            // Danger: cold members answer what they are sent; alone they would shut the door on themselves.
-            let warm =
-                |n: &Node| n.standing == Standing::Serving && n.warmth(now, &self.set.obligations) >= 1.0;
-            let learns = rate > self.warm_rate || self.nodes.values().any(warm);
-            self.warm_rate += if learns { (rate - self.warm_rate) * 0.3 } else { 0.0 };
-            (self.counted_at, self.taken) = (now, 0.0);
+            self.measure(now);
             self.last_writes.retain(|_, write| now - *write < MARK_KEPT);
             out.extend(drop_past(&mut self.nodes, &mut self.groups, now - GONE_KEPT));
         }
@@ -682,6 +677,25 @@
         }
     }
 
+    /// Danger: replicas and primaries are seldom used alike, and their mean is less than the busier bear:
+    /// by it alone cold members would be kept half idle.
+    fn measure(&mut self, now: Time) {
+        let serving = || self.nodes.iter().filter(|(_, n)| n.standing == Standing::Serving);
+        let leads =
+            |id: &MemberId, n: &Node| self.groups.get(&n.group).is_some_and(|g| g.primary == Some(*id));
+        let primaries = serving().filter(|(id, n)| leads(id, n)).count();
+        let counts = [serving().count() - primaries, primaries];
+        // Danger: cold members answer what they are sent; alone they would shut the door on themselves.
+        let any_warm = serving().any(|(_, n)| n.warmth(now, &self.set.obligations) >= 1.0);
+        for role in [0, 1] {
+            let each = self.taken[role] / counts[role].max(1) as f64;
+            let rate = each * SECOND as f64 / (now - self.counted_at) as f64;
+            let learns = any_warm || rate > self.warm[role];
+            self.warm[role] += if learns { (rate - self.warm[role]) * 0.3 } else { 0.0 };
+        }
+        (self.counted_at, self.taken) = (now, [0.0; 2]);
+    }
+
     /// Whether a replica's position may be asked for again. One that was behind the whole fleet watches.
     fn probe_due(&self, now: Time, node: &Node) -> bool {
         let behind = node.lag > self.bound && node.position > 0;
