Read over: one row of whom to ask, one look at a claimed role, one clearing up of test fleets

Circle::asked walked the order twice and kept its holder out of the rest by search; it takes the holder out of one row now. The router looked up who claims a group's primary role in three places by hand (primary, route, measure); claimed() does. Tests: the three worlds of processes clear up through Gateways::clear_up, which prints logs where a test failed; ask-and-serve is Bench::served, used four times; a member's count of requests is read in one place; the simulated membership needs no check that its span implies.

--- a/crates/stackgw-cli/tests/driver/mod.rs
+++ b/crates/stackgw-cli/tests/driver/mod.rs
@@ -87,8 +87,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        (0..2).for_each(|n| self.gateways.kill(n));
-        let _ = std::fs::remove_dir_all(&self.folder);
+        self.gateways.clear_up();
     }
 }
 
--- a/crates/stackgw-cli/tests/sessions.rs
+++ b/crates/stackgw-cli/tests/sessions.rs
@@ -63,11 +63,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.gateways.print_logs();
-        }
-        (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
-        let _ = std::fs::remove_dir_all(&self.folder);
+        self.gateways.clear_up();
     }
 }
 
--- a/crates/stackgw-cli/tests/start.rs
+++ b/crates/stackgw-cli/tests/start.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Requests that a member was given.
+    fn given(&self, n: usize) -> u64 {
+        self.store.members[n].asked.load(Ordering::Relaxed)
+    }
+
     /// What a member has borne; it never came near falling over.
     fn stands(&self, n: usize) -> Borne {
         let borne = self.store.borne(n);
@@ -129,11 +134,7 @@
 
 impl Drop for World {
     fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.gateways.print_logs();
-        }
-        (0..self.gateways.len()).for_each(|n| self.gateways.kill(n));
-        let _ = std::fs::remove_dir_all(&self.folder);
+        self.gateways.clear_up();
     }
 }
 
@@ -250,10 +251,10 @@
     }
     // One that starts now has the disk's word and its peers'; the service's older one undoes neither.
     world.until("no older list", ms(5_000), 0..6, |told| told["revision"] == 2);
-    let before = world.store.members[2].asked.load(Ordering::Relaxed);
+    let before = world.given(2);
     let opened = world.play(10.0, ms(1_500), || {});
     world.sound(&opened);
-    assert_eq!(world.store.members[2].asked.load(Ordering::Relaxed), before, "the drain binds");
+    assert_eq!(world.given(2), before, "the drain binds");
     lists.mood(None, Mood::Up);
     world.store.announce(2, "ready");
     world.know(ms(10_000), 0..6);
@@ -316,13 +317,9 @@
         net.mend();
         world.know(ms(3_000), 0..8);
         std::thread::sleep(GRACE);
-        let before = world.store.members[2].asked.load(Ordering::Relaxed);
+        let before = world.given(2);
         std::thread::sleep(ms(500));
-        assert_eq!(
-            world.store.members[2].asked.load(Ordering::Relaxed),
-            before,
-            "told, and new work all the same"
-        );
+        assert_eq!(world.given(2), before, "told, and new work all the same");
     });
     world.sound(&opened);
     lists.mood(Some(1), Mood::Up);
@@ -395,12 +392,12 @@
     world.store.lists().mood(None, Mood::Dead);
     world.until("lost watches", ms(10_000), 0..5, |told| told["watch"] == false);
     // These never reach the service, and have no disk to go by.
-    let before = world.store.members[2].asked.load(Ordering::Relaxed);
+    let before = world.given(2);
     let opened = world.play(10.0, ms(3_000), || world.start(5..10));
     world.sound(&opened);
     assert_eq!(opened.ready_ms.len(), 10, "{opened:?}");
     world.until("the list of the others", ms(2_000), 5..10, |told| told["revision"] == 2);
-    assert_eq!(world.store.members[2].asked.load(Ordering::Relaxed), before, "the drain binds them too");
+    assert_eq!(world.given(2), before, "the drain binds them too");
     // Back, it is believed by all, and the old half's word no longer counts as kept.
     world.store.lists().mood(None, Mood::Up);
     world.store.announce(2, "ready");
--- a/crates/stackgw-router/src/router.rs
+++ b/crates/stackgw-router/src/router.rs
@@ -259,9 +259,13 @@
         }
     }
 
+    /// The last one to claim the role, as far as is known.
+    fn claimed(&self, group: GroupId) -> Option<MemberId> {
+        self.groups.get(&group).and_then(|g| g.primary)
+    }
+
     fn primary(&self, now: Time, group: GroupId) -> Option<MemberId> {
-        let claimed = self.groups.get(&group).and_then(|g| g.primary);
-        let claimed = claimed.filter(|id| self.open(now, &self.nodes[id], true));
+        let claimed = self.claimed(group).filter(|id| self.open(now, &self.nodes[id], true));
         let listed = |n: &Node| n.listed_primary && n.replica_at == 0 && self.open(now, n, true);
         claimed.or_else(|| self.members(group).find(|(_, n)| listed(n)).map(|(id, _)| id))
     }
@@ -502,7 +506,7 @@
         let at_primary = |share| primary.filter(|id| self.fits(now, entry, *id, share, true));
         let fits = |id: &MemberId| self.fits(now, entry, *id, 1.0, false);
         // Danger: a primary by the list alone may be a replica by now; it must show that it holds the write.
-        let claimed = self.groups.get(&group).and_then(|g| g.primary);
+        let claimed = self.claimed(group);
         let holds = |id: &MemberId, write| claimed == Some(*id) || self.nodes[id].position >= write;
         let need = self.need(entry);
         let floor = match need {
@@ -681,9 +685,7 @@
     /// by it alone cold members would be kept half idle.
     fn measure(&mut self, now: Time) {
         let serving = || self.nodes.iter().filter(|(_, n)| n.standing == Standing::Serving);
-        let leads =
-            |id: &MemberId, n: &Node| self.groups.get(&n.group).is_some_and(|g| g.primary == Some(*id));
-        let primaries = serving().filter(|(id, n)| leads(id, n)).count();
+        let primaries = serving().filter(|(id, n)| self.claimed(n.group) == Some(**id)).count();
         let counts = [serving().count() - primaries, primaries];
         // Danger: cold members answer what they are sent; alone they would shut the door on themselves.
         let any_warm = serving().any(|(_, n)| n.warmth(now, &self.set.obligations) >= 1.0);
--- a/crates/stackgw-router/tests/common/mod.rs
+++ b/crates/stackgw-router/tests/common/mod.rs
@@ -129,6 +129,14 @@
         self.ask_since(class, None)
     }
 
+    /// Asks, and has whoever it is sent to serve it; who that was.
+    pub fn served(&mut self, class: usize, took: Span) -> Vec<u32> {
+        let (id, actions) = self.ask(class);
+        let to = sent(&actions);
+        to.iter().for_each(|member| drop(self.end(id, *member, Outcome::Served, took)));
+        to
+    }
+
     /// A session read whose last write was `age` ago.
     pub fn ask_since(&mut self, class: usize, age: Option<Span>) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
--- a/crates/stackgw-router/tests/grown.rs
+++ b/crates/stackgw-router/tests/grown.rs
@@ -253,10 +253,7 @@
     let mut bench = Bench::heard(Settings { lagging: Lagging::Refuses, ..settings() }, 3);
     // Twenty reads a second, all at the two replicas; the primary idles and says nothing of what a member bears.
     for _ in 0..400 {
-        let (id, actions) = bench.ask(LOOSE);
-        for member in sent(&actions) {
-            bench.end(id, member, Outcome::Served, 5 * MS);
-        }
+        bench.served(LOOSE, 5 * MS);
         bench.pass(50 * MS);
     }
     let rate = bench.router.warm_rate();
@@ -264,10 +261,7 @@
     // Writes beside them change nothing while they are fewer.
     for _ in 0..100 {
         for class in [LOOSE, LOOSE, LOOSE, LOOSE, WRITE] {
-            let (id, actions) = bench.ask(class);
-            for member in sent(&actions) {
-                bench.end(id, member, Outcome::Served, 5 * MS);
-            }
+            bench.served(class, 5 * MS);
         }
         bench.pass(200 * MS);
     }
--- a/crates/stackgw-router/tests/rules.rs
+++ b/crates/stackgw-router/tests/rules.rs
@@ -170,11 +170,7 @@
     let mut to_cold = 0;
     // 300 requests in 2 s, each turned away at once: a limit on requests in flight would not hold them.
     for _ in 0..300 {
-        let (id, actions) = bench.ask(LOOSE);
-        for to in sent(&actions) {
-            to_cold += u32::from(to == 2);
-            bench.end(id, to, Outcome::Served, MS);
-        }
+        to_cold += bench.served(LOOSE, MS).into_iter().filter(|to| *to == 2).count();
         bench.pass(6 * MS);
     }
     assert!(to_cold > 0, "it gets its share");
--- a/crates/stackgw-router/tests/ways.rs
+++ b/crates/stackgw-router/tests/ways.rs
@@ -87,11 +87,7 @@
         (1..4).for_each(|id| bench.router.reach(MemberId(id as u32), Some(free(id))));
         let mut to_one = 0;
         for _ in 0..60 {
-            let (id, actions) = bench.ask(LOOSE);
-            for member in sent(&actions) {
-                to_one += usize::from(member == 1);
-                bench.end(id, member, Outcome::Served, MS);
-            }
+            to_one += bench.served(LOOSE, MS).into_iter().filter(|member| *member == 1).count();
         }
         to_one
     };
--- a/crates/stackgw-standin/src/gateways.rs
+++ b/crates/stackgw-standin/src/gateways.rs
@@ -244,12 +244,14 @@
         lock(&self.gateways).get(n)?.child.as_ref().map(Child::id)
     }
 
-    /// Prints what all of them have logged, for whoever looks into a test that failed.
-    pub fn print_logs(&self) {
-        for n in 0..self.len() {
+    /// Kills all of them and removes their folder, at the end of a test; what they have logged is printed where it failed.
+    pub fn clear_up(&self) {
+        for n in (0..self.len()).filter(|_| std::thread::panicking()) {
             let log = self.setup.folder.join(format!("g{n}.log"));
             eprintln!("g{n}:\n{}", std::fs::read_to_string(log).unwrap_or_default());
         }
+        (0..self.len()).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.setup.folder);
     }
 
     /// A gateway's local socket.
--- a/crates/stackgw-start/src/circle.rs
+++ b/crates/stackgw-start/src/circle.rs
@@ -115,14 +115,16 @@
     /// Whom to ask: a holder, in turn; beside it the next in the order until there are `width`, for when holders are lost by
     /// the dozen; and the lost one that was asked longest ago, so that one that is back is found.
     pub fn asked(&self, now: Time, turn: u32, width: usize, again: Span) -> Vec<SocketAddr> {
-        let here = || self.order.iter().filter(|address| !self.lost(address) && **address != self.me);
-        let chosen: Vec<_> = self.here().filter(|address| *address != self.me).collect();
-        // Everybody begins elsewhere.
-        let first = rank(&self.me) as usize % chosen.len().max(1);
-        let mut asked: Vec<_> =
-            chosen.get((first + turn as usize) % chosen.len().max(1)).copied().into_iter().collect();
-        let beside = here().filter(|address| !asked.contains(address)).take(width.saturating_sub(1)).copied();
-        asked.extend(beside.collect::<Vec<_>>());
+        let there = self.order.iter().filter(|address| **address != self.me && !self.lost(address));
+        let mut others: Vec<_> = there.copied().collect();
+        let holders = self.here().filter(|address| *address != self.me).count();
+        let mut asked = Vec::new();
+        if holders > 0 {
+            // Everybody begins elsewhere.
+            let next = (rank(&self.me) as usize % holders + turn as usize) % holders;
+            asked.push(others.remove(next));
+            asked.extend(others.into_iter().take(width.saturating_sub(1)));
+        }
         // Those behind the last holder would not hold the watch, were they back.
         let last = self.here().last();
         let before = self.order.iter().take_while(|address| Some(**address) != last);
--- a/crates/stackgw-start/tests/common/mod.rs
+++ b/crates/stackgw-start/tests/common/mod.rs
@@ -368,7 +368,7 @@
                     let here = |m: &usize| {
                         let there = self.far.contains(m);
                         let node = &self.nodes[*m];
-                        let up = node.start.is_some() || (node.gone > 0 && now - node.gone < self.suspicion);
+                        let up = node.start.is_some() || now - node.gone < self.suspicion;
                         up && !self.cut.contains(&(side, there))
                     };
                     let up: BTreeSet<_> =
