The watch has one exact clock: a change is told 6 s after discovery can be reached

A dial that was swallowed just before discovery came back therefore ended after up to 5.5 s, and the next began after up to 6.5 s: past the 6 s after which a change counts as told. Neither the dial nor the answer's head had a limit of its own. Ruled out: an old watch's word after it was replaced (its task is not running when another input replaces it).

Change: one timer for the watch, 1 s for the dial, 3 s for the first whole line, 4 s from line to line; opened, closed and moved at one place, also where stackgw-start wants it.

The older test of pauses left the connection's coming up out, which the clock now sees: it says so, and its last wait is 4.5 s in place of 8 s.

--- a/crates/stackgw-gateway/src/discovery.rs
+++ b/crates/stackgw-gateway/src/discovery.rs
@@ -294,6 +294,70 @@
     }
 }
 
+/// Puts the lines of a watch together to lists. Most come one a line; one may come indented, over many.
+#[derive(Debug)]
+pub struct Objects {
+    /// The list so far.
+    begun: Vec<u8>,
+    /// Brackets that are open, and whether the bytes so far end inside a text, or there behind a backslash.
+    depth: usize,
+    text: bool,
+    escaped: bool,
+    most: usize,
+}
+
+/// What a line of a watch amounts to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Word {
+    /// Nothing is new.
+    Alive,
+    /// A list.
+    List(ListUpdate),
+    /// More is to come before it means anything.
+    More,
+}
+
+impl Objects {
+    /// No list is longer than this.
+    pub fn new(most: usize) -> Self {
+        Objects { begun: Vec::new(), depth: 0, text: false, escaped: false, most }
+    }
+
+    /// Takes the next line. Danger: a list that was cut off must not swallow those behind it, so that a line that begins
+    /// another, or says that nothing is new, ends the watch inside one.
+    pub fn line(&mut self, line: Vec<u8>) -> Result<Word, Malformed> {
+        let begins = line.first() == Some(&b'{');
+        match (self.begun.is_empty(), line.trim_ascii().is_empty()) {
+            (true, true) => return Ok(Word::Alive),
+            (true, false) if !begins => return wrong("a line of the watch is no list"),
+            (false, blank) if blank || begins => return wrong("a list is cut off"),
+            _ => {}
+        }
+        if self.begun.len() + line.len() > self.most {
+            return wrong("a list is too long");
+        }
+        for byte in &line {
+            match (self.text, byte) {
+                (true, _) if self.escaped => self.escaped = false,
+                (true, b'\\') => self.escaped = true,
+                (_, b'"') => self.text = !self.text,
+                (false, b'{' | b'[') => self.depth += 1,
+                (false, b'}' | b']') => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+        if self.begun.is_empty() {
+            self.begun = line;
+        } else {
+            self.begun.extend(line);
+        }
+        if self.depth > 0 {
+            return Ok(Word::More);
+        }
+        list_from_bytes(&std::mem::take(&mut self.begun)).map(Word::List)
+    }
+}
+
 fn line(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
     let end = bytes.windows(2).position(|w| w == b"\r\n")?;
     Some((&bytes[..end], &bytes[end + 2..]))
--- a/crates/stackgw-gateway/src/io/discovery.rs
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -1,7 +1,7 @@
 //! The list's agent: the watch, and single calls.
 
 use super::Shell;
-use crate::discovery::{list_from_bytes, request, HttpLines, Lost, Malformed, Piece};
+use crate::discovery::{list_from_bytes, request, HttpLines, Lost, Malformed, Objects, Piece, Word};
 use crate::reducer::Input;
 use async_io::{Async, Timer};
 use futures_lite::{future, stream, AsyncReadExt, AsyncWriteExt, Stream, StreamExt};
@@ -28,6 +28,9 @@
                 let io = |e: std::io::Error| Lost::from(e.to_string());
                 let mut socket = Async::<TcpStream>::connect(at).await.map_err(io)?;
                 socket.write_all(&request(at, watch_after)).await.map_err(io)?;
+                if watch_after.is_some() {
+                    shell.input(Input::WatchUp);
+                }
                 socket
             }
         };
@@ -54,11 +57,13 @@
 /// Hands over each line of a watch until it ends.
 pub(super) async fn watch(shell: Rc<Shell>, at: SocketAddr, after: Option<u64>) {
     let mut pieces = pin!(answer(shell.clone(), at, Some(after)));
+    let mut objects = Objects::new(shell.limits.list_bytes);
     let why = loop {
         match pieces.next().await {
-            Some(Ok(Piece::Line(line))) if line.is_empty() => shell.input(Input::WatchAlive),
-            Some(Ok(Piece::Line(line))) => match list_from_bytes(&line) {
-                Ok(list) => shell.input(Input::List(list)),
+            Some(Ok(Piece::Line(line))) => match objects.line(line) {
+                Ok(Word::Alive) => shell.input(Input::WatchAlive),
+                Ok(Word::List(list)) => shell.input(Input::List(list)),
+                Ok(Word::More) => {}
                 Err(e) => break e.to_string().into(),
             },
             Some(Ok(Piece::End)) | None => break "ended".into(),
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -95,7 +95,14 @@
     pub backlog: i32,
     /// No request waits longer for its answer, whatever its `d` says.
     pub wait_most: Span,
-    /// A watch without a line for this long is opened anew.
+    /// A watch whose connection is not up by then is opened anew.
+    pub watch_dial: Span,
+    /// One that is up has brought its first whole line by then.
+    pub watch_first: Span,
+    /// One without a whole line for this long after that is opened anew: two of its blank lines.
+    ///
+    /// Danger: a change counts as told 6 s after the agent had it and could be reached, whatever the watch was doing then.
+    /// Each of these three, the longest pause and one more dial stay within that together.
     pub watch_silence: Span,
     /// Shortest pause before the list's agent is asked again.
     pub watch_pause: Span,
@@ -180,7 +187,9 @@
             accept_turn: 8,
             backlog: 4096,
             wait_most: longest.max(30 * SECOND),
-            watch_silence: 5 * SECOND,
+            watch_dial: SECOND,
+            watch_first: 3 * SECOND,
+            watch_silence: 4 * SECOND,
             watch_pause: 100 * MS,
             watch_pause_most: SECOND,
             error_pause: 5 * MS,
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -18,12 +18,43 @@
 
 impl Reducer {
     pub(super) fn watch(&mut self, now: Time, out: &mut Vec<Effect>) {
-        (self.watching, self.watch_heard) = (true, now);
+        self.watching = true;
+        let after = self.revision;
+        self.open_watch(now, after, out);
+    }
+
+    /// Opens a watch, whoever wants it, and sets its clock.
+    pub(super) fn open_watch(&mut self, now: Time, after: Option<u64>, out: &mut Vec<Effect>) {
         self.counters.watches += 1;
-        out.push(Effect::Watch(self.discovery, self.revision));
+        out.push(Effect::Watch(self.discovery, after));
+        self.unwatch_waits();
+        self.watch_until = Some(self.set_timer(now + self.limits.watch_dial, Due::WatchSilent));
+    }
+
+    /// Closes the watch.
+    pub(super) fn unwatch(&mut self, out: &mut Vec<Effect>) {
+        self.watching = false;
+        self.unwatch_waits();
+        out.push(Effect::Unwatch);
+    }
+
+    /// The watch goes on, and has until then for its next word. One that is over has no clock to be set.
+    pub(super) fn watch_wait(&mut self, until: Time) {
+        if let Some(old) = self.watch_until.take() {
+            self.timers.remove(&old);
+            self.watch_until = Some(self.set_timer(until, Due::WatchSilent));
+        }
+    }
+
+    /// The watch's clock stops.
+    pub(super) fn unwatch_waits(&mut self) {
+        if let Some(old) = self.watch_until.take() {
+            self.timers.remove(&old);
+        }
     }
 
     pub(super) fn watch_lost(&mut self, now: Time, lost: Lost, out: &mut Vec<Effect>) {
+        self.unwatch_waits();
         if self.starting.is_some() {
             self.counters.watches_lost += 1;
             log_rarely(self.counters.watches_lost, &format!("watch of the list lost ({}),", lost.why), out);
@@ -46,10 +77,11 @@
     }
 
     pub(super) fn list(&mut self, now: Time, list: ListUpdate, out: &mut Vec<Effect>) {
+        self.watch_wait(now + self.limits.watch_silence);
         if self.starting.is_some() {
             return self.with_start(now, out, |start, outputs| start.watch_said(now, list, outputs));
         }
-        (self.watch_heard, self.watch_pause) = (now, 0);
+        self.watch_pause = 0;
         if !list.complete && self.revision.is_some_and(|known| list.revision < known) {
             return; // Word that newer word has overtaken.
         }
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -124,6 +124,8 @@
     MemberClosed(ConnId, Closed),
     /// The watch brought a list, or the whole list that was asked for came.
     List(ListUpdate),
+    /// The watch's connection is up, and it has been asked for.
+    WatchUp,
     /// The watch brought a line without news.
     WatchAlive,
     /// The watch ended, or could not be opened; the text says why.
@@ -238,6 +240,8 @@
     /// A look at what stands idle or still.
     Sweep,
     Watch,
+    /// The watch has not come up, has not begun to tell, or has fallen silent.
+    WatchSilent,
     /// Another look at whether some client may make room.
     Admit,
     /// Something in the sessions across instances.
@@ -298,7 +302,8 @@
     fetching: bool,
     revision: Option<u64>,
     watching: bool,
-    watch_heard: Time,
+    /// The watch is lost when this goes off.
+    watch_until: Option<TimerKey>,
     watch_pause: Span,
     clients: BTreeMap<ClientId, Client>,
     /// Clients between requests, in the order in which they make room.
@@ -382,7 +387,7 @@
             digests: Digests::default(),
             revision: None,
             watching: false,
-            watch_heard: 0,
+            watch_until: None,
             watch_pause: 0,
             clients: BTreeMap::new(),
             idle_clients: BTreeSet::new(),
@@ -459,8 +464,9 @@
             Input::MemberStreamWaits(id) => self.member_stream_waits(id),
             Input::MemberStreamOver(id, outcome) => self.member_stream_over(now, id, outcome, out),
             Input::List(list) => self.list(now, list, out),
+            Input::WatchUp => self.watch_wait(now + self.limits.watch_first),
             Input::WatchAlive => {
-                self.watch_heard = now;
+                self.watch_wait(now + self.limits.watch_silence);
                 self.with_start(now, out, |start, outputs| start.watch_alive(now, outputs));
             }
             Input::WatchLost(why) => self.watch_lost(now, why, out),
@@ -578,8 +584,8 @@
                 }
             }
             Action::Subscribe(false) => {
-                (self.subscribed, self.watching) = (false, false);
-                out.push(Effect::Unwatch);
+                self.subscribed = false;
+                self.unwatch(out);
             }
             Action::FetchList => {
                 self.fetching = true;
@@ -612,6 +618,11 @@
                         self.watch(now, out);
                     }
                 }
+                Due::WatchSilent => {
+                    self.unwatch_waits();
+                    out.push(Effect::Unwatch);
+                    self.watch_lost(now, "silent".into(), out);
+                }
                 Due::Admit => self.admits = false,
                 Due::Shared => self.shared_due(now, out),
                 Due::Cluster => self.cluster_due(now, out),
@@ -639,10 +650,6 @@
         for member in gone.collect::<Vec<_>>() {
             self.close_idle(member, out);
         }
-        if self.watching && now - self.watch_heard > self.limits.watch_silence {
-            out.push(Effect::Unwatch);
-            self.watch_lost(now, "silent".into(), out);
-        }
         let limits = &self.limits;
         let late = |since: Option<Time>, most| since.is_some_and(|t| now - t > most);
         let stuck = |c: &Client| late(c.unsent, limits.client_stall) || late(c.closing, limits.linger);
--- a/crates/stackgw-gateway/src/reducer/reload.rs
+++ b/crates/stackgw-gateway/src/reducer/reload.rs
@@ -68,8 +68,8 @@
             return;
         }
         // Danger: another source counts its versions anew. Held to the old one's, its word would be taken for old.
-        (self.revision, self.watch_pause, self.watching) = (None, 0, false);
-        out.push(Effect::Unwatch);
+        (self.revision, self.watch_pause) = (None, 0);
+        self.unwatch(out);
         if self.subscribed {
             self.watch(now, out);
         }
--- a/crates/stackgw-gateway/src/reducer/start.rs
+++ b/crates/stackgw-gateway/src/reducer/start.rs
@@ -145,11 +145,8 @@
     fn start_outputs(&mut self, now: Time, mut outputs: Vec<Output>, out: &mut Vec<Effect>) {
         for output in outputs.drain(..) {
             match output {
-                Output::Watch(after) => {
-                    self.counters.watches += 1;
-                    out.push(Effect::Watch(self.discovery, after));
-                }
-                Output::Unwatch => out.push(Effect::Unwatch),
+                Output::Watch(after) => self.open_watch(now, after, out),
+                Output::Unwatch => self.unwatch(out),
                 Output::Send(to, message) => {
                     let body = message.encode();
                     self.cluster_send(out, |cluster, effects| cluster.tell(to, &body, effects));
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -551,14 +551,15 @@
     rig.input(Input::WatchLost("refused".into()));
     assert_eq!(count(&rig.pass(150 * MS)), 0, "the second pause is longer");
     assert_eq!(count(&rig.pass(SECOND)), 1);
-    // Blank lines keep it; silence does not.
+    // Blank lines keep it; silence does not, for longer than two of them.
+    rig.input(Input::WatchUp);
     for _ in 0..5 {
         rig.pass(2 * SECOND);
         rig.input(Input::WatchAlive);
     }
     let lost = rig.reducer.counters().watches_lost;
     assert_eq!(lost, 2);
-    let effects = rig.pass(8 * SECOND);
+    let effects = rig.pass(4500 * MS);
     assert!(effects.contains(&Effect::Unwatch) && count(&effects) == 1);
 }
 
--- /dev/null
+++ b/crates/stackgw-gateway/tests/watch.rs
@@ -0,0 +1,191 @@
+//! The watch of the list: however an agent fails, and at whatever moment it comes back, what it then has is told here within
+//! six seconds.
+
+mod common;
+
+use common::*;
+use stackgw_gateway::discovery::{Objects, Word};
+use stackgw_gateway::reducer::{Effect, Input};
+use stackgw_router::api::{Span, Time, MS, SECOND};
+
+/// How a watch that is opened while the agent is down goes on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Down {
+    /// The connection is refused.
+    Refuses,
+    /// It never comes up.
+    Swallows,
+    /// It comes up and nothing follows: no head, half of one, half a chunk, half a line, or bytes that are no whole line.
+    Stalls,
+    /// It comes up and ends after this long.
+    Cuts(Span),
+}
+
+/// What the watch that was open did when the agent went down.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Open {
+    /// It ended.
+    Ends,
+    /// It fell silent after a last blank line so long before.
+    FellSilent(Span),
+}
+
+/// An agent that goes down at one moment and can be reached again from another on.
+struct Agent {
+    down: Down,
+    open: Open,
+    from: Time,
+    back: Time,
+    /// The open watch's next word.
+    next: Option<(Time, Input)>,
+}
+
+impl Agent {
+    fn opened(&mut self, now: Time, rig: &mut Rig) {
+        self.next = None;
+        if now < self.from {
+            rig.input(Input::WatchUp);
+            self.next = Some((now + 2 * SECOND, Input::WatchAlive));
+        } else if now >= self.back {
+            rig.input(Input::WatchUp);
+            let drains = list(2, false, &[entry(2, "draining", "follower")]);
+            self.next = Some((now + MS, Input::List(drains)));
+        } else {
+            match self.down {
+                Down::Refuses => self.next = Some((now, Input::WatchLost("refused".into()))),
+                Down::Swallows => {}
+                Down::Stalls => drop(rig.input(Input::WatchUp)),
+                Down::Cuts(after) => {
+                    rig.input(Input::WatchUp);
+                    self.next = Some((now + after, Input::WatchLost("cut off".into())));
+                }
+            }
+        }
+    }
+}
+
+/// How long after its return the agent's word of a drain is taken.
+fn told_after(open: Open, down: Down, lasts: Span) -> Span {
+    // It knows nothing yet, so that only the watch is at work.
+    let mut rig = Rig::new("null");
+    let from = rig.now + 6 * SECOND;
+    let mut agent = Agent { down, open, from, back: from + lasts, next: None };
+    let mut opens = 1;
+    let mut gone = false;
+    loop {
+        for _ in 0..std::mem::take(&mut opens) {
+            agent.opened(rig.now, &mut rig);
+        }
+        if !gone && rig.now >= from {
+            gone = true;
+            match agent.open {
+                Open::Ends => agent.next = Some((rig.now, Input::WatchLost("ended".into()))),
+                // Its last line came that long ago.
+                Open::FellSilent(_) => agent.next = None,
+            }
+        }
+        let next = agent.next.as_ref().map(|(at, _)| *at);
+        let moments = [next, rig.reducer.next_due(), Some(from).filter(|_| !gone)];
+        let until = moments.into_iter().flatten().min().expect("the look at what stands still");
+        let mut effects = rig.pass((until - rig.now).max(0));
+        if agent.next.as_ref().is_some_and(|(at, _)| *at <= rig.now) {
+            let (at, input) = agent.next.take().expect("a word");
+            if matches!(input, Input::WatchAlive) {
+                let before = match agent.open {
+                    Open::FellSilent(before) => before,
+                    Open::Ends => 0,
+                };
+                let next = at + 2 * SECOND;
+                let last = next > from - before;
+                agent.next = (!last).then_some((next, Input::WatchAlive));
+            }
+            effects.extend(rig.input(input));
+        }
+        if rig.reducer.counters().lists > 0 {
+            return rig.now - agent.back.max(from);
+        }
+        assert!(rig.now < agent.back + 20 * SECOND, "never told");
+        opens = effects.iter().filter(|e| matches!(e, Effect::Watch(..))).count();
+    }
+}
+
+/// Found by reading: a dial swallowed just before the agent's return had 5 s and up to half a second from a clock of silence that
+/// the dial itself had set anew, and a pause of a second came behind that.
+#[test]
+fn a_change_is_told_six_seconds_after_the_agent_can_be_reached_however_it_was_down() {
+    let opens = [Open::Ends, Open::FellSilent(0), Open::FellSilent(SECOND), Open::FellSilent(1990 * MS)];
+    let downs = [
+        Down::Refuses,
+        Down::Swallows,
+        Down::Stalls,
+        Down::Cuts(0),
+        Down::Cuts(400 * MS),
+        Down::Cuts(2500 * MS),
+    ];
+    let mut worst = (0, String::new());
+    for open in opens {
+        for down in downs {
+            // Every phase of the pauses and clocks, also where these have grown to their longest.
+            for phase in 0..240 {
+                let lasts = phase * 50 * MS;
+                let told = told_after(open, down, lasts);
+                worst = worst.max((told, format!("{open:?}, {down:?}, down for {} ms", lasts / MS)));
+            }
+        }
+    }
+    assert!(worst.0 <= 5500 * MS, "{} ms: {}", worst.0 / MS, worst.1);
+}
+
+/// The rule's six seconds begin when the watch falls silent, as an agent that is there sends blank lines.
+#[test]
+fn a_silent_watch_is_opened_anew_at_once_and_only_whole_lines_count() {
+    let mut rig = Rig::new(&three());
+    rig.input(Input::WatchUp);
+    rig.pass(2 * SECOND);
+    rig.input(Input::WatchAlive);
+    let opened = |effects: &[Effect]| effects.iter().filter(|e| matches!(e, Effect::Watch(..))).count();
+    assert_eq!(opened(&rig.pass(3990 * MS)), 0, "two blank lines may be late");
+    let effects = rig.pass(150 * MS);
+    assert!(effects.contains(&Effect::Unwatch) && opened(&effects) == 1);
+}
+
+/// Where the list is at a new address it counts four seconds after the signal, whatever the first try there meets.
+#[test]
+fn a_moved_list_is_told_within_four_seconds_of_the_signal() {
+    for up in [false, true] {
+        let mut rig = Rig::new(&three());
+        let text = config_text("null").replace("127.0.0.1:8500", "127.0.0.1:8600");
+        let config = stackgw_gateway::config::Config::from_text(&text, |_| None).expect("a configuration");
+        rig.input(Input::Reload(Ok(Box::new(config))));
+        if up {
+            rig.input(Input::WatchUp);
+        }
+        let effects = rig.pass(3500 * MS);
+        assert!(effects.iter().any(|e| matches!(e, Effect::Watch(..))), "up: {up}");
+    }
+}
+
+#[test]
+fn a_list_may_come_over_many_lines_and_one_that_is_cut_off_swallows_none_behind_it() {
+    let one = list_text(3, true, &[entry(1, "ready", "leader")]);
+    let value: serde_json::Value = serde_json::from_str(&one).expect("a list");
+    let wanted = list(3, true, &[entry(1, "ready", "leader")]);
+    let indented = serde_json::to_string_pretty(&value).expect("text");
+    let mut objects = Objects::new(1 << 20);
+    let mut words: Vec<_> =
+        indented.lines().map(|line| objects.line(line.as_bytes().to_vec()).expect("a line")).collect();
+    assert_eq!(words.pop(), Some(Word::List(wanted.clone())));
+    assert!(words.iter().all(|word| *word == Word::More));
+    assert_eq!(objects.line(b"  ".to_vec()), Ok(Word::Alive));
+    assert_eq!(objects.line(one.clone().into_bytes()), Ok(Word::List(wanted)));
+    // Brackets and quotes inside a text are text.
+    let odd = one.replace("\"room\"", r#""a }]\"{""#);
+    assert!(matches!(objects.line(odd.into_bytes()), Ok(Word::List(_))));
+    for behind in ["", "{\"revision\":4", "x"] {
+        let mut objects = Objects::new(1 << 20);
+        assert_eq!(objects.line(one.as_bytes()[..40].to_vec()), Ok(Word::More));
+        assert_eq!(objects.line(behind.into()).is_err(), behind != "x", "'{behind}'");
+    }
+    assert!(Objects::new(20).line(one.into_bytes()).is_err(), "a list has its bound");
+    assert!(Objects::new(1 << 20).line(b"nonsense".to_vec()).is_err());
+}
