Nothing begins for a client that has left, though its bytes are not being read

Cause, by reading and then by tests: (1) a client's end stands behind its last byte, and io/link.rs poll_next does not read on while its task holds more than one message (may_read): a client with many statements in line that closed or reset was served statement by statement. (2) write_job (reducer/members.rs) wrote an attempt once its connection was up though its client had left or its time was over; only the router's Cancel took it back, which settings may forbid (Limits.Cancel false), and which a greeting read before the timers overtakes. (3) Reducer::takes made a cancel wait for the room that the statements to be cancelled take. Ruled out: half-closes and closes of clients whose bytes are read (end is seen at once), a cancel's effect on other statements in line, a flood on the same loop (12 clients without a pause).

Change: a task asks the kernel each 30 ms for those clients alone whose bytes wait (poll for POLLRDHUP: the end is seen behind unread bytes); read-ahead of one client is 544 KiB, as a close that the kernels hold back behind unread bytes has not arrived; write_job judges once, for gone clients and for time, and leaves the connection idle; a startup or cancel needs no room. Counter ahead_bytes.

Left: a client that sends more than is read ahead and the kernel's window, and then closes: its close is not on this machine.

--- /dev/null
+++ b/crates/stackgw-cli/tests/leaving.rs
@@ -0,0 +1,168 @@
+//! Clients that leave, in every way in which they can, while what they asked for waits: nothing is sent on for them.
+
+mod world;
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Instant;
+use world::*;
+
+/// Two replicas and no primary, so that writes wait; with the word that brings the primary.
+fn without_primary(name: &str) -> (World, impl FnOnce() -> Sender<String>) {
+    let (told, seen) = channel();
+    let (tell, news) = channel();
+    let (mut go, mut entries) = (Vec::new(), Vec::new());
+    for n in 1..=3 {
+        let (send, receive) = channel();
+        go.push(send);
+        let port = member(n == 1, told.clone(), receive);
+        let role = if n == 1 { "leader" } else { "follower" };
+        entries.push(entry(n, "ready", role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\"")));
+    }
+    let agent = agent_with_news(list_text(1, true, &entries[1..]), news);
+    let primary = list_text(2, false, &entries[..1]);
+    // The agent ends with the last sender, and would take what it has just written along.
+    let comes = move || {
+        tell.send(primary).expect("the watch");
+        tell
+    };
+    (World { gateway: Gateway::start(name, agent), seen, go, entries }, comes)
+}
+
+/// Asks for the counters until one is as wanted.
+fn until(gateway: &Gateway, counter: &str, wanted: impl Fn(u64) -> bool) {
+    let begun = Instant::now();
+    loop {
+        gateway.signal("USR1");
+        let line = gateway.line("counters ");
+        let value = line.split(' ').find_map(|word| word.strip_prefix(counter)?.strip_prefix('='));
+        if wanted(value.and_then(|v| v.parse().ok()).expect("the counter")) {
+            return;
+        }
+        assert!(begun.elapsed() < WAIT, "{counter}: {line}");
+    }
+}
+
+/// A client that asks for a write that waits, and then leaves.
+struct Leaver {
+    way: &'static str,
+    sends: Vec<u8>,
+    /// Whether it reads what it is told; a close over what is unread is a reset.
+    reads: bool,
+    leaves: fn(Wire),
+}
+
+fn half_closes(wire: Wire) {
+    wire.socket.shutdown(Shutdown::Write).expect("half-closed");
+    std::mem::forget(wire);
+}
+
+fn leavers() -> Vec<Leaver> {
+    let gone = || insert("gone").bytes;
+    let many =
+        |n| -> Vec<u8> { (0..n).flat_map(|_| insert(&format!("gone{}", "x".repeat(2000))).bytes).collect() };
+    let leaver = |way, sends, leaves| Leaver { way, sends, reads: true, leaves };
+    vec![
+        leaver("closes", gone(), drop),
+        leaver("half-closes", gone(), half_closes),
+        leaver("closes behind more statements", [gone(), gone(), gone()].concat(), drop),
+        leaver("closes inside a message", [&gone()[..], &gone()[..40]].concat(), drop),
+        // More than is taken, all of which is read ahead.
+        leaver("closes behind what is read ahead", many(300), drop),
+        leaver("half-closes behind what is read ahead", many(300), half_closes),
+        leaver("says that it ends", gone(), |mut wire| wire.write(&[message(b'X', b"")])),
+        Leaver { reads: false, ..leaver("resets", gone(), drop) },
+        // Somewhat more than is read ahead, the rest waits in the kernel: nothing is read of it any more when it leaves.
+        Leaver { reads: false, ..leaver("resets behind more than is read", many(350), drop) },
+    ]
+}
+
+/// Clients that send what is no statement without a pause, and come again when they are let go.
+fn flood(gateway: &Gateway, clients: usize) -> (Arc<AtomicBool>, Vec<JoinHandle<()>>) {
+    let over = Arc::new(AtomicBool::new(false));
+    let (address, mut threads) = (gateway.address, Vec::new());
+    for _ in 0..clients {
+        let over = over.clone();
+        threads.push(std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                let Ok(mut socket) = std::net::TcpStream::connect(address) else { continue };
+                let _ = socket.write_all(&startup().bytes);
+                let bytes = query("SELECT 1").bytes.repeat(200);
+                while !over.load(Ordering::Relaxed) && socket.write_all(&bytes).is_ok() {}
+            }
+        }));
+    }
+    (over, threads)
+}
+
+fn nothing_begins_for_the_gone(name: &str, flooding: usize) {
+    let (World { gateway, seen, .. }, primary_comes) = without_primary(name);
+    let mut stays = gateway.client();
+    let (over, threads) = flood(&gateway, flooding);
+    let mut here = Vec::new();
+    for Leaver { way, sends, reads, leaves } in leavers() {
+        let mut wire = gateway.connect();
+        wire.write(&[startup()]);
+        if reads {
+            wire.answer();
+        }
+        wire.socket.write_all(&sends).expect(way);
+        here.push((leaves, wire));
+    }
+    let all = here.len() as u64;
+    if flooding == 0 {
+        until(&gateway, "taken", |n| n == all);
+        // Two have all that they sent read ahead, the third as much as is read of one.
+        until(&gateway, "ahead_bytes", |n| n > 2 * 498_000 + 4 * (136 << 10));
+    }
+    here.into_iter().for_each(|(leaves, wire)| leaves(wire));
+    if flooding == 0 {
+        // Each is seen to leave, whatever of it has not been read.
+        until(&gateway, "answered_gone", |n| n == all);
+    } else {
+        // What they asked may not have been taken by now; none of them is here any more.
+        until(&gateway, "clients_open", |n| n <= flooding as u64 + 1);
+    }
+    over.store(true, Ordering::Relaxed);
+    threads.into_iter().for_each(|thread| thread.join().expect("no panic"));
+    let _agent = primary_comes();
+    stays.write(&[insert("here")]);
+    assert_eq!(kinds(&stays.answer()), "TDCZ");
+    let sent: Vec<_> = seen.try_iter().collect();
+    assert_eq!(sent.len(), 1, "{sent:?}");
+    assert!(sent[0].contains("'here'"));
+}
+
+/// Found by reading: a client's end was read only behind its last byte, and those whose bytes waited were never seen to leave.
+#[test]
+fn nothing_is_sent_on_for_clients_that_have_left() {
+    nothing_begins_for_the_gone("left", 0);
+}
+
+#[test]
+fn nor_under_a_flood_on_the_same_loop() {
+    nothing_begins_for_the_gone("left-flood", 12);
+}
+
+/// One that cancels and stays has given up that request, and no other.
+#[test]
+fn nothing_is_sent_on_for_a_cancelled_request() {
+    let (World { gateway, seen, .. }, primary_comes) = without_primary("cancelled");
+    let mut client = gateway.connect();
+    client.write(&[startup()]);
+    let key = client.answer().into_iter().find(|f| f.kind == b'K').expect("the key");
+    client.write(&[insert("gone"), insert("gone-too")]);
+    until(&gateway, "taken", |n| n == 2);
+    let mut by = gateway.connect();
+    let _ = by.socket.write_all(&[&[0, 0, 0, 16, 4, 210, 22, 46], key.body()].concat());
+    assert!(by.next().is_none(), "it is told nothing");
+    assert_eq!(sqlstate(&client.answer()[0].bytes).as_deref(), Some("57014"));
+    let _agent = primary_comes();
+    assert_eq!(kinds(&client.answer()), "TDCZ", "the other one is served");
+    let sent: Vec<_> = seen.try_iter().collect();
+    assert!(sent.len() == 1 && sent[0].contains("'gone-too'"), "{sent:?}");
+}
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -128,6 +128,8 @@
     words_heard,
     /// Datagrams dropped: not from a gateway of the tier, or no words.
     words_dropped,
+    /// Bytes that clients have sent and that are not taken yet.
+    ahead_bytes,
     /// Bytes of statements held.
     held_bytes,
     /// Most bytes of statements held together.
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -6,6 +6,7 @@
 use crate::reducer::{ClientId, Closed, Input};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
+use rustix::event::{poll, PollFd, Timespec};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,7 +51,7 @@
 
 fn open(shell: &Rc<Shell>, next: &mut u64, socket: Async<TcpStream>) {
     let limits = &shell.limits;
-    let link = Link::new(socket, limits.statement_bytes, limits.linger_bytes, &shell.client_budget);
+    let link = Link::new(socket, limits.ahead_bytes, limits.linger_bytes, &shell.client_budget);
     let id = ClientId(*next);
     *next += 1;
     let task = shell.executor.spawn(serve(shell.clone(), id, link.clone()));
@@ -58,6 +59,36 @@
     shell.input(Input::ClientOpened(id));
 }
 
+/// Tells the reducer of clients that leave while what they have sent is not read on.
+///
+/// Danger: the end of a connection is read behind its last byte. One whose bytes wait for room, for the statements before
+/// them or for the rest of a message would be served, statement by statement, long after it has gone.
+pub(super) async fn see_leave(shell: Rc<Shell>) {
+    let pace = Duration::from_nanos(shell.limits.leave_pace as u64);
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    loop {
+        shell.holds.wait(true).await;
+        Timer::after(pace).await;
+        let holding: Vec<_> = shell.holding.borrow().iter().copied().collect();
+        for some in holding.chunks(shell.limits.leave_turn) {
+            let link = |id: &ClientId| Some((*id, shell.clients.borrow().get(id)?.link.clone()));
+            let links: Vec<_> = some.iter().filter_map(link).collect();
+            let mut asked: Vec<_> = links.iter().map(|(_, link)| link.closes()).collect();
+            // Where it cannot be asked, the end is read in its turn.
+            let seen = poll(&mut asked, Some(&now)).unwrap_or_default();
+            let over = |asked: &PollFd<'_>| seen > 0 && !asked.revents().is_empty();
+            let gone: Vec<_> =
+                links.iter().zip(&asked).filter(|(_, a)| over(a)).map(|((id, _), _)| *id).collect();
+            for id in gone {
+                shell.close_client(id, false);
+                shell.input(Input::ClientClosed(id, Closed::Lost));
+            }
+            future::yield_now().await;
+        }
+        shell.holds.set(!shell.holding.borrow().is_empty());
+    }
+}
+
 async fn serve(shell: Rc<Shell>, id: ClientId, link: Rc<Link>) {
     let limits = &shell.limits;
     let mut frames = Frames::client(limits.startup_bytes, limits.statement_bytes);
@@ -96,7 +127,11 @@
         }
         let held = frames.held();
         link.hold(held);
-        if held > 0 {
+        if held == 0 {
+            shell.holding.borrow_mut().remove(&id);
+        } else {
+            shell.holding.borrow_mut().insert(id);
+            shell.holds.set(true);
             shell.input(Input::ClientHolds(id, held));
             if !shell.takes(id) {
                 shell.waiting.borrow_mut().insert(id);
--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -3,6 +3,7 @@
 use crate::reducer::Closed;
 use async_io::Async;
 use futures_lite::stream::Stream;
+use rustix::event::{PollFd, PollFlags};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -219,6 +220,11 @@
         }
     }
 
+    /// What the kernel is to be asked about it: whether the other side has closed, behind whatever it has sent before.
+    pub(super) fn closes(&self) -> PollFd<'_> {
+        PollFd::new(self.socket.get_ref(), PollFlags::RDHUP)
+    }
+
     /// Ends the connection unless something has come that was not handed over. Danger: what comes between the look and
     /// the end is lost, so the end is not left to the moment when the connection's task is dropped.
     pub(super) fn end_if_quiet(&self) -> bool {
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -106,6 +106,9 @@
     clients: RefCell<HashMap<ClientId, Client>>,
     /// Clients with whole messages that are not taken yet.
     waiting: RefCell<BTreeSet<ClientId>>,
+    /// Clients whose tasks hold bytes and may not read on, and whether there are any.
+    holding: RefCell<BTreeSet<ClientId>>,
+    holds: Gate,
     /// Bytes that the clients' and the members' tasks hold.
     client_budget: Rc<Budget>,
     member_budget: Rc<Budget>,
@@ -277,6 +280,7 @@
 
     fn close_client(&self, client: ClientId, tell: bool) {
         let known = self.clients.borrow_mut().remove(&client);
+        self.holding.borrow_mut().remove(&client);
         if known.is_some() && tell {
             self.later(Input::ClientClosed(client, Closed::Lost));
         }
@@ -339,6 +343,8 @@
         handling: Cell::new(false),
         clients: RefCell::default(),
         waiting: RefCell::default(),
+        holding: RefCell::default(),
+        holds: Gate::default(),
         client_budget: Budget::new(limits.client_bytes),
         member_budget: Budget::new(limits.member_bytes),
         members: RefCell::default(),
@@ -382,6 +388,7 @@
         executor.spawn(calls::run(shell.clone(), knocks)).detach();
         executor.spawn(backs::run(shell.clone(), told)).detach();
     }
+    executor.spawn(clients::see_leave(shell.clone())).detach();
     executor.spawn(clients::accept(shell.clone(), listener)).detach();
     effects.into_iter().for_each(|effect| shell.carry_out(effect));
     shell.input(Input::Start);
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -38,6 +38,9 @@
     pub startup_bytes: usize,
     /// A client's message: a value of 64 KiB in hexadecimal, and the text around it.
     pub statement_bytes: usize,
+    /// What one client may have read ahead of what is taken. Danger: the end of a connection stands behind all that was sent
+    /// before it, and what is not read here keeps it back on the way.
+    pub ahead_bytes: usize,
     /// One message of a member's answer, and a whole answer. Members may hold larger values than clients write here.
     pub answer_bytes: usize,
     /// The head of an HTTP answer.
@@ -89,6 +92,11 @@
     pub client_line: usize,
     /// Messages of one client taken before all others have had their turn.
     pub client_turn: usize,
+    /// Pace of the look at clients that may have left while their bytes wait: a third of the tenth of a second after which nothing
+    /// may begin for them.
+    pub leave_pace: Span,
+    /// So many of them are looked at before others have had their turn.
+    pub leave_turn: usize,
     /// New connections taken before others have had their turn.
     pub accept_turn: usize,
     /// Connections that may stand in line before they are taken.
@@ -158,6 +166,7 @@
             members: 16 << 10,
             startup_bytes: 10_000,
             statement_bytes: 2 * VALUE_BYTES + ROOM,
+            ahead_bytes: 4 * (2 * VALUE_BYTES + ROOM),
             answer_bytes: VALUE_BYTES.max(memory / ANSWER_PART) + ROOM,
             head_bytes: 16 << 10,
             list_bytes: 8 << 20,
@@ -184,6 +193,8 @@
             client_malformed: 10,
             client_line: 64,
             client_turn: 4,
+            leave_pace: 30 * MS,
+            leave_turn: 512,
             accept_turn: 8,
             backlog: 4096,
             wait_most: longest.max(30 * SECOND),
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -168,6 +168,12 @@
             out.push(Effect::MemberClose(id));
             return self.end_job(now, id, Outcome::Unsent, out);
         }
+        // Danger: a client may leave, or its time end, while its attempt waits for a connection; where the settings allow no
+        // cancels nothing has taken that attempt back.
+        if conn.job.is_some_and(|job| self.is_over(now, job)) {
+            return self.spare(now, id, out);
+        }
+        let Some(conn) = self.conns.get_mut(&id) else { return };
         let back = conn.back;
         let mut asked = Asked::default();
         let (bytes, until) = match conn.job {
@@ -194,6 +200,23 @@
         });
     }
 
+    /// Nobody waits for an attempt any more, or not for long enough.
+    fn is_over(&self, now: Time, job: Job) -> bool {
+        let ended = |request| self.requests.get(request).is_none_or(|open| open.ended);
+        matches!(&job, Job::Attempt { request, give_up, .. } if *give_up <= now || ended(request))
+    }
+
+    /// A connection is up, and its job is no longer wanted: it was never sent, and the connection stands idle.
+    fn spare(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.phase = Phase::Idle;
+        let (member, timer) = (conn.member, conn.timer.take());
+        timer.and_then(|timer| self.timers.remove(&timer));
+        self.end_job(now, id, Outcome::Unsent, out);
+        self.pool.put(member, id, now);
+        self.ways_changed(member);
+    }
+
     /// Sets a connection's one timer.
     pub(super) fn set_conn_timer(&mut self, id: ConnId, at: Time) {
         let timer = self.set_timer(at, Due::Conn(id));
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -428,7 +428,9 @@
     /// Whether a client's next message is taken now; else it waits where it is.
     pub fn takes(&self, client: ClientId) -> bool {
         let room = self.counters.held_bytes < self.limits.client_bytes as u64;
-        self.clients.get(&client).is_some_and(|c| c.has_room(self.limits.client_line)) && room
+        // Danger: a cancel that waited for the room that its own request takes would come too late.
+        let takes = |c: &Client| c.has_room(self.limits.client_line) && (room || c.started.is_none());
+        self.clients.get(&client).is_some_and(takes)
     }
 
     /// The counters as they stand.
@@ -506,6 +508,7 @@
         self.cluster_due_set();
         self.start_due_set(now);
         self.admit(now, out);
+        self.counters.ahead_bytes = self.ahead as u64;
         self.counters.peaks();
         if self.listener_closed && self.clients.is_empty() && self.calls.is_empty() {
             self.exit(out);
