The end answers what clients' tasks had read, and leaves time for the last answers to leave

Cause: Reducer::end (reducer/ending.rs) answered what was in hand and asked for the exit in the same moment. Statements that a client's task had read and could not hand over (more than 64 in line, no room) went with the process unanswered, and so did an answer of which a part was still to be written.

Change: 0.42 s after the longest deadline the rest is answered and everything asked from then on is refused at once; clients are closed between requests as before; the program ends with the last of them, at 0.58 s at the latest (0.55 s before). On exit what has come unread is dropped before the close.

--- a/crates/stackgw-gateway/src/io/link.rs
+++ b/crates/stackgw-gateway/src/io/link.rs
@@ -235,6 +235,17 @@
         quiet
     }
 
+    /// The process ends: nothing follows what has been written. What has come and was not read is dropped first, as a close over
+    /// it would be a reset, which takes along what has not arrived on the other side.
+    pub(super) fn last_word(&self) {
+        let mut dropped = [0; 4096];
+        let mut left = self.linger_bytes;
+        while left > 0 && matches!(self.socket.get_ref().read(&mut dropped), Ok(1..)) {
+            left = left.saturating_sub(dropped.len());
+        }
+        let _ = self.socket.get_ref().shutdown(Shutdown::Write);
+    }
+
     fn push(&self) -> Written {
         let mut left = self.left.borrow_mut();
         let mut done = 0;
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -274,7 +274,10 @@
             Effect::StopListening => self.stops_listening.set(true),
             Effect::Log(text) => info!(self.log, "{text}"),
             Effect::Report(counters) => info!(self.log, "{counters}"),
-            Effect::Exit => self.ended.set(true),
+            Effect::Exit => {
+                self.clients.borrow().values().for_each(|client| client.link.last_word());
+                self.ended.set(true);
+            }
         }
     }
 
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -124,7 +124,9 @@
     pub drain_serve: Span,
     /// Pace at which clients are then looked at, and closed between requests.
     pub drain_pace: Span,
-    /// After SIGTERM the gateway ends by then, whatever is left.
+    /// After SIGTERM whatever is still in hand then is answered at once, and so is all that is asked from then on.
+    pub drain_refuse: Span,
+    /// After SIGTERM the gateway ends by then, whatever is left: ahead of a SIGKILL.
     pub drain_end: Span,
 }
 
@@ -207,7 +209,8 @@
             drain_accept: 500 * MS,
             drain_serve: longest.min(3 * SECOND) + 200 * MS,
             drain_pace: 100 * MS,
-            drain_end: longest.min(3 * SECOND) + 550 * MS,
+            drain_refuse: longest.min(3 * SECOND) + 420 * MS,
+            drain_end: longest.min(3 * SECOND) + 580 * MS,
         }
     }
 }
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -501,6 +501,9 @@
         statement: Statement,
         out: &mut Vec<Effect>,
     ) -> Result<RequestId, Final> {
+        if self.refuses {
+            return self.decline(Final::NotYet("the gateway ends"));
+        }
         let class = self.names.classes.iter().position(|name| *name == statement.class);
         let class = class.ok_or(Final::Malformed("the class is unknown"))?;
         if self.members.is_empty() {
--- a/crates/stackgw-gateway/src/reducer/ending.rs
+++ b/crates/stackgw-gateway/src/reducer/ending.rs
@@ -8,6 +8,7 @@
             self.set_timer(now + self.limits.drain_accept, Due::StopListening);
             self.retire_at = now + self.limits.drain_serve;
             self.set_timer(self.retire_at, Due::Retire);
+            self.set_timer(now + self.limits.drain_refuse, Due::Refuse);
             self.set_timer(now + self.limits.drain_end, Due::End);
             out.push(Effect::Log(format!("ending, {} requests in hand", self.requests.len())));
         }
@@ -26,9 +27,14 @@
         }
     }
 
-    /// The last moment before a SIGKILL: what is still in hand gets the answer that promises nothing. Danger: each answer
-    /// may let a statement start that waited behind it, and that one has been taken too.
-    pub(super) fn end(&mut self, now: Time, out: &mut Vec<Effect>) {
+    /// Shortly before a SIGKILL: what is still in hand gets the answer that promises nothing, and what is asked from here on is
+    /// refused at once. Clients are then closed between requests as before, and the program ends with the last of them.
+    ///
+    /// Danger: each answer may let a statement start that waited behind it, and that one has been taken too. So have those
+    /// that a client's task has read and could not hand over, and an answer that has not left yet is none: were this the end,
+    /// they would go with the process.
+    pub(super) fn refuse_rest(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.refuses = true;
         let in_hand = |(id, open): (&RequestId, &Open)| open.asker.map(|_| *id);
         let mut left: BTreeSet<_> = self.requests.iter().filter_map(in_hand).collect();
         while let Some(request) = left.pop_first() {
@@ -43,7 +49,7 @@
                 left = self.requests.iter().filter_map(in_hand).collect();
             }
         }
-        self.exit(out);
+        self.retire_clients(now, out);
     }
 
     pub(super) fn exit(&mut self, out: &mut Vec<Effect>) {
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -254,6 +254,7 @@
     Held(RequestId),
     StopListening,
     Retire,
+    Refuse,
     End,
 }
 
@@ -341,6 +342,8 @@
     listener_closed: bool,
     /// From when on clients are then closed between requests.
     retire_at: Time,
+    /// Nothing is taken any more but to be refused.
+    refuses: bool,
     exited: bool,
     secret: u64,
     /// What holds until a restart.
@@ -412,6 +415,7 @@
             ending: false,
             listener_closed: false,
             retire_at: 0,
+            refuses: false,
             exited: false,
             shared: None,
             cluster: None,
@@ -633,7 +637,8 @@
                 Due::Held(request) => self.held_too_long(now, request, out),
                 Due::StopListening => out.push(Effect::StopListening),
                 Due::Retire => self.retire_clients(now, out),
-                Due::End => self.end(now, out),
+                Due::Refuse => self.refuse_rest(now, out),
+                Due::End => self.exit(out),
             }
             self.route(now, out);
         }
--- a/crates/stackgw-gateway/tests/reducer.rs
+++ b/crates/stackgw-gateway/tests/reducer.rs
@@ -1101,3 +1101,21 @@
     rig.input(Input::List(list(2, false, &[entry(1, "draining", "leader")])));
     assert!(closed(&rig.pass(251 * MS)).contains(&conn));
 }
+
+/// Between the last answers and the end statements still come: from tasks that held them, or from clients that were not told yet.
+#[test]
+fn what_is_asked_after_the_last_answers_is_refused_and_the_end_comes_with_the_last_client() {
+    let (mut rig, client, _) = asked(buy(9000));
+    rig.input(Input::Terminate);
+    rig.input(Input::ListenerClosed);
+    let effects = rig.pass(2 * SECOND + 430 * MS);
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("58000"));
+    assert!(!effects.contains(&Effect::Exit), "what was written leaves first");
+    let effects = rig.ask(client, read(900));
+    assert_eq!(sqlstate(&answers(&effects)[0]).as_deref(), Some("57P03"));
+    assert!(statements(&effects).is_empty() && opened(&effects).is_empty(), "nothing is sent on");
+    assert!(effects.contains(&Effect::ClientRetire(client)), "it is closed between requests, as before");
+    let effects = rig.input(Input::ClientClosed(client, Closed::Lost));
+    assert!(effects.contains(&Effect::Exit));
+    assert!(!rig.pass(SECOND).contains(&Effect::Exit), "once");
+}
