--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -360,6 +360,10 @@
         match frame.kind {
             b'Q' if client.skips => {}
             b'Q' if Statement::is_empty(&frame) => {
+                // Danger: those that wait for the list may fill all places; whoever comes then is told so, not kept.
+                if !ready && self.turned_away(now, id, out) {
+                    return;
+                }
                 self.client_used(id);
                 let Some(client) = self.clients.get_mut(&id) else { return };
                 if !ready {
@@ -437,17 +441,8 @@
 
     pub(super) fn query(&mut self, now: Time, came: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
         self.counters.taken += 1;
-        let full = self.clients.len() > self.limits.clients;
-        let surplus = self.clients.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.surplus));
-        // Whoever has asked nothing gives way to one that has; is there none such, this one is turned away.
-        let silent = self.idle_clients.iter().take_while(|(used, ..)| !used).find(|(.., other)| *other != id);
-        if let Some(&(.., silent)) = silent.filter(|_| surplus && full) {
-            self.evicting = Some(silent);
-            out.push(Effect::ClientRetire(silent));
-        } else if surplus && full {
-            // Danger: waiting for a place, in line or here, would cost its time; it has not run, so it may go elsewhere.
-            self.counters.turned_away += 1;
-            return self.client_error(now, id, true, "53300", "too many connections", out);
+        if self.turned_away(now, id, out) {
+            return;
         }
         let asked = Statement::parse(frame).map_err(|why| Final::Malformed(why.0));
         match asked.and_then(|statement| self.ask(now, came, Asker::Client(id), statement, out)) {
@@ -464,6 +459,25 @@
         }
     }
 
+    /// The first thing that a client asks which came when all places were taken: it gets the place of one that has asked
+    /// nothing, else it is told that there is none.
+    fn turned_away(&mut self, now: Time, id: ClientId, out: &mut Vec<Effect>) -> bool {
+        let full = self.clients.len() > self.limits.clients;
+        let surplus = self.clients.get_mut(&id).is_some_and(|c| std::mem::take(&mut c.surplus));
+        // Whoever has asked nothing gives way to one that has; is there none such, this one is turned away.
+        let silent = self.idle_clients.iter().take_while(|(used, ..)| !used).find(|(.., other)| *other != id);
+        if let Some(&(.., silent)) = silent.filter(|_| surplus && full) {
+            self.evicting = Some(silent);
+            out.push(Effect::ClientRetire(silent));
+        } else if surplus && full {
+            // Danger: waiting for a place, in line or here, would cost its time; it has not run, so it may go elsewhere.
+            self.counters.turned_away += 1;
+            self.client_error(now, id, true, "53300", "too many connections", out);
+            return true;
+        }
+        false
+    }
+
     /// Another front's request.
     pub(super) fn call(
         &mut self,
