With stackgw-start too a change is told six seconds after the service can be reached

Cause: Turns (turns.rs) let the service's word put an ask off for up to 60 s and let pauses grow to four spans of the fleet, twice that by chance; the term that a change counts as told 6 s after discovery had it and could be reached goes before both.

Change: a put-off counts for 2 s at most, pauses grow to one span of the fleet (on average, so the service still gets 0.8 of what it bears).

--- a/crates/stackgw-start/src/start.rs
+++ b/crates/stackgw-start/src/start.rs
@@ -456,8 +456,8 @@
             self.turns.put_off(now, wait);
         }
         self.live = false;
-        let (askers, urgent) = (self.askers(), self.book.revision().is_none());
-        self.watch = Watch::Due(self.turns.again(now, askers, urgent));
+        let askers = self.askers();
+        self.watch = Watch::Due(self.turns.again(now, askers));
         self.look(now, out);
     }
 
--- a/crates/stackgw-start/src/turns.rs
+++ b/crates/stackgw-start/src/turns.rs
@@ -10,12 +10,11 @@
 
 /// Part of what the service bears that gateways use; the rest is for whoever else asks it.
 const USE: f64 = 0.8;
-/// Pauses grow by doubling up to so many spans of the whole fleet ...
-const SPANS_MOST: f64 = 4.0;
-/// ... or, while an instance knows nothing at all and cannot serve, to so many.
-const SPANS_URGENT: f64 = 1.0;
 /// No word of the service puts an ask off for longer.
-const PUT_OFF_MOST: Span = 60 * SECOND;
+///
+/// Danger: a change counts as told 6 s after the service had it and could be reached, whatever it said before. An ask that
+/// fails late (3 s), this, and the longest pause stay within that wherever the service bears one ask a second of each instance.
+const PUT_OFF_MOST: Span = 2 * SECOND;
 /// Parts of a golden section apart, no two spans put an instance into the same place.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 
@@ -81,13 +80,13 @@
         self.asked = self.asked.wrapping_add(1);
     }
 
-    /// An ask brought nothing, or what it brought has ended: when to ask again. `urgent`: nothing is known here.
-    pub fn again(&mut self, now: Time, askers: u32, urgent: bool) -> Time {
+    /// An ask brought nothing, or what it brought has ended: when to ask again. Pauses grow by doubling up to a span of the
+    /// whole fleet.
+    pub fn again(&mut self, now: Time, askers: u32) -> Time {
         let (fleet, mine) = (self.span(self.pace.fleet) as f64, self.span(askers) as f64);
         let least = self.pace.least as f64;
-        let most = fleet * if urgent { SPANS_URGENT } else { SPANS_MOST };
         // A pause is anything up to twice the span: the span on average, which keeps all of them within what is borne.
-        let span = (mine * 2f64.powi(self.failed.min(16) as i32)).min(most.max(mine)).max(least);
+        let span = (mine * 2f64.powi(self.failed.min(16) as i32)).min(fleet.max(mine)).max(least);
         self.failed += 1;
         let place = self.place(askers);
         let pause = (2.0 * span * place) as Span;
