Settings that cannot be honoured are refused by name

Cause: document.rs read figures as they came. Nothing below zero or at zero was refused: a staleness bound of 0 makes Router::gossip divide by zero and ends the process once it runs, a deadline below zero lets every request be over as it comes, a dial time-out of 0 no member be reached.

Change: spans are at least 0, those that decisions divide by or wait for are above 0, worths and shares not below 0; the error names the key.

Result: tests/config.rs goes through 13 such settings and the word Behind; it fails at the first without the change.

--- a/crates/stackgw-gateway/tests/config.rs
+++ b/crates/stackgw-gateway/tests/config.rs
@@ -63,3 +63,36 @@
     // Killed no sooner than the longest deadline (2 s here) and 0.7 s after SIGTERM.
     assert!(limits.drain_end > 2 * SECOND + 500 * MS && limits.drain_end < 2 * SECOND + 700 * MS);
 }
+
+/// Found by reading: figures that no gateway can honour were taken as they came; a bound of nothing ended the process where gateways
+/// talk to each other, as the router divides by it.
+#[test]
+fn settings_that_cannot_be_honoured_are_refused_by_name() {
+    let with = |from: &str, to: &str| {
+        let text = config_text("null");
+        assert!(text.contains(from), "{from}");
+        Config::from_text(&text.replacen(from, to, 1), |_| None).map(|_| ()).map_err(|e| e.to_string())
+    };
+    assert_eq!(with("\"Me\":0", "\"Me\":0"), Ok(()));
+    for (from, to, names) in [
+        ("\"StalenessBoundNs\":[1000000000,", "\"StalenessBoundNs\":[0,", "StalenessBoundNs"),
+        ("\"AimNs\":200000000", "\"AimNs\":0", "AimNs"),
+        ("\"DeadlineNs\":1000000000", "\"DeadlineNs\":-5", "DeadlineNs"),
+        ("\"Worth\":1.0", "\"Worth\":-1.0", "Worth"),
+        ("\"QuantumNs\":5000000", "\"QuantumNs\":-1", "QuantumNs"),
+        ("\"DialTimeoutNs\":250000000", "\"DialTimeoutNs\":0", "DialTimeoutNs"),
+        ("\"StopSendingWithinNs\":1000000000", "\"StopSendingWithinNs\":-1", "StopSendingWithinNs"),
+        ("\"FallNs\":1000000000", "\"FallNs\":0", "FallNs"),
+        ("\"StartCapacity\":0.25", "\"StartCapacity\":-0.25", "StartCapacity"),
+        ("\"FleetSize\":2", "\"FleetSize\":0", "FleetSize"),
+        ("\"ConnIdleNs\":20000000000", "\"ConnIdleNs\":-1", "ConnIdleNs"),
+        ("\"MaxOpen\":1000", "\"MaxOpen\":-1", "MaxOpen"),
+        ("\"Behind\":\"silent\"", "\"Behind\":\"odd\"", "Behind"),
+    ] {
+        let said = with(from, to).expect_err(names);
+        assert!(said.contains(names) && !said.contains('\n'), "{said}");
+    }
+    let keyed = config_text("null").replacen("\"retryable\"", "\"dedup\"", 1);
+    let said = Config::from_text(&keyed.replacen("\"DedupWindowNs\":0", "\"DedupWindowNs\":-1", 1), |_| None);
+    assert!(said.map(|_| ()).expect_err("a window").to_string().contains("DedupWindowNs"));
+}
--- a/crates/stackgw-settings/src/document.rs
+++ b/crates/stackgw-settings/src/document.rs
@@ -49,8 +49,8 @@
                 zones: zones.iter().map(|z| called(z, "Zones")).collect::<Result<_, _>>()?,
             },
             position_zero: int(part(conf, "Domain")?, "CountedFromNs")?,
-            conn_idle: int_or(limits, "ConnIdleNs", 0)?,
-            max_open: int_or(limits, "MaxOpen", i64::from(u32::MAX))?.max(0) as usize,
+            conn_idle: span_or(limits, "ConnIdleNs", 0)?,
+            max_open: span_or(limits, "MaxOpen", i64::from(u32::MAX))? as usize,
         })
     }
 }
@@ -84,7 +84,12 @@
             Some("update") => Need::Write,
             Some("latest") => Need::Fresh,
             Some("own_writes") => Need::Session,
-            Some("recent") => Need::Bounded(bound.ok_or("StalenessBoundNs is too short")?),
+            Some("recent") => {
+                let bound = bound.ok_or("StalenessBoundNs is too short")?;
+                Need::Bounded(
+                    Some(bound).filter(|b| *b > 0).ok_or("StalenessBoundNs holds one that is not above 0")?,
+                )
+            }
             Some("loose") => Need::Loose,
             other => return Err(format!("NeedsByClass holds {other:?} for class {i}")),
         };
@@ -96,32 +101,38 @@
         };
         let effect = match word(c, "Effect")? {
             "retryable" => Effect::Safe,
-            "dedup" => Effect::Keyed { scope: scope()?, window: int(c, "DedupWindowNs")? },
+            "dedup" => Effect::Keyed { scope: scope()?, window: span(c, "DedupWindowNs")? },
             "fragile" => Effect::Unsafe,
             other => return Err(format!("Effect holds '{other}'")),
         };
         Ok(Class {
             need,
             effect,
-            aim: int(c, "AimNs")?,
-            deadline: int(c, "DeadlineNs")?,
-            worth: number(c, "Worth")?,
-            late_worth: number(c, "LateWorth")?,
+            aim: above_zero(c, "AimNs")?,
+            deadline: above_zero(c, "DeadlineNs")?,
+            worth: amount(c, "Worth")?,
+            late_worth: amount(c, "LateWorth")?,
         })
     };
     let reported = list(stats, "Fields")?;
     Ok(Settings {
         classes: list(conf, "Classes")?.iter().enumerate().map(class).collect::<Result<_, _>>()?,
-        fleet_size: index(conf, "FleetSize")?,
+        fleet_size: index(conf, "FleetSize").and_then(|n| {
+            if n > 0 {
+                Ok(n)
+            } else {
+                Err("FleetSize is not above 0".to_owned())
+            }
+        })?,
         me: index(conf, "Me")?,
         zone: index(conf, "Zone")?,
-        tick: int(conf, "QuantumNs")?,
+        tick: span(conf, "QuantumNs")?,
         list_on_request: word(conf, "MembershipMode")? == "subscribe",
-        must_ask_within: int_or(rules, "MustAskInNs", 0)?,
+        must_ask_within: span_or(rules, "MustAskInNs", 0)?,
         lagging: match word(domain, "Behind")? {
             "silent" => Lagging::Answers,
             "reject" => Lagging::Refuses,
-            "hold" => Lagging::Waits(int(domain, "CatchUpWaitNs")?),
+            "hold" => Lagging::Waits(span(domain, "CatchUpWaitNs")?),
             other => return Err(format!("Behind holds '{other}'")),
         },
         positions_in_answers: flag(domain, "Stamps")?,
@@ -151,19 +162,19 @@
             cancel: flag(limits, "Cancel")?,
             probes: flag(limits, "Probes")?,
             retry_after: flag(limits, "RetryAfter")?,
-            retry_after_max: int_or(limits, "MaxRetryAfterNs", 0)?,
+            retry_after_max: span_or(limits, "MaxRetryAfterNs", 0)?,
             peers: flag(limits, "MayTell")?,
             carried: false,
-            connect_timeout: int(limits, "DialTimeoutNs")?,
+            connect_timeout: above_zero(limits, "DialTimeoutNs")?,
         },
         obligations: Obligations {
-            answer_slack: int(rules, "AnswerSlackNs")?,
-            drain_grace: int(rules, "StopSendingWithinNs")?,
+            answer_slack: span(rules, "AnswerSlackNs")?,
+            drain_grace: span(rules, "StopSendingWithinNs")?,
             only_drains_bind: rules.get("OnlyDrainingBinds").and_then(Value::as_bool).unwrap_or(false),
-            cold_share: number(rules, "StartCapacity")?,
-            warm_within: int(rules, "WarmWithinNs")?,
-            fall_multiple: number(rules, "FallMultiple")?,
-            fall_window: int(rules, "FallNs")?,
+            cold_share: amount(rules, "StartCapacity")?,
+            warm_within: span(rules, "WarmWithinNs")?,
+            fall_multiple: amount(rules, "FallMultiple")?,
+            fall_window: above_zero(rules, "FallNs")?,
         },
         prices: Prices {
             probe: number(prices, "Probe")?,
@@ -182,8 +193,18 @@
     at.get(key).and_then(Value::as_i64).ok_or(format!("{key} is no whole number"))
 }
 
-fn int_or(at: &Value, key: &str, absent: i64) -> Result<i64, String> {
-    at.get(key).map_or(Ok(absent), |_| int(at, key))
+/// A whole number that may be nothing, and nothing below.
+fn span(at: &Value, key: &str) -> Result<i64, String> {
+    int(at, key).and_then(|n| if n >= 0 { Ok(n) } else { Err(format!("{key} is below 0")) })
+}
+
+fn span_or(at: &Value, key: &str, absent: i64) -> Result<i64, String> {
+    at.get(key).map_or(Ok(absent), |_| span(at, key))
+}
+
+/// Danger: decisions divide by these.
+fn above_zero(at: &Value, key: &str) -> Result<i64, String> {
+    int(at, key).and_then(|n| if n > 0 { Ok(n) } else { Err(format!("{key} is not above 0")) })
 }
 
 fn index(at: &Value, key: &str) -> Result<u32, String> {
@@ -194,6 +215,10 @@
     at.get(key).and_then(Value::as_f64).ok_or(format!("{key} is no number"))
 }
 
+fn amount(at: &Value, key: &str) -> Result<f64, String> {
+    number(at, key).and_then(|n| if n >= 0.0 { Ok(n) } else { Err(format!("{key} is below 0")) })
+}
+
 fn flag(at: &Value, key: &str) -> Result<bool, String> {
     at.get(key).and_then(Value::as_bool).ok_or(format!("{key} is neither true nor false"))
 }
