--- a/crates/stackgw-router/tests/cold_sum.rs
+++ b/crates/stackgw-router/tests/cold_sum.rs
@@ -157,10 +157,10 @@
         began,
         dice,
     };
-    for at in 0..fleet {
+    for (at, part) in parts.iter().enumerate() {
         let members = all.list(false);
         all.tell(at, Event::List { scope: ListScope::Full, members });
-        let first = all.dice.wait(SECOND as f64 * sum / (rate * parts[at]));
+        let first = all.dice.wait(SECOND as f64 * sum / (rate * part));
         all.later(first, Next::Ask(at));
         // Half are told at once, the others over two seconds.
         let late = (all.dice.roll() - 0.5).max(0.0) * 4.0 * SECOND as f64;
