--- a/crates/stackgw-cli/tests/leaving.rs
+++ b/crates/stackgw-cli/tests/leaving.rs
@@ -152,6 +152,8 @@
 #[test]
 fn nothing_is_sent_on_for_a_cancelled_request() {
     let (World { gateway, seen, .. }, primary_comes) = without_primary("cancelled");
+    // It has the list once it says so.
+    drop(gateway.client());
     let mut client = gateway.connect();
     client.write(&[startup()]);
     let key = client.answer().into_iter().find(|f| f.kind == b'K').expect("the key");
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -82,6 +82,8 @@
     clients_stalled,
     /// Client connections closed because they asked nothing in time.
     clients_silent,
+    /// Client connections refused while no list was known, as all places were taken by those that wait for it.
+    clients_refused,
     /// Client connections closed for sending much ahead, or leaving much unread, while there was no room.
     clients_greedy,
     /// Statements whose id is that of an open request.
--- a/crates/stackgw-gateway/src/reducer/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/clients.rs
@@ -362,6 +362,7 @@
             b'Q' if Statement::is_empty(&frame) => {
                 // Danger: those that wait for the list may fill all places; whoever comes then is told so, not kept.
                 if !ready && self.turned_away(now, id, out) {
+                    self.counters.clients_refused += 1;
                     return;
                 }
                 self.client_used(id);
@@ -442,6 +443,7 @@
     pub(super) fn query(&mut self, now: Time, came: Time, id: ClientId, frame: Frame, out: &mut Vec<Effect>) {
         self.counters.taken += 1;
         if self.turned_away(now, id, out) {
+            self.counters.turned_away += 1;
             return;
         }
         let asked = Statement::parse(frame).map_err(|why| Final::Malformed(why.0));
@@ -471,7 +473,6 @@
             out.push(Effect::ClientRetire(silent));
         } else if surplus && full {
             // Danger: waiting for a place, in line or here, would cost its time; it has not run, so it may go elsewhere.
-            self.counters.turned_away += 1;
             self.client_error(now, id, true, "53300", "too many connections", out);
             return true;
         }
