A list's lines may be indented as they like, also not at all

Cause: read over: Objects took a line that begins with a space for no list, and one that begins with a bracket inside a list for the next list; an agent that indents by nothing, or puts a space before each line, would have lost its watch at every list.

Change: space before a list counts for nothing; inside one, only a line that is a whole list by itself, or a blank one, shows that it was cut off.

--- a/crates/stackgw-gateway/src/discovery.rs
+++ b/crates/stackgw-gateway/src/discovery.rs
@@ -323,14 +323,16 @@
         Objects { begun: Vec::new(), depth: 0, text: false, escaped: false, most }
     }
 
-    /// Takes the next line. Danger: a list that was cut off must not swallow those behind it, so that a line that begins
-    /// another, or says that nothing is new, ends the watch inside one.
+    /// Takes the next line. Danger: a list that was cut off must not swallow those behind it, so that a line that is one, or
+    /// says that nothing is new, ends the watch inside one.
     pub fn line(&mut self, line: Vec<u8>) -> Result<Word, Malformed> {
-        let begins = line.first() == Some(&b'{');
+        let begins = line.trim_ascii_start().first() == Some(&b'{');
         match (self.begun.is_empty(), line.trim_ascii().is_empty()) {
             (true, true) => return Ok(Word::Alive),
             (true, false) if !begins => return wrong("a line of the watch is no list"),
-            (false, blank) if blank || begins => return wrong("a list is cut off"),
+            (false, blank) if blank || begins && list_from_bytes(&line).is_ok() => {
+                return wrong("a list is cut off")
+            }
             _ => {}
         }
         if self.begun.len() + line.len() > self.most {
