Read over: one way for a connection to stand idle again, one timer of the watch, one set of stand-ins

Seen on reading the change: spare() in reducer/members.rs wrote again what an answered job does with its connection; open_watch and watch_wait set the same timer each for itself; tests/leaving.rs built three members as tests/world does, and two test files waited for counters each in its own way. Each is one piece now (rest, set_watch_timer, world_of, Gateway::until).

--- a/crates/stackgw-cli/tests/discovery.rs
+++ b/crates/stackgw-cli/tests/discovery.rs
@@ -128,14 +128,7 @@
                 assert_eq!(kinds(&client.answer()), "TDCZ", "{how:?}");
                 let back = is_back.recv_timeout(WAIT).expect("its return");
                 // The counters say when the second list has come.
-                loop {
-                    gateway.signal("USR1");
-                    if gateway.line("counters ").contains(" lists=2 ") {
-                        break;
-                    }
-                    assert!(back.elapsed() < WAIT, "{how:?}: never told");
-                    std::thread::sleep(Duration::from_millis(20));
-                }
+                gateway.until("lists", |n| n == 2);
                 (how, back.elapsed(), seen.try_iter().count())
             })
         })
--- a/crates/stackgw-cli/tests/leaving.rs
+++ b/crates/stackgw-cli/tests/leaving.rs
@@ -8,43 +8,19 @@
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Instant;
 use world::*;
 
 /// Two replicas and no primary, so that writes wait; with the word that brings the primary.
 fn without_primary(name: &str) -> (World, impl FnOnce() -> Sender<String>) {
-    let (told, seen) = channel();
     let (tell, news) = channel();
-    let (mut go, mut entries) = (Vec::new(), Vec::new());
-    for n in 1..=3 {
-        let (send, receive) = channel();
-        go.push(send);
-        let port = member(n == 1, told.clone(), receive);
-        let role = if n == 1 { "leader" } else { "follower" };
-        entries.push(entry(n, "ready", role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\"")));
-    }
-    let agent = agent_with_news(list_text(1, true, &entries[1..]), news);
-    let primary = list_text(2, false, &entries[..1]);
+    let world = world_of(name, |entries| agent_with_news(list_text(1, true, &entries[1..]), news));
+    let primary = list_text(2, false, &world.entries[..1]);
     // The agent ends with the last sender, and would take what it has just written along.
     let comes = move || {
         tell.send(primary).expect("the watch");
         tell
     };
-    (World { gateway: Gateway::start(name, agent), seen, go, entries }, comes)
-}
-
-/// Asks for the counters until one is as wanted.
-fn until(gateway: &Gateway, counter: &str, wanted: impl Fn(u64) -> bool) {
-    let begun = Instant::now();
-    loop {
-        gateway.signal("USR1");
-        let line = gateway.line("counters ");
-        let value = line.split(' ').find_map(|word| word.strip_prefix(counter)?.strip_prefix('='));
-        if wanted(value.and_then(|v| v.parse().ok()).expect("the counter")) {
-            return;
-        }
-        assert!(begun.elapsed() < WAIT, "{counter}: {line}");
-    }
+    (world, comes)
 }
 
 /// A client that asks for a write that waits, and then leaves.
@@ -115,17 +91,17 @@
     }
     let all = here.len() as u64;
     if flooding == 0 {
-        until(&gateway, "taken", |n| n == all);
+        gateway.until("taken", |n| n == all);
         // Two have all that they sent read ahead, the third as much as is read of one.
-        until(&gateway, "ahead_bytes", |n| n > 2 * 498_000 + 4 * (136 << 10));
+        gateway.until("ahead_bytes", |n| n > 2 * 498_000 + 4 * (136 << 10));
     }
     here.into_iter().for_each(|(leaves, wire)| leaves(wire));
     if flooding == 0 {
         // Each is seen to leave, whatever of it has not been read.
-        until(&gateway, "answered_gone", |n| n == all);
+        gateway.until("answered_gone", |n| n == all);
     } else {
         // What they asked may not have been taken by now; none of them is here any more.
-        until(&gateway, "clients_open", |n| n <= flooding as u64 + 1);
+        gateway.until("clients_open", |n| n <= flooding as u64 + 1);
     }
     over.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("no panic"));
@@ -158,7 +134,7 @@
     client.write(&[startup()]);
     let key = client.answer().into_iter().find(|f| f.kind == b'K').expect("the key");
     client.write(&[insert("gone"), insert("gone-too")]);
-    until(&gateway, "taken", |n| n == 2);
+    gateway.until("taken", |n| n == 2);
     let mut by = gateway.connect();
     let _ = by.socket.write_all(&[&[0, 0, 0, 16, 4, 210, 22, 46], key.body()].concat());
     assert!(by.next().is_none(), "it is told nothing");
--- a/crates/stackgw-cli/tests/world/mod.rs
+++ b/crates/stackgw-cli/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const WAIT: Duration = Duration::from_secs(20);
 
@@ -209,6 +209,20 @@
         }
     }
 
+    /// Asks for the counters until one is as wanted.
+    pub fn until(&self, counter: &str, wanted: impl Fn(u64) -> bool) {
+        let begun = Instant::now();
+        loop {
+            self.signal("USR1");
+            let line = self.line("counters ");
+            let value = line.split(' ').find_map(|word| word.strip_prefix(counter)?.strip_prefix('='));
+            if wanted(value.and_then(|v| v.parse().ok()).expect("the counter")) {
+                return;
+            }
+            assert!(begun.elapsed() < WAIT, "{counter}: {line}");
+        }
+    }
+
     /// Writes the configuration anew, with this address for the list.
     pub fn write_config(&self, agent: SocketAddr) {
         let text = config_text("null").replace("127.0.0.1:8500", &agent.to_string());
@@ -267,8 +281,8 @@
     pub entries: Vec<String>,
 }
 
-/// A primary and two replicas, their agent, and a gateway before them.
-pub fn world(name: &str) -> World {
+/// A primary and two replicas; a gateway before them, whose agent is made from their entries.
+pub fn world_of(name: &str, agent: impl FnOnce(&[String]) -> SocketAddr) -> World {
     let (told, seen) = channel();
     let (mut go, mut entries) = (Vec::new(), Vec::new());
     for n in 1..=3 {
@@ -278,7 +292,12 @@
         let role = if n == 1 { "leader" } else { "follower" };
         entries.push(entry(n, "ready", role).replace(&format!(":{}\"", 7000 + n), &format!(":{port}\"")));
     }
-    World { gateway: Gateway::start(name, agent(list_text(1, true, &entries))), seen, go, entries }
+    World { gateway: Gateway::start(name, agent(&entries)), seen, go, entries }
+}
+
+/// The same with an agent that lists them all.
+pub fn world(name: &str) -> World {
+    world_of(name, |entries| agent(list_text(1, true, entries)))
 }
 
 pub fn insert(key: &str) -> Frame {
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -106,7 +106,7 @@
     clients: RefCell<HashMap<ClientId, Client>>,
     /// Clients with whole messages that are not taken yet.
     waiting: RefCell<BTreeSet<ClientId>>,
-    /// Clients whose tasks hold bytes and may not read on, and whether there are any.
+    /// Clients whose tasks hold bytes, so that they may not be read on, and whether there are any.
     holding: RefCell<BTreeSet<ClientId>>,
     holds: Gate,
     /// Bytes that the clients' and the members' tasks hold.
--- a/crates/stackgw-gateway/src/reducer/list.rs
+++ b/crates/stackgw-gateway/src/reducer/list.rs
@@ -27,8 +27,7 @@
     pub(super) fn open_watch(&mut self, now: Time, after: Option<u64>, out: &mut Vec<Effect>) {
         self.counters.watches += 1;
         out.push(Effect::Watch(self.discovery, after));
-        self.unwatch_waits();
-        self.watch_until = Some(self.set_timer(now + self.limits.watch_dial, Due::WatchSilent));
+        self.set_watch_timer(now + self.limits.watch_dial);
     }
 
     /// Closes the watch.
@@ -40,12 +39,17 @@
 
     /// The watch goes on, and has until then for its next word. One that is over has no clock to be set.
     pub(super) fn watch_wait(&mut self, until: Time) {
-        if let Some(old) = self.watch_until.take() {
-            self.timers.remove(&old);
-            self.watch_until = Some(self.set_timer(until, Due::WatchSilent));
+        if self.watch_until.is_some() {
+            self.set_watch_timer(until);
         }
     }
 
+    /// Sets the watch's one timer.
+    fn set_watch_timer(&mut self, at: Time) {
+        self.unwatch_waits();
+        self.watch_until = Some(self.set_timer(at, Due::WatchSilent));
+    }
+
     /// The watch's clock stops.
     pub(super) fn unwatch_waits(&mut self) {
         if let Some(old) = self.watch_until.take() {
--- a/crates/stackgw-gateway/src/reducer/members.rs
+++ b/crates/stackgw-gateway/src/reducer/members.rs
@@ -171,7 +171,7 @@
         // Danger: a client may leave, or its time end, while its attempt waits for a connection; where the settings allow no
         // cancels nothing has taken that attempt back.
         if conn.job.is_some_and(|job| self.is_over(now, job)) {
-            return self.spare(now, id, out);
+            return self.rest(now, id, Outcome::Unsent, out);
         }
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let back = conn.back;
@@ -206,13 +206,13 @@
         matches!(&job, Job::Attempt { request, give_up, .. } if *give_up <= now || ended(request))
     }
 
-    /// A connection is up, and its job is no longer wanted: it was never sent, and the connection stands idle.
-    fn spare(&mut self, now: Time, id: ConnId, out: &mut Vec<Effect>) {
+    /// A connection that is up has its job behind it, be it answered or no longer wanted, and stands idle.
+    fn rest(&mut self, now: Time, id: ConnId, outcome: Outcome, out: &mut Vec<Effect>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.phase = Phase::Idle;
         let (member, timer) = (conn.member, conn.timer.take());
         timer.and_then(|timer| self.timers.remove(&timer));
-        self.end_job(now, id, Outcome::Unsent, out);
+        self.end_job(now, id, outcome, out);
         self.pool.put(member, id, now);
         self.ways_changed(member);
     }
@@ -278,14 +278,7 @@
                     out.push(Effect::MemberClose(id));
                     return self.end_job(now, id, outcome, out);
                 }
-                if let Some(timer) = conn.timer.take() {
-                    self.timers.remove(&timer);
-                }
-                conn.phase = Phase::Idle;
-                let member = conn.member;
-                self.end_job(now, id, outcome, out);
-                self.pool.put(member, id, now);
-                self.ways_changed(member);
+                self.rest(now, id, outcome, out);
             }
         }
     }
