A small message finds room beside floods; whoever holds most pays, not a newcomer

Callers saw: while members were silent or there was no primary and some clients sent large statements without end, a newcomer's empty query got an error and a close, or no answer at all.

Cause: past three quarters of what may be read ahead the idle client with the most was closed, one without any request first; clients that flood have requests in flight and are not idle, so a newcomer with ten bytes was the only candidate. Statements and read-ahead each had one total, so that a few clients could hold all of it. Complete statements that waited counted as no request and as stalled.

Change: a quarter of each budget is reserved in equal shares; half of the rest is for clients that hold nothing yet; of the other half each may hold as much as it leaves free. Only an incomplete message above an equal part of the total costs its sender the connection. Clients that wait are resumed in turn. The exemption from the budget lasts until its message is handed over, and the decoder's buffer is not doubled.

Why it works: no number of clients that hold something can take the reserve of another or the half that is for those that hold nothing, so a newcomer depends on nobody's deadline.

--- a/crates/stackgw-cli/tests/common/gateway_process.rs
+++ b/crates/stackgw-cli/tests/common/gateway_process.rs
@@ -22,9 +22,14 @@
 impl GatewayProcess {
     /// Starts the program with the configuration of [`config_text`], and waits until it listens.
     pub fn start(name: &str, list_address: SocketAddr) -> Self {
+        Self::start_with_config(name, list_address, &config_text("null"))
+    }
+
+    /// The same with this configuration.
+    pub fn start_with_config(name: &str, list_address: SocketAddr, text: &str) -> Self {
         let config =
             std::env::temp_dir().join(format!("stackgw-{}-{name}.json", std::process::id()));
-        std::fs::write(&config, config_text("null")).expect("a file");
+        std::fs::write(&config, text).expect("a file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_stackgw"))
             .env("ROUTER_CONFIG", &config)
             .env("ROUTER_LISTEN", "127.0.0.1:0")
@@ -70,19 +75,25 @@
         }
     }
 
+    /// Asks for the counters; gives the value of one.
+    pub fn counter(&self, counter: &str) -> u64 {
+        self.signal("USR1");
+        let line = self.wait_for_line("counters ");
+        let value = line
+            .split(' ')
+            .find_map(|word| word.strip_prefix(counter)?.strip_prefix('='));
+        value.and_then(|v| v.parse().ok()).expect("the counter")
+    }
+
     /// Asks for the counters until one is as expected.
     pub fn wait_for_counter(&self, counter: &str, is_expected: impl Fn(u64) -> bool) {
         let started = Instant::now();
         loop {
-            self.signal("USR1");
-            let line = self.wait_for_line("counters ");
-            let value = line
-                .split(' ')
-                .find_map(|word| word.strip_prefix(counter)?.strip_prefix('='));
-            if is_expected(value.and_then(|v| v.parse().ok()).expect("the counter")) {
+            let value = self.counter(counter);
+            if is_expected(value) {
                 return;
             }
-            assert!(started.elapsed() < TIMEOUT, "{counter}: {line}");
+            assert!(started.elapsed() < TIMEOUT, "{counter}={value}");
         }
     }
 
@@ -130,9 +141,18 @@
 
     /// The process's resident memory, in KiB.
     pub fn resident_kib(&self) -> usize {
+        self.status_kib("VmRSS:")
+    }
+
+    /// The most resident memory that the process has had, in KiB.
+    pub fn peak_kib(&self) -> usize {
+        self.status_kib("VmHWM:")
+    }
+
+    fn status_kib(&self, name: &str) -> usize {
         let file = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(file).expect("its state");
-        let field = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let field = status.lines().find_map(|l| l.strip_prefix(name));
         let field = field.expect("its memory").trim();
         let kib = field.trim_end_matches(" kB").trim().parse();
         kib.expect("a number")
@@ -178,6 +198,15 @@
 pub fn start_fixture_with(
     name: &str,
     start_lists: impl FnOnce(&[String]) -> SocketAddr,
+) -> GatewayFixture {
+    start_fixture_with_config(name, &config_text("null"), start_lists)
+}
+
+/// The same with this configuration.
+pub fn start_fixture_with_config(
+    name: &str,
+    config: &str,
+    start_lists: impl FnOnce(&[String]) -> SocketAddr,
 ) -> GatewayFixture {
     let (sender, statements) = channel();
     let (mut release, mut entries) = (Vec::new(), Vec::new());
@@ -191,7 +220,7 @@
         );
     }
     GatewayFixture {
-        gateway: GatewayProcess::start(name, start_lists(&entries)),
+        gateway: GatewayProcess::start_with_config(name, start_lists(&entries), config),
         statements,
         release,
         entries,
--- a/crates/stackgw-gateway/src/io/client_table.rs
+++ b/crates/stackgw-gateway/src/io/client_table.rs
@@ -6,7 +6,7 @@
 use crate::reducer::ClientId;
 use async_executor::Task;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// A client's connection and its task. Dropped, it is closed.
@@ -15,12 +15,21 @@
     pub(super) _task: Task<()>,
 }
 
+/// A client whose next message is not accepted yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct WaitingClient {
+    pub(super) id: ClientId,
+    /// The size of that message; 0 while it is incomplete.
+    pub(super) message_bytes: usize,
+}
+
 /// All clients' connections, and what the listener is to do.
 pub(super) struct Clients {
     pub(super) connections: RefCell<HashMap<ClientId, Client>>,
     pub(super) next_id: Cell<u64>,
-    /// Clients with complete messages that are not taken yet.
-    pub(super) waiting: RefCell<BTreeSet<ClientId>>,
+    /// Clients whose next messages are not accepted yet, in the order in which they began to wait: whoever has just had its
+    /// turn comes last.
+    pub(super) waiting: RefCell<VecDeque<WaitingClient>>,
     /// Clients whose tasks hold bytes, so that they may not be read on.
     pub(super) with_pending_bytes: RefCell<BTreeSet<ClientId>>,
     /// Whether there are any such clients.
@@ -41,7 +50,7 @@
             waiting: RefCell::default(),
             with_pending_bytes: RefCell::default(),
             any_pending_bytes: Flag::default(),
-            budget: ReadBudget::new(limits.client_bytes),
+            budget: ReadBudget::new(limits.shared_client_bytes(), limits.reserved_client_bytes()),
             accepts: Flag::default(),
             stops_listening: Flag::default(),
         }
@@ -52,6 +61,15 @@
         connections.get(&id).map(|client| client.connection.clone())
     }
 
+    /// Notes that a client's next message is not accepted yet.
+    pub(super) fn wait(&self, client: WaitingClient) {
+        let mut waiting = self.waiting.borrow_mut();
+        match waiting.iter_mut().find(|known| known.id == client.id) {
+            Some(known) => *known = client,
+            None => waiting.push_back(client),
+        }
+    }
+
     pub(super) fn contains(&self, id: ClientId) -> bool {
         self.connections.borrow().contains_key(&id)
     }
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -1,10 +1,10 @@
 //! Clients' connections: one task for each, and the effects that concern them.
 
-use super::client_table::Client;
+use super::client_table::{Client, WaitingClient};
 use super::connection::{Connection, ConnectionEvent, ConnectionEvents, ReadLimits, WriteProgress};
 use super::driver::Driver;
 use crate::pg::FrameDecoder;
-use crate::reducer::{ClientId, CloseReason, Input};
+use crate::reducer::{ClientId, CloseReason, Input, ReadAhead};
 use async_io::Async;
 use futures_lite::{future, StreamExt};
 use std::net::TcpStream;
@@ -82,30 +82,29 @@
     /// Wakes the tasks of those clients whose next message is taken now.
     pub(super) fn resume_waiting_clients(&self) {
         let reducer = self.reducer.borrow();
-        self.clients.waiting.borrow_mut().retain(|id| {
-            let is_taken = reducer.accepts_frame(*id);
-            if let Some(client) = self
-                .clients
-                .connections
-                .borrow()
-                .get(id)
-                .filter(|_| is_taken)
-            {
+        let connections = self.clients.connections.borrow();
+        self.clients.waiting.borrow_mut().retain(|waiting| {
+            let is_accepted = reducer.accepts_frame_of(waiting.id, waiting.message_bytes);
+            let client = connections.get(&waiting.id);
+            if let Some(client) = client.filter(|_| is_accepted) {
                 client.connection.wake();
             }
-            !is_taken && self.clients.contains(*id)
+            !is_accepted && client.is_some()
         });
     }
 
-    /// Whether a client's next message is taken now.
-    fn takes_message(&self, id: ClientId) -> bool {
-        self.reducer.borrow().accepts_frame(id)
+    /// Whether a client's next message, of this size, is accepted now.
+    fn accepts_message(&self, id: ClientId, bytes: usize) -> bool {
+        self.reducer.borrow().accepts_frame_of(id, bytes)
     }
 
-    /// Hands over the messages that are complete, as far as they are taken now.
+    /// Hands over the messages that are complete, as far as they are accepted now.
     async fn hand_over_messages(self: &Rc<Self>, id: ClientId, frames: &mut FrameDecoder) {
         let mut handed_over = 0;
-        while self.takes_message(id) {
+        while let Some(bytes) = frames.next_frame_bytes() {
+            if !self.accepts_message(id, bytes) {
+                break;
+            }
             if handed_over == self.limits.messages_per_turn {
                 // Danger: one that sends hundreds of messages at once would keep all others waiting.
                 handed_over = 0;
@@ -129,8 +128,11 @@
         self: &Rc<Self>,
         id: ClientId,
         connection: &Connection,
-        pending_bytes: usize,
+        frames: &FrameDecoder,
     ) {
+        let pending_bytes = frames.pending_bytes();
+        let next_frame_bytes = frames.next_frame_bytes();
+        connection.set_awaiting_acceptance(next_frame_bytes.is_some());
         connection.set_pending_bytes(pending_bytes);
         if pending_bytes == 0 {
             self.clients.with_pending_bytes.borrow_mut().remove(&id);
@@ -138,9 +140,14 @@
         }
         self.clients.with_pending_bytes.borrow_mut().insert(id);
         self.clients.any_pending_bytes.set(true);
-        self.handle_input(Input::ClientReadAhead(id, pending_bytes));
-        if !self.takes_message(id) {
-            self.clients.waiting.borrow_mut().insert(id);
+        let read_ahead = ReadAhead {
+            bytes: pending_bytes,
+            is_partial: next_frame_bytes.is_none(),
+        };
+        self.handle_input(Input::ClientReadAhead(id, read_ahead));
+        let message_bytes = next_frame_bytes.unwrap_or(0);
+        if !self.accepts_message(id, message_bytes) {
+            self.clients.wait(WaitingClient { id, message_bytes });
         }
     }
 }
@@ -170,7 +177,7 @@
         if connection.is_closing() {
             frames.clear();
         }
-        driver.note_pending_bytes(id, &connection, frames.pending_bytes());
+        driver.note_pending_bytes(id, &connection, &frames);
         // Danger: one that sends without a pause would keep all others waiting.
         future::yield_now().await;
     }
--- a/crates/stackgw-gateway/src/io/connection/events.rs
+++ b/crates/stackgw-gateway/src/io/connection/events.rs
@@ -74,8 +74,12 @@
     }
 
     fn poll_read(&self, buffer: &mut [u8], cx: &mut Context<'_>) -> Poll<ConnectionEvent> {
-        while self.may_read(cx.waker()) {
-            match self.socket.get_ref().read(buffer) {
+        loop {
+            let readable_bytes = self.readable_bytes(cx.waker()).min(buffer.len());
+            if readable_bytes == 0 {
+                break;
+            }
+            match self.socket.get_ref().read(&mut buffer[..readable_bytes]) {
                 Ok(0) => return Poll::Ready(ConnectionEvent::Closed),
                 Ok(count) => return Poll::Ready(ConnectionEvent::Read(buffer[..count].to_vec())),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
--- a/crates/stackgw-gateway/src/io/connection/mod.rs
+++ b/crates/stackgw-gateway/src/io/connection/mod.rs
@@ -54,6 +54,8 @@
     discarded: Cell<Option<usize>>,
     /// Bytes that its task has read and not handed over.
     pending_bytes: Cell<usize>,
+    /// The first of them are a complete message that is not accepted yet, so that nothing more is needed of it.
+    awaits_acceptance: Cell<bool>,
     limits: ReadLimits,
     budget: Rc<ReadBudget>,
 }
@@ -61,6 +63,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.set_pending_bytes(0);
+        self.budget.forget(self.key());
     }
 }
 
@@ -80,6 +83,7 @@
             closes_when_written: Cell::new(false),
             discarded: Cell::new(None),
             pending_bytes: Cell::new(0),
+            awaits_acceptance: Cell::new(false),
             limits,
             budget: budget.clone(),
         })
@@ -91,15 +95,24 @@
         self.budget.update(self.key(), before, bytes);
     }
 
+    /// Notes whether a complete message is not accepted yet.
+    pub(super) fn set_awaiting_acceptance(&self, awaits_acceptance: bool) {
+        self.awaits_acceptance.set(awaits_acceptance);
+    }
+
     fn key(&self) -> ConnectionKey {
         ConnectionKey(std::ptr::from_ref(self).addr())
     }
 
-    /// Whether more may be read; else the waker is woken when it may for the budget's sake.
-    fn may_read(&self, waker: &Waker) -> bool {
+    /// How many bytes may be read now; for 0 the waker is woken when it is more for the budget's sake.
+    fn readable_bytes(&self, waker: &Waker) -> usize {
         let pending_bytes = self.pending_bytes.get();
-        let within_budget = self.budget.may_read(self.key(), pending_bytes, waker);
-        within_budget && pending_bytes <= self.limits.max_pending_bytes
+        if pending_bytes > self.limits.max_pending_bytes {
+            return 0;
+        }
+        let needs_more = !self.awaits_acceptance.get();
+        self.budget
+            .readable_bytes(self.key(), pending_bytes, needs_more, waker)
     }
 
     /// Wakes the connection's task for a look at what it has buffered.
--- a/crates/stackgw-gateway/src/io/connection/read_budget.rs
+++ b/crates/stackgw-gateway/src/io/connection/read_budget.rs
@@ -8,61 +8,132 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ConnectionKey(pub(super) usize);
 
+/// A connection whose task waits for the budget.
+struct WaitingReader {
+    connection: ConnectionKey,
+    pending_bytes: usize,
+    needs_more: bool,
+    waker: Waker,
+}
+
 /// Bytes that all connections of one kind may hold together before they have been handed over.
 ///
+/// Half of them are for connections that hold no complete message yet. Of the other half each connection may hold as much as
+/// it leaves free (a dynamic threshold). Whatever the others hold, each has a small reserve besides. So those that send without
+/// end never take what a message of another needs.
+///
 /// Danger: parts of large messages could fill the budget and wait for it all together. So one connection at a time may read on
-/// where the budget is used up, until it holds nothing.
+/// beyond its part, until its message is handed over.
 pub(in crate::io) struct ReadBudget {
-    used: Cell<usize>,
+    used_bytes: Cell<usize>,
     max_bytes: usize,
-    /// The one connection that reads on where the budget is used up.
+    /// What each connection may hold whatever the others do.
+    reserved_bytes: usize,
+    /// The one connection that reads on beyond its part.
     exempt: Cell<Option<ConnectionKey>>,
-    /// Tasks that wait for the budget.
-    waiting: RefCell<Vec<Waker>>,
+    /// In the order in which they began to wait.
+    waiting: RefCell<Vec<WaitingReader>>,
 }
 
 impl ReadBudget {
-    pub(in crate::io) fn new(max_bytes: usize) -> Rc<Self> {
+    pub(in crate::io) fn new(max_bytes: usize, reserved_bytes: usize) -> Rc<Self> {
         Rc::new(ReadBudget {
-            used: Cell::new(0),
+            used_bytes: Cell::new(0),
             max_bytes,
+            reserved_bytes,
             exempt: Cell::new(None),
             waiting: RefCell::default(),
         })
     }
 
+    fn free_bytes(&self) -> usize {
+        self.max_bytes.saturating_sub(self.used_bytes.get())
+    }
+
     /// A connection holds `after` bytes where it held `before`.
     pub(super) fn update(&self, connection: ConnectionKey, before: usize, after: usize) {
-        self.used.set(self.used.get() - before + after);
-        let exemption_ends = after == 0 && self.exempt.get() == Some(connection);
-        if exemption_ends {
-            self.exempt.set(None);
+        self.used_bytes.set(self.used_bytes.get() - before + after);
+        if after >= before {
+            return;
         }
-        if exemption_ends || self.used.get() < self.max_bytes {
-            self.waiting.take().into_iter().for_each(Waker::wake);
+        if self.exempt.get() == Some(connection) {
+            self.exempt.set(None);
+            self.wake_all();
+        } else {
+            self.wake_within_part();
         }
     }
 
-    /// Whether a connection that holds so many bytes may read on; else its task is woken when it may. One that holds nothing
-    /// always may.
-    pub(super) fn may_read(
+    /// A connection is over.
+    pub(super) fn forget(&self, connection: ConnectionKey) {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|reader| reader.connection != connection);
+    }
+
+    fn wake_all(&self) {
+        let waiting = self.waiting.take().into_iter();
+        waiting.for_each(|reader| reader.waker.wake());
+    }
+
+    /// Whether a connection that holds so many bytes is within its part.
+    fn is_within_part(&self, pending_bytes: usize, needs_more: bool) -> bool {
+        let free_bytes = self.free_bytes();
+        let shared_bytes = free_bytes.saturating_sub(self.max_bytes / 2);
+        (needs_more && free_bytes > 0) || pending_bytes < shared_bytes
+    }
+
+    /// Wakes those that are within their part now.
+    fn wake_within_part(&self) {
+        let may_read = |reader: &mut WaitingReader| {
+            self.is_within_part(reader.pending_bytes, reader.needs_more)
+        };
+        let woken: Vec<_> = self.waiting.borrow_mut().extract_if(.., may_read).collect();
+        woken.into_iter().for_each(|reader| reader.waker.wake());
+    }
+
+    /// How many bytes a connection that holds so many may read now; for 0 its task is woken when it may read. `needs_more`: it
+    /// holds no complete message.
+    pub(super) fn readable_bytes(
         &self,
         connection: ConnectionKey,
         pending_bytes: usize,
+        needs_more: bool,
         waker: &Waker,
-    ) -> bool {
-        if self.used.get() < self.max_bytes || pending_bytes == 0 {
-            return true;
+    ) -> usize {
+        if self.is_within_part(pending_bytes, needs_more) {
+            return usize::MAX;
+        }
+        if needs_more && self.claim_exemption(connection, pending_bytes) {
+            return usize::MAX;
         }
-        let exempt = self.exempt.get().unwrap_or(connection);
-        self.exempt.set(Some(exempt));
-        if exempt == connection {
-            return true;
+        let reserved_bytes = self.reserved_bytes.saturating_sub(pending_bytes);
+        if reserved_bytes == 0 {
+            self.wait(WaitingReader {
+                connection,
+                pending_bytes,
+                needs_more,
+                waker: waker.clone(),
+            });
         }
+        reserved_bytes
+    }
+
+    /// Whether a connection is the one that reads on beyond its part; it becomes so where there is none.
+    fn claim_exemption(&self, connection: ConnectionKey, pending_bytes: usize) -> bool {
+        if self.exempt.get().is_none() && pending_bytes > 0 {
+            self.exempt.set(Some(connection));
+        }
+        self.exempt.get() == Some(connection)
+    }
+
+    fn wait(&self, reader: WaitingReader) {
         let mut waiting = self.waiting.borrow_mut();
-        if !waiting.iter().any(|known| known.will_wake(waker)) {
-            waiting.push(waker.clone());
+        match waiting
+            .iter_mut()
+            .find(|known| known.connection == reader.connection)
+        {
+            Some(known) => *known = reader,
+            None => waiting.push(reader),
         }
-        false
     }
 }
--- a/crates/stackgw-gateway/src/io/member_table.rs
+++ b/crates/stackgw-gateway/src/io/member_table.rs
@@ -25,7 +25,7 @@
     pub(super) fn new(limits: &Limits) -> Self {
         Members {
             connections: RefCell::default(),
-            budget: ReadBudget::new(limits.member_bytes),
+            budget: ReadBudget::new(limits.member_bytes, limits.read_bytes),
         }
     }
 
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -137,6 +137,8 @@
 pub const MIN_DESCRIPTORS: usize = 2 * OWN_DESCRIPTORS;
 /// Descriptors for the gateway itself: standard streams, listener, reactor, signals, datagrams, discovery.
 const OWN_DESCRIPTORS: usize = 32;
+/// The part of `client_bytes` that is reserved, in equal shares for all clients.
+const RESERVED_PART: usize = 4;
 /// Share of the others that connections to members may take; clients have the rest.
 const MEMBER_SHARE: f64 = 0.4;
 /// Share that clients beyond `clients` may take, each for as long as its rejection needs.
@@ -216,6 +218,22 @@
 };
 
 impl Limits {
+    /// Bytes of each client that find room whatever all others hold, among statements and again in what is sent ahead.
+    pub fn reserved_client_bytes(&self) -> usize {
+        let connections = (self.clients + self.client_reserve).max(1);
+        (self.client_bytes / RESERVED_PART / connections).max(1)
+    }
+
+    /// What all clients share beyond that.
+    pub fn shared_client_bytes(&self) -> usize {
+        self.client_bytes - self.client_bytes / RESERVED_PART
+    }
+
+    /// A client that has sent no more ahead is not closed for what all have sent: one statement.
+    pub fn tolerated_read_ahead_bytes(&self) -> usize {
+        self.statement_bytes.min(self.client_bytes / 16)
+    }
+
     /// The limits that this platform and these settings allow.
     pub fn new(platform: Platform, settings: &PlatformSettings) -> Self {
         FIXED
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -188,12 +188,20 @@
 
     /// Takes bytes as they come.
     pub fn feed(&mut self, bytes: &[u8]) {
-        // Danger: a client that always has the next message on its way would never see the buffer emptied.
+        self.discard_handed_out();
+        // Doubled, a large part of a message would take twice the memory that it counts as.
+        self.buffer.reserve_exact(bytes.len());
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Drops what has been handed out once it is half of the buffer, so that the buffer takes little more than what counts as
+    /// pending. Danger: a client that always has the next message on its way would never see the buffer emptied.
+    fn discard_handed_out(&mut self) {
         if self.start >= self.buffer.len() - self.start {
             self.buffer.drain(..self.start);
+            self.buffer.shrink_to_fit();
             self.start = 0;
         }
-        self.buffer.extend_from_slice(bytes);
     }
 
     /// Drops all that is buffered.
@@ -212,25 +220,35 @@
         self.buffer.len()
     }
 
+    /// The size of the next message if it is complete; 0 if its header is malformed, `None` until either is known.
+    pub fn next_frame_bytes(&self) -> Option<usize> {
+        let Ok((_, length)) = self.next_header()? else {
+            return Some(0);
+        };
+        let bytes = self.type_bytes() + length as usize;
+        (bytes <= self.pending_bytes()).then_some(bytes)
+    }
+
     /// The next complete message; `None` until there is one.
     pub fn next_frame(&mut self) -> Option<Result<Frame, FrameError>> {
         let (kind, length) = match self.next_header()? {
             Ok(header) => header,
             Err(error) => return Some(Err(error)),
         };
-        let type_bytes = usize::from(!self.in_startup);
-        let end = self.start + type_bytes + length as usize;
+        let end = self.start + self.type_bytes() + length as usize;
         let bytes = self.buffer.get(self.start..end)?.to_vec();
         self.start = end;
-        if self.start == self.buffer.len() {
-            // What one large message took is not kept for the connection's life.
-            self.clear();
-        }
+        self.discard_handed_out();
         let frame = Frame { kind, bytes };
         self.in_startup &= !frame.is_startup();
         Some(Ok(frame))
     }
 
+    /// Bytes before the length field.
+    fn type_bytes(&self) -> usize {
+        usize::from(!self.in_startup)
+    }
+
     /// Type and length of the next message. Danger: a message that is checked only once it is complete may never be, and its
     /// sender waits or sends on for nothing.
     fn next_header(&self) -> Option<Result<(u8, u32), FrameError>> {
--- a/crates/stackgw-gateway/src/reducer/input.rs
+++ b/crates/stackgw-gateway/src/reducer/input.rs
@@ -21,6 +21,33 @@
     UnexpectedData,
 }
 
+/// What a client has sent that has not been delivered yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadAhead {
+    /// Its size in bytes.
+    pub bytes: usize,
+    /// Its first message is not complete, so that the client holds itself up; else that message waits for capacity.
+    pub is_partial: bool,
+}
+
+impl ReadAhead {
+    /// Part of a message.
+    pub fn partial(bytes: usize) -> Self {
+        ReadAhead {
+            bytes,
+            is_partial: bytes > 0,
+        }
+    }
+
+    /// At least one complete message that was not accepted.
+    pub fn waiting(bytes: usize) -> Self {
+        ReadAhead {
+            bytes,
+            is_partial: false,
+        }
+    }
+}
+
 /// An event outside the reducer.
 #[derive(Debug)]
 pub enum Input {
@@ -30,8 +57,8 @@
     ClientConnected(ClientId),
     /// A client's complete message; delivered only where [`accepts_frame`](super::Reducer::accepts_frame) allows it.
     ClientFrame(ClientId, Frame),
-    /// Bytes that a client has sent and that have not been delivered yet: part of a message, or more than one.
-    ClientReadAhead(ClientId, usize),
+    /// What a client has sent that has not been delivered yet.
+    ClientReadAhead(ClientId, ReadAhead),
     /// Everything that was to be written to a client has been written.
     ClientFlushed(ClientId),
     /// A client's connection has ended.
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -26,7 +26,7 @@
 pub use clock::TickClock;
 pub use effect::Effect;
 pub use ids::{CallId, ClientId, ConnectionId, Requester};
-pub use input::{CloseReason, Input, StatusQuery};
+pub use input::{CloseReason, Input, ReadAhead, StatusQuery};
 pub use response::FinalResponse;
 pub use state::sessions::Incarnation;
 pub use status::MemberStatus;
@@ -121,10 +121,15 @@
         self.timers.next_due()
     }
 
-    /// Whether a client's next message may be delivered now; until then it stays where it is.
+    /// Whether a client's next message may be delivered now, whatever its size.
     pub fn accepts_frame(&self, client: ClientId) -> bool {
+        self.accepts_frame_of(client, usize::MAX)
+    }
+
+    /// Whether a client's next message, of this size in bytes, may be delivered now; until then it stays where it is.
+    pub fn accepts_frame_of(&self, client: ClientId, bytes: usize) -> bool {
         self.gateway
-            .accepts_frame(client, &self.counters, &self.limits)
+            .accepts_frame(client, bytes, &self.counters, &self.limits)
     }
 
     /// The counters as they stand.
--- a/crates/stackgw-gateway/src/reducer/state/client.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client.rs
@@ -1,5 +1,6 @@
 //! A client's connection.
 
+use crate::limits::Limits;
 use crate::pg::Frame;
 use crate::reducer::ids::ClientId;
 use stackgw_router::api::{RequestId, Time};
@@ -10,6 +11,8 @@
 pub(crate) struct PipelineSlot {
     /// The request that it waits for.
     pub(super) request: Option<RequestId>,
+    /// What that request's statement takes.
+    pub(super) statement_bytes: usize,
     pub(crate) reply: Vec<u8>,
     /// The connection closes after it.
     pub(crate) is_last: bool,
@@ -95,6 +98,31 @@
             && !self.pipeline.iter().any(|slot| slot.is_last)
     }
 
+    /// Whether another message of this size may be buffered beside what this client and all others have buffered.
+    ///
+    /// A message within the client's reserve always may. Half of what all clients share is for those that have nothing
+    /// buffered; of the other half each may hold as much as it leaves free (a dynamic threshold). So clients that send without
+    /// end leave capacity to others.
+    pub(super) fn has_capacity(
+        &self,
+        bytes: usize,
+        buffered_bytes: usize,
+        limits: &Limits,
+    ) -> bool {
+        let held_bytes = self.statement_bytes();
+        let free_bytes = limits.shared_client_bytes().saturating_sub(buffered_bytes);
+        let is_within_reserve = held_bytes.saturating_add(bytes) <= limits.reserved_client_bytes();
+        let free_for_more = free_bytes.saturating_sub(limits.shared_client_bytes() / 2);
+        is_within_reserve || (held_bytes == 0 && free_bytes > 0) || held_bytes < free_for_more
+    }
+
+    /// What its statements take that are queued or open.
+    fn statement_bytes(&self) -> usize {
+        let queued = self.queued.iter().map(|queued| queued.frame.bytes.len());
+        let open = self.pipeline.iter().map(|slot| slot.statement_bytes);
+        queued.chain(open).sum()
+    }
+
     fn is_receptive(&self) -> bool {
         self.unflushed_since.is_none() && !self.awaits_ready && self.closing_since.is_none()
     }
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -123,37 +123,38 @@
 
     // What clients send.
 
-    /// Whether a client's next message may be delivered. `has_capacity`: there is memory for another statement.
+    /// Whether a client's next message, of this size, may be delivered while so many bytes of statements are buffered.
     ///
     /// Danger: a cancel request that waited for the memory that its own query takes would come too late, so a client that
     /// has not finished its startup needs none.
     pub(crate) fn accepts_frame(
         &self,
         id: ClientId,
-        max_pipelined: usize,
-        has_capacity: bool,
+        bytes: usize,
+        buffered_bytes: usize,
+        limits: &Limits,
     ) -> bool {
         self.connected.get(&id).is_some_and(|client| {
-            client.accepts_frame(max_pipelined) && (has_capacity || client.cancel_key.is_none())
+            client.accepts_frame(limits.max_pipelined_statements)
+                && (client.cancel_key.is_none()
+                    || client.has_capacity(bytes, buffered_bytes, limits))
         })
     }
 
-    /// Sets how much a client has sent that is not delivered. `begins_message`: a message that is incomplete counts from now.
+    /// Sets what a client has sent that is not delivered. A message that is incomplete counts from now if `is_partial`.
     pub(crate) fn set_read_ahead(
         &mut self,
         now: Time,
         id: ClientId,
         bytes: usize,
-        begins_message: bool,
+        is_partial: bool,
     ) {
         let Some(client) = self.connected.get_mut(&id) else {
             return;
         };
         self.read_ahead_bytes = self.read_ahead_bytes - client.read_ahead_bytes + bytes;
         client.read_ahead_bytes = bytes;
-        if begins_message {
-            client.partial_since.get_or_insert(now);
-        }
+        client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
     }
 
     /// What all clients have sent that is not delivered.
@@ -161,12 +162,23 @@
         self.read_ahead_bytes
     }
 
-    /// The idle client with the most bytes that are not delivered, one that has sent no request before all others.
-    pub(crate) fn largest_idle_read_ahead(&self) -> Option<ClientId> {
-        let connected = self.connected.iter();
-        let idle = connected.filter(|(_, client)| client.read_ahead_bytes > 0 && client.is_idle());
-        let largest =
-            idle.max_by_key(|(_, client)| (!client.has_sent_request, client.read_ahead_bytes));
+    /// The client that is closed for what all have sent ahead: of the idle ones that do not finish a message and have sent
+    /// more than an equal part of the total, and more than `tolerated_bytes`, the one with the most bytes; one that has sent
+    /// no request before all others.
+    ///
+    /// Danger: without the lower bounds a newcomer with a few bytes would be closed for what others have sent.
+    pub(crate) fn largest_partial_read_ahead(&self, tolerated_bytes: usize) -> Option<ClientId> {
+        let senders = self.connected.iter();
+        let senders = senders.filter(|(_, client)| client.read_ahead_bytes > 0);
+        let equal_part = self.read_ahead_bytes / senders.clone().count().max(1);
+        let lower_bound = equal_part.max(tolerated_bytes);
+        let candidates = senders.filter(|(_, client)| {
+            client.read_ahead_bytes > lower_bound
+                && client.partial_since.is_some()
+                && client.is_idle()
+        });
+        let largest = candidates
+            .max_by_key(|(_, client)| (!client.has_sent_request, client.read_ahead_bytes));
         largest.map(|(id, _)| *id)
     }
 
@@ -285,10 +297,16 @@
     // The pipeline.
 
     /// Reserves the next place in a client's pipeline for a request's response.
-    pub(crate) fn push_request(&mut self, id: ClientId, request: RequestId) {
+    pub(crate) fn push_request(
+        &mut self,
+        id: ClientId,
+        request: RequestId,
+        statement_bytes: usize,
+    ) {
         if let Some(client) = self.connected.get_mut(&id) {
             client.pipeline.push_back(PipelineSlot {
                 request: Some(request),
+                statement_bytes,
                 ..PipelineSlot::default()
             });
             client.consecutive_malformed = 0;
@@ -307,6 +325,7 @@
         client.pending_write_bytes += reply.len();
         self.pending_write_bytes += reply.len();
         slot.request = None;
+        slot.statement_bytes = 0;
         slot.reply = reply;
         true
     }
@@ -334,9 +353,9 @@
             return Some(bytes);
         }
         client.pipeline.push_back(PipelineSlot {
-            request: None,
             reply: bytes,
             is_last: close,
+            ..PipelineSlot::default()
         });
         None
     }
@@ -402,8 +421,10 @@
     pub(crate) fn inactive(&self, now: Time, limits: &Limits) -> Vec<ClientId> {
         self.select(|client| {
             let is_partial = has_passed(now, client.partial_since, limits.partial_message_timeout);
+            // One whose complete messages wait for capacity has sent something.
             let is_unused = !client.has_sent_request
                 && client.is_idle()
+                && client.read_ahead_bytes == 0
                 && now - client.connected_at > limits.first_request_timeout;
             client.closing_since.is_none() && (is_partial || is_unused)
         })
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -4,6 +4,7 @@
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
 use crate::reducer::ids::ClientId;
+use crate::reducer::input::ReadAhead;
 use crate::reducer::response::{
     ClientError, LIMIT_EXCEEDED, PROTOCOL_VIOLATION, TOO_MANY_CONNECTIONS,
 };
@@ -11,20 +12,27 @@
 use crate::reducer::state::Gateway;
 
 impl Gateway {
-    /// A client has sent so much that is not delivered. Beyond their share of the memory, the idle client with the most
-    /// of it, one without any request first, gets an error and is closed. One with an open request keeps its connection for
-    /// the response.
-    pub(super) fn handle_read_ahead(&mut self, cx: &mut Context<'_>, id: ClientId, bytes: usize) {
-        let begins_message = bytes > 0 && self.accepts_frame(id, cx.counters, cx.limits);
+    /// A client has sent something that is not delivered. Beyond their share of the memory, the idle client with the
+    /// largest part of a message gets an error and is closed. One whose complete messages wait keeps its connection for the
+    /// responses; it is merely not read on.
+    pub(super) fn handle_read_ahead(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        read_ahead: ReadAhead,
+    ) {
         if !self.clients.contains(id) {
             return;
         }
+        // Its time runs only while nothing that precedes it keeps it from being accepted.
+        let is_partial = read_ahead.is_partial && self.accepts_frame(id, 0, cx.counters, cx.limits);
         self.clients
-            .set_read_ahead(cx.now, id, bytes, begins_message);
+            .set_read_ahead(cx.now, id, read_ahead.bytes, is_partial);
         if self.clients.read_ahead_bytes() <= cx.limits.client_bytes / 4 * 3 {
             return;
         }
-        if let Some(largest) = self.clients.largest_idle_read_ahead() {
+        let tolerated_bytes = cx.limits.tolerated_read_ahead_bytes();
+        if let Some(largest) = self.clients.largest_partial_read_ahead(tolerated_bytes) {
             count_over_buffer_limit(cx);
             let error = ClientError::fatal(LIMIT_EXCEEDED, "too much was sent ahead");
             self.write_client_error(cx, largest, error);
--- a/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
@@ -98,7 +98,9 @@
         match submitted {
             Ok(request) => {
                 self.clients.mark_request_sent(id);
-                self.clients.push_request(id, request);
+                let open = self.requests.get(request);
+                let bytes = open.map_or(0, |open| open.statement.size_bytes());
+                self.clients.push_request(id, request, bytes);
                 self.clients.refresh_idle(cx.now, id);
             }
             Err(FinalResponse::Malformed(text)) => self.reject_malformed(cx, id, text),
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -30,7 +30,7 @@
         match input {
             Input::ClientConnected(id) => self.clients.connect(cx, id),
             Input::ClientFrame(id, frame) => self.handle_client_frame(cx, id, frame),
-            Input::ClientReadAhead(id, bytes) => self.handle_read_ahead(cx, id, bytes),
+            Input::ClientReadAhead(id, read_ahead) => self.handle_read_ahead(cx, id, read_ahead),
             Input::ClientFlushed(id) => self.handle_client_flushed(cx, id),
             Input::ClientClosed(id, CloseReason::ProtocolError) => {
                 self.handle_client_protocol_error(cx, id)
@@ -116,10 +116,15 @@
         }
     }
 
-    /// Whether a client's next message may be delivered.
-    pub(crate) fn accepts_frame(&self, id: ClientId, counters: &Counters, limits: &Limits) -> bool {
-        let has_capacity = counters.buffered_bytes < limits.client_bytes as u64;
-        self.clients
-            .accepts_frame(id, limits.max_pipelined_statements, has_capacity)
+    /// Whether a client's next message, of this size in bytes, may be delivered.
+    pub(crate) fn accepts_frame(
+        &self,
+        id: ClientId,
+        bytes: usize,
+        counters: &Counters,
+        limits: &Limits,
+    ) -> bool {
+        let buffered = usize::try_from(counters.buffered_bytes).unwrap_or(usize::MAX);
+        self.clients.accepts_frame(id, bytes, buffered, limits)
     }
 }
--- a/crates/stackgw-gateway/tests/client_connections.rs
+++ b/crates/stackgw-gateway/tests/client_connections.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use stackgw_gateway::reducer::{ClientId, CloseReason, Effect, Input};
+use stackgw_gateway::reducer::{ClientId, CloseReason, Effect, Input, ReadAhead};
 use stackgw_router::api::{MS, SECOND};
 
 #[test]
@@ -104,7 +104,7 @@
     let mut rig = Rig::new(&three());
     let (idle, partial) = (rig.client(1), rig.client(2));
     rig.ask(idle, query(""));
-    rig.input(Input::ClientReadAhead(partial, 7));
+    rig.input(Input::ClientReadAhead(partial, ReadAhead::partial(7)));
     let effects = rig.pass(2 * SECOND + 600 * MS);
     let told = |e: &Effect| matches!(e, Effect::ClientWrite { client, close: true, bytes } if *client == partial && bytes[0] == b'E');
     assert!(effects.iter().any(told), "told why");
@@ -236,9 +236,9 @@
     let mut rig = Rig::with(config);
     let (used, greedy, small) = (rig.client(1), rig.client(2), rig.client(3));
     rig.ask(used, query(""));
-    assert!(answers(&rig.input(Input::ClientReadAhead(used, 150))).is_empty());
-    assert!(answers(&rig.input(Input::ClientReadAhead(small, 20))).is_empty());
-    let effects = rig.input(Input::ClientReadAhead(greedy, 140));
+    assert!(answers(&rig.input(Input::ClientReadAhead(used, ReadAhead::partial(150)))).is_empty());
+    assert!(answers(&rig.input(Input::ClientReadAhead(small, ReadAhead::partial(20)))).is_empty());
+    let effects = rig.input(Input::ClientReadAhead(greedy, ReadAhead::partial(140)));
     let ends = |e: &Effect| matches!(e, Effect::ClientWrite { client, close: true, .. } if *client == greedy);
     assert!(
         effects.iter().any(ends),
@@ -246,7 +246,7 @@
     );
     assert_eq!(rig.reducer.counters().clients_over_buffer_limit, 1);
     assert!(
-        answers(&rig.input(Input::ClientReadAhead(small, 100))).is_empty(),
+        answers(&rig.input(Input::ClientReadAhead(small, ReadAhead::partial(100)))).is_empty(),
         "its bytes no longer count"
     );
 }
--- a/crates/stackgw-gateway/tests/digest/clients.rs
+++ b/crates/stackgw-gateway/tests/digest/clients.rs
@@ -3,7 +3,7 @@
 use super::simulation::{Client, Scheduled, Simulation};
 use crate::common::*;
 use stackgw_gateway::pg::Frame;
-use stackgw_gateway::reducer::{CallId, ClientId, Input};
+use stackgw_gateway::reducer::{CallId, ClientId, Input, ReadAhead};
 use stackgw_router::api::MS;
 
 impl Simulation {
@@ -43,7 +43,7 @@
             };
             let ahead = client.half + client.pending.iter().map(|f| f.bytes.len()).sum::<usize>();
             if fed || ahead > 0 {
-                self.input(index, Input::ClientReadAhead(id, ahead));
+                self.input(index, Input::ClientReadAhead(id, ReadAhead::partial(ahead)));
             }
         }
     }
--- a/crates/stackgw-gateway/tests/invariants.rs
+++ b/crates/stackgw-gateway/tests/invariants.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use stackgw_gateway::pg::Frame;
-use stackgw_gateway::reducer::{ClientId, CloseReason, ConnectionId, Effect, Input};
+use stackgw_gateway::reducer::{ClientId, CloseReason, ConnectionId, Effect, Input, ReadAhead};
 use stackgw_router::api::{MS, SECOND};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -254,7 +254,7 @@
         }
         Step::Holds(n, bytes) => {
             if let Some(id) = World::nth(world.clients.iter().copied(), n) {
-                world.see(&rig.input(Input::ClientReadAhead(id, bytes)));
+                world.see(&rig.input(Input::ClientReadAhead(id, ReadAhead::partial(bytes))));
             }
         }
         Step::Partial(n) => {
