Gateways no longer come back to the list service in step after an outage

Seen: 50 processes with the platform's settings alone, list service down for 6 s: after its return 50 of 50 polls fell into the same tenth of a second.

Cause: EndpointWatch::retry_later doubled its pause without jitter, so gateways whose watches broke in one moment went through the same pauses in the same moments.

Change: a Backoff of its own. Pauses below the longest are drawn from their upper half; the longest (1 s) end in the instance's own slot of each second, by its number in the fleet. No pause is longer than before, so the 6 s by which a change counts as notified hold (5.5 s at most, tests/watch.rs, now over other draws and slots too).

--- a/crates/stackgw-gateway/src/reducer/state/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/state/mod.rs
@@ -4,6 +4,7 @@
 //! methods of [`Gateway`] in `steps`.
 
 pub(crate) mod admission;
+pub(crate) mod backoff;
 pub(crate) mod bootstrap;
 pub(crate) mod client;
 pub(crate) mod clients;
@@ -23,6 +24,7 @@
 use super::backend::BackendSelection;
 use crate::config::Config;
 use crate::limits::Limits;
+use backoff::InstanceSlot;
 use bootstrap::BootstrapCoordination;
 use clients::Clients;
 use cluster::ClusterMembership;
@@ -37,6 +39,7 @@
 use stackgw_settings::NameTable;
 use static_config::StaticConfig;
 use watch::EndpointWatch;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// All components.
 pub(crate) struct Gateway {
@@ -65,6 +68,13 @@
     /// The state before [`Input::Start`](super::Input::Start), and its limits.
     pub(crate) fn new(config: Config) -> (Self, Limits) {
         let static_config = StaticConfig::of(&config);
+        // Instances may share a seed, but not a name.
+        let seed = config.seed ^ xxh3_64(config.name.as_bytes());
+        let instance = InstanceSlot {
+            index: config.settings.router.instance_index,
+            fleet_size: config.settings.router.fleet_size,
+            seed,
+        };
         let mut settings = config.settings.router;
         if config.session_sharing.is_some() {
             // The gateways find out what a session wrote, so the router learns it with each read.
@@ -88,6 +98,7 @@
                 config.discovery,
                 !settings.polls_endpoint_list,
                 config.initial_endpoints,
+                instance,
             ),
             gossip: Gossip::new(
                 config.peers,
--- a/crates/stackgw-gateway/src/reducer/state/watch.rs
+++ b/crates/stackgw-gateway/src/reducer/state/watch.rs
@@ -1,5 +1,6 @@
 //! The watch of the endpoint list: its connection, its timeout and its backoff.
 
+use super::backoff::{Backoff, InstanceSlot};
 use crate::discovery::ListUpdate;
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
@@ -18,7 +19,7 @@
     /// The router's own watch is open; one that the bootstrap opens is not counted here.
     is_open: bool,
     timeout: Option<TimerKey>,
-    backoff: Span,
+    backoff: Backoff,
     /// The complete list was asked for and has not come.
     fetching: bool,
     /// The revision of the last list.
@@ -32,13 +33,14 @@
         discovery: SocketAddr,
         subscribed: bool,
         initial: Option<ListUpdate>,
+        instance: InstanceSlot,
     ) -> Self {
         EndpointWatch {
             discovery,
             subscribed,
             is_open: false,
             timeout: None,
-            backoff: 0,
+            backoff: Backoff::new(instance),
             fetching: false,
             revision: None,
             initial,
@@ -110,15 +112,15 @@
         if !std::mem::replace(&mut self.is_open, false) {
             return false;
         }
-        let limits = cx.limits;
-        self.backoff = (self.backoff * 2).clamp(limits.watch_min_backoff, limits.watch_max_backoff);
-        cx.set_timer_after(self.backoff, Timer::WatchReconnect);
+        let (min, max) = (cx.limits.watch_min_backoff, cx.limits.watch_max_backoff);
+        let pause = self.backoff.next_pause(cx.now, min, max);
+        cx.set_timer_after(pause, Timer::WatchReconnect);
         true
     }
 
     /// A list came: the next backoff starts from the shortest again.
     pub(crate) fn reset_backoff(&mut self) {
-        self.backoff = 0;
+        self.backoff.reset();
     }
 
     /// Takes over a list's revision. False for a change that a newer revision has overtaken.
@@ -151,7 +153,7 @@
     /// Danger: another agent counts its revisions anew. Compared with the old one's, its lists would pass for stale.
     pub(crate) fn restart(&mut self, cx: &mut Context<'_>) {
         self.revision = None;
-        self.backoff = 0;
+        self.backoff.reset();
         self.close(cx);
         if self.subscribed {
             self.open(cx);
--- a/crates/stackgw-gateway/tests/watch.rs
+++ b/crates/stackgw-gateway/tests/watch.rs
@@ -66,10 +66,21 @@
     }
 }
 
+/// How many instances the fleet of [`rig_of_instance`] has.
+const FLEET_SIZE: u32 = 1000;
+
+/// An instance that knows nothing yet, so that only the watch is at work.
+fn rig_of_instance(index: u32) -> Rig {
+    let mut config = config("null");
+    config.seed = index.into();
+    let settings = &mut config.settings.router;
+    (settings.instance_index, settings.fleet_size) = (index, FLEET_SIZE);
+    Rig::with(config)
+}
+
 /// How long after its return the agent's word of a drain is taken.
-fn delay_until_applied(open: LastSign, down: AgentFailure, lasts: Span) -> Span {
-    // It knows nothing yet, so that only the watch is at work.
-    let mut rig = Rig::new("null");
+fn delay_until_applied(instance: u32, open: LastSign, down: AgentFailure, lasts: Span) -> Span {
+    let mut rig = rig_of_instance(instance);
     let from = rig.now + 6 * SECOND;
     let mut agent = Agent {
         down,
@@ -148,7 +159,9 @@
             // Every phase of the pauses and clocks, also where these have grown to their longest.
             for phase in 0..240 {
                 let lasts = phase * 50 * MS;
-                let told = delay_until_applied(open, down, lasts);
+                // Other draws and another slot for each.
+                let instance = phase as u32 * 619 % FLEET_SIZE;
+                let told = delay_until_applied(instance, open, down, lasts);
                 worst = worst.max((
                     told,
                     format!("{open:?}, {down:?}, down for {} ms", lasts / MS),
@@ -255,3 +268,63 @@
         .push_line(b"nonsense".to_vec())
         .is_err());
 }
+
+/// How long after an outage of this length an instance polls the agent.
+fn first_poll_after_outage(mut rig: Rig, lasts: Span) -> Span {
+    let ends = rig.now + lasts;
+    let mut effects = rig.input(Input::WatchLost("ended".into()));
+    loop {
+        if effects.iter().any(|e| matches!(e, Effect::OpenWatch(..))) {
+            if rig.now >= ends {
+                return rig.now - ends;
+            }
+            effects = rig.input(Input::WatchLost("refused".into()));
+        } else {
+            let due = rig.reducer.next_due().expect("the backoff's end");
+            effects = rig.pass(due - rig.now);
+        }
+    }
+}
+
+/// The most of these polls, each at most a second after an outage, in any of its tenths.
+fn peak_of_polls(polls: impl Iterator<Item = Span>) -> u32 {
+    let mut counts = [0; 10];
+    for after in polls {
+        assert!((0..=SECOND).contains(&after), "{} ms", after / MS);
+        counts[(after / (100 * MS)).min(9) as usize] += 1;
+    }
+    counts.into_iter().max().unwrap_or(0)
+}
+
+/// Gateways that lost the list service in the same moment came back in the same tenth of a second.
+#[test]
+fn gateways_poll_evenly_spread_after_an_outage() {
+    for seconds in [6, 20, 60] {
+        let rigs = (0..FLEET_SIZE).map(rig_of_instance);
+        let peak = peak_of_polls(rigs.map(|rig| first_poll_after_outage(rig, seconds * SECOND)));
+        assert!(peak <= FLEET_SIZE * 11 / 100, "{seconds} s: {peak}");
+    }
+}
+
+/// After a short outage their pauses have not grown to the longest; jitter spreads them.
+#[test]
+fn gateways_poll_spread_after_a_short_outage() {
+    let rigs = (0..FLEET_SIZE).map(rig_of_instance);
+    let peak = peak_of_polls(rigs.map(|rig| first_poll_after_outage(rig, SECOND)));
+    assert!(peak <= FLEET_SIZE * 3 / 10, "{peak}");
+}
+
+/// Instances that share number and seed but not a name differ too.
+#[test]
+fn gateways_with_one_seed_and_other_names_do_not_poll_in_step() {
+    let rig_of_name = |n: u32| {
+        let mut config = config("null");
+        config.name = format!("g{n}");
+        // It has no number of its own.
+        config.settings.router.instance_index = config.settings.router.fleet_size;
+        Rig::with(config)
+    };
+    let rigs = (0..FLEET_SIZE).map(rig_of_name);
+    let peak = peak_of_polls(rigs.map(|rig| first_poll_after_outage(rig, 6 * SECOND)));
+    assert!(peak <= FLEET_SIZE * 15 / 100, "{peak}");
+}
