The client with the most unread bytes is closed for them, not whoever waited longest

Callers saw: with too much unread in all, a client with one small reply on its way lost its connection for the large ones that others had not read.

Cause: slowest_reader chose by the time without progress alone, and spared the client that was being written to even where it had not read what came before.

Change: of the clients that do not read, the one with the most bytes; time decides between equals.

Failed before: both new tests in client_connections.rs of the reducer, [true, false, ..] in place of [false, true, ..]. Why it works: who is closed frees the most, so a small reply is never the price. Tests of the gateway's package: all pass after it.

--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -7,6 +7,7 @@
 use crate::reducer::context::Context;
 use crate::reducer::ids::ClientId;
 use stackgw_router::api::{RequestId, Span, Time};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// All clients.
@@ -392,14 +393,23 @@
         self.pending_write_bytes
     }
 
-    /// Of all clients but one, the one that has not read for longest.
-    pub(crate) fn slowest_reader(&self, except: ClientId) -> Option<ClientId> {
-        let connected = self.connected.iter();
-        let others =
-            connected.filter(|(id, client)| **id != except && client.pending_write_bytes > 0);
-        let slowest =
-            others.min_by_key(|(id, client)| (client.unflushed_since.unwrap_or(Time::MAX), **id));
-        slowest.map(|(id, _)| *id)
+    /// The client that is closed for what all have left unread: of those that do not read, the one with the most bytes, then
+    /// the one that has not read for longest. A client that something is being written to counts where it has not read what
+    /// came before. Where all read, it is the one with the most bytes behind a response that is not there yet.
+    pub(crate) fn largest_unread(&self, now: Time, writing_to: ClientId) -> Option<ClientId> {
+        let candidates = self.connected.iter().filter(|(id, client)| {
+            let was_unflushed = client.unflushed_since.is_some_and(|since| since < now);
+            client.pending_write_bytes > 0 && (**id != writing_to || was_unflushed)
+        });
+        let largest = candidates.max_by_key(|(id, client)| {
+            let since = client.unflushed_since;
+            (
+                since.is_some(),
+                client.pending_write_bytes,
+                Reverse((since, **id)),
+            )
+        });
+        largest.map(|(id, _)| *id)
     }
 
     // Clients whose time is up.
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -124,16 +124,16 @@
         self.limit_pending_writes(cx, id);
     }
 
-    /// Closes the slowest reader where all clients together have left too much unread.
+    /// Closes the client with the most unread bytes where all clients together have left too much unread.
     ///
     /// Danger: clients that ask for large values and do not read them would together take all memory.
     fn limit_pending_writes(&mut self, cx: &mut Context<'_>, writing_to: ClientId) {
         if self.clients.pending_write_bytes() <= cx.limits.pending_write_bytes {
             return;
         }
-        if let Some(slowest) = self.clients.slowest_reader(writing_to) {
+        if let Some(largest) = self.clients.largest_unread(cx.now, writing_to) {
             count_over_buffer_limit(cx);
-            self.close_client(cx, slowest);
+            self.close_client(cx, largest);
         }
     }
 
--- a/crates/stackgw-gateway/tests/client_connections.rs
+++ b/crates/stackgw-gateway/tests/client_connections.rs
@@ -99,6 +99,58 @@
     assert!(rig.reducer.accepts_frame(clients[1]) && rig.reducer.accepts_frame(clients[2]));
 }
 
+/// A client with one small reply unread was closed for the large ones that others had not read, as it had waited longest.
+#[test]
+fn a_client_with_little_unread_is_not_closed_for_others() {
+    let mut config = config(&three());
+    config.limits.pending_write_bytes = 2500;
+    let mut rig = Rig::with(config);
+    let [little, much, reader] = [1, 2, 3].map(|n| rig.client(n));
+    rig.clients_stuck = true;
+    let mut serve = |client, bytes: usize| {
+        let effects = rig.ask(client, read(900));
+        let conn = match statements(&effects).first() {
+            Some((conn, _)) => *conn,
+            None => opened(&effects)[0].0,
+        };
+        let effects = rig.serve(conn, &vec![b'x'; bytes]);
+        rig.pass(MS);
+        effects
+    };
+    serve(little, 10);
+    serve(much, 2000);
+    let effects = serve(reader, 1000);
+    let closed = [little, much, reader].map(|id| effects.contains(&Effect::ClientClose(id)));
+    assert_eq!(closed, [false, true, false]);
+}
+
+/// What is written now counts against the client that it goes to, where that has not read what came before.
+#[test]
+fn a_client_that_does_not_read_its_pipelined_replies_is_closed_for_them() {
+    let mut config = config(&three());
+    config.limits.pending_write_bytes = 2500;
+    let mut rig = Rig::with(config);
+    let [little, pipelining] = [1, 2].map(|n| rig.client(n));
+    rig.clients_stuck = true;
+    let conn = statements(&rig.ask(little, read(900)))[0].0;
+    rig.serve(conn, b"x");
+    let sent: Vec<_> = (0..3).map(|_| rig.ask(pipelining, read(900))).collect();
+    let conns: Vec<_> = sent
+        .iter()
+        .map(|effects| match statements(effects).first() {
+            Some((conn, _)) => *conn,
+            None => opened(effects)[0].0,
+        })
+        .collect();
+    let mut effects = Vec::new();
+    for conn in conns {
+        rig.pass(MS);
+        effects.extend(rig.serve(conn, &[b'x'; 1000]));
+    }
+    let closed = [little, pipelining].map(|id| effects.contains(&Effect::ClientClose(id)));
+    assert_eq!(closed, [false, true]);
+}
+
 #[test]
 fn a_client_that_stalls_inside_a_message_is_closed() {
     let mut rig = Rig::new(&three());
