A gateway that ends writes what is queued for the disk first

Operators saw: after a restart the list on disk, or a keeper's last session records, could be missing what was queued when the gateway ended.

Cause: the writers commit in Drop, but stood in the driver, which the executor's tasks hold and which holds the executor; neither was ever dropped.

Change: Gateway::run takes the writers out of the driver after the last input and drops them.

Failed before: stored_at_exit (its writer is held up by a pipe) timed out, the list never came. After: passes. Why it works: dropping a writer closes its queue and joins the thread that works it off. By then responses are written and connections are shut.

--- a/crates/stackgw-gateway/src/io/driver.rs
+++ b/crates/stackgw-gateway/src/io/driver.rs
@@ -38,7 +38,7 @@
     pub(super) open_requests: OpenRequests,
     pub(super) list_requests: ListRequests,
     pub(super) datagrams: DatagramSockets,
-    pub(super) storage: Storage,
+    pub(super) storage: RefCell<Storage>,
     pub(super) control_answers: Answers,
     pub(super) alarm: Alarm,
     /// The gateway ends.
@@ -56,7 +56,7 @@
     pub(super) cluster: Option<Rc<Async<UdpSocket>>>,
 }
 
-/// What writes to the disk, where that is turned on.
+/// What writes to the disk, where that is turned on. Dropped, it commits what is queued.
 #[derive(Default)]
 pub(super) struct Storage {
     /// Records of sessions.
@@ -129,12 +129,12 @@
                 send_datagram(self.datagrams.cluster.as_deref(), to, &bytes)
             }
             Effect::StoreRecord(record) => {
-                if let Some(writer) = &self.storage.records {
+                if let Some(writer) = &self.storage.borrow().records {
                     writer.put(record);
                 }
             }
             Effect::StoreEndpoints(list) => {
-                if let Some(writer) = &self.storage.endpoint_list {
+                if let Some(writer) = &self.storage.borrow().endpoint_list {
                     writer.put(*list);
                 }
             }
--- a/crates/stackgw-gateway/src/io/startup.rs
+++ b/crates/stackgw-gateway/src/io/startup.rs
@@ -113,6 +113,9 @@
         }
         driver.handle_input(Input::Start);
         async_io::block_on(driver.executor.run(driver.exits.wait()));
+        // Danger: the executor's tasks hold the driver, which holds the executor, so neither is ever dropped; what is queued
+        // for the disk would be lost with the process.
+        drop(driver.storage.take());
         drop(self.running_frontend);
     }
 }
@@ -287,10 +290,10 @@
             open_requests: OpenRequests::default(),
             list_requests: ListRequests::default(),
             datagrams: outputs.datagrams,
-            storage: Storage {
+            storage: RefCell::new(Storage {
                 records: outputs.record_writer,
                 endpoint_list: self.list_writer,
-            },
+            }),
             control_answers: Answers::default(),
             alarm: Alarm::default(),
             exits: Flag::default(),
--- a/crates/stackgw-testkit/src/gateway_fleet.rs
+++ b/crates/stackgw-testkit/src/gateway_fleet.rs
@@ -163,6 +163,28 @@
         self.signal(index, Signal::CONT);
     }
 
+    /// Has a gateway shut down gracefully.
+    pub fn terminate(&self, index: usize) {
+        self.signal(index, Signal::TERM);
+    }
+
+    /// Has a gateway read its configuration anew.
+    pub fn reload(&self, index: usize) {
+        self.signal(index, Signal::HUP);
+    }
+
+    /// Whether a gateway's process has ended, or was never started.
+    ///
+    /// # Errors
+    /// Where the system does not tell.
+    pub fn has_ended(&self, index: usize) -> std::io::Result<bool> {
+        let mut gateways = lock(&self.gateways);
+        match gateways.get_mut(index).and_then(|g| g.process.as_mut()) {
+            Some(process) => Ok(process.try_wait()?.is_some()),
+            None => Ok(true),
+        }
+    }
+
     /// Has all of them write their counters into their logs.
     pub fn log_counters(&self) {
         (0..self.len()).for_each(|index| self.signal(index, Signal::USR1));
@@ -294,14 +316,6 @@
         }
         Ok(())
     }
-
-    fn has_ended(&self, index: usize) -> std::io::Result<bool> {
-        let mut gateways = lock(&self.gateways);
-        match gateways.get_mut(index).and_then(|g| g.process.as_mut()) {
-            Some(process) => Ok(process.try_wait()?.is_some()),
-            None => Ok(true),
-        }
-    }
 }
 
 impl Drop for GatewayFleet {
