A start time beyond all times counts as not known instead of overflowing

Cause: entries of the list from peers' datagrams and from the disk are not checked as the service's own are, and their start time was multiplied without a bound, at two places: a panic in a debug build, a wrong time in a release, so that a cold member could pass for warm.

Change: Endpoint::start_time reads what lies beyond all times as not known, which counts as just now; the reducer calls it in place of its own conversion.

--- a/crates/stackgw-bootstrap/src/endpoint.rs
+++ b/crates/stackgw-bootstrap/src/endpoint.rs
@@ -6,7 +6,9 @@
 
 /// The `up_since_ms` of a process that has been up for long.
 const UP_FOR_LONG: i64 = 0;
-/// The `up_since_ms` of a process whose start is not known. All numbers below 0 are read as this.
+/// Unix times in milliseconds are below this (the year 2223), which leaves room for sums of them in nanoseconds.
+const MAX_UNIX_MS: i64 = 8_000_000_000_000;
+/// The `up_since_ms` of a process whose start is not known. All numbers below 0 and beyond all times are read as this.
 pub(crate) const UP_SINCE_UNKNOWN: i64 = -1;
 
 /// One entry of the endpoint list: a member and where to reach it.
@@ -47,8 +49,8 @@
     pub fn start_time(&self) -> StartTime {
         match self.up_since_ms {
             UP_FOR_LONG => StartTime::LongAgo,
-            ms if ms < 0 => StartTime::Unknown,
-            ms => StartTime::At(ms * MS),
+            ms if (0..MAX_UNIX_MS).contains(&ms) => StartTime::At(ms * MS),
+            _ => StartTime::Unknown,
         }
     }
 }
--- a/crates/stackgw-gateway/src/reducer/steps/endpoints.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/endpoints.rs
@@ -4,7 +4,8 @@
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
 use crate::reducer::state::Gateway;
-use stackgw_router::api::{Event, GroupId, ListScope, Member, MemberId, MS};
+use stackgw_bootstrap::StartTime;
+use stackgw_router::api::{Event, GroupId, ListScope, Member, MemberId};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -121,11 +122,11 @@
         if self.members.move_to(id, entry.address) {
             self.close_unused(cx, id);
         }
-        // Below zero nobody knows the start, so it may be just now; zero is long ago.
-        let started_at = match entry.up_since_ms * MS {
-            0 => None,
-            at if at < 0 => Some(cx.now),
-            at => Some(at),
+        let started_at = match entry.start_time() {
+            StartTime::LongAgo => None,
+            StartTime::At(at) => Some(at),
+            // It may have started just now.
+            StartTime::Unknown => Some(cx.now),
         };
         let removal_is_advisory = cx.limits.removal_is_advisory;
         self.members
--- a/crates/stackgw-gateway/tests/endpoint_list.rs
+++ b/crates/stackgw-gateway/tests/endpoint_list.rs
@@ -256,3 +256,16 @@
     )));
     assert!(rig.reducer.counters().members_known < 60);
 }
+
+/// Entries from peers and from the disk are not checked as the list service's are: a start time beyond all times overflowed.
+#[test]
+fn a_member_with_an_impossible_start_time_counts_as_just_started() {
+    let mut rig = Rig::new("null");
+    let mut update = list(1, true, &[entry(1, "ready", "leader")]);
+    update.members[0].up_since_ms = i64::MAX;
+    rig.input(Input::EndpointList(update));
+    assert_eq!(rig.reducer.counters().members_known, 1);
+    let client = rig.client(1);
+    rig.ask(client, read(900));
+    rig.pass(stackgw_router::api::SECOND);
+}
