A store of the last incarnation that there can be is quarantined

Cause: the next incarnation was the last one plus one; after u64::MAX a release build gave a number in the past, which peers take for an earlier incarnation, and a debug build panicked.

Change: recovery rejects such a store as one whose incarnations contradict each other.

Failed before: a_store_of_the_last_incarnation_that_there_can_be_is_rejected (attempt to add with overflow).

--- a/crates/stackgw-store/src/recovery.rs
+++ b/crates/stackgw-store/src/recovery.rs
@@ -21,7 +21,8 @@
     recovered.complete_peers = read_complete_peers(&transaction)?;
     recovered.peer_stores = read_peer_stores(&transaction)?;
     let last = recovered.store_version.last_incarnation;
-    if recovered.unbroken_since > last.saturating_add(1) {
+    // No incarnation comes after the last number, and none that wrote is unbroken from after itself.
+    if last == u64::MAX || recovered.unbroken_since > last + 1 {
         return Err(RejectReason::IncarnationOrder);
     }
     Ok(recovered)
--- a/crates/stackgw-store/tests/store.rs
+++ b/crates/stackgw-store/tests/store.rs
@@ -356,3 +356,25 @@
     );
     assert_eq!(open(&folder.store()).recovered.positions.len(), 5_000);
 }
+
+/// After the last number there is no other: the next incarnation's wrapped to the past, and peers took it for an earlier one.
+#[test]
+fn a_store_of_the_last_incarnation_that_there_can_be_is_rejected() {
+    let folder = Folder::new("last");
+    drop(open(&folder.store()).store);
+    let database = redb::Database::open(folder.store()).expect("the store");
+    let transaction = database.begin_write().expect("a transaction");
+    let meta = redb::TableDefinition::<&str, u64>::new("meta");
+    let mut table = transaction.open_table(meta).expect("the table");
+    table.insert("incarnation", u64::MAX).expect("room");
+    drop(table);
+    transaction.commit().expect("room");
+    drop(database);
+    let opened = open(&folder.store());
+    let reason = opened.quarantined.map(|quarantined| quarantined.reason);
+    assert_eq!(
+        reason.map(|r| r.to_string()).as_deref(),
+        Some("its lives are out of order")
+    );
+    assert_eq!(quarantined_files(&folder), 1);
+}
