Discovery test: clients that leave shut their sockets, which another test may hold

Seen: clients_that_wait_for_discovery_leave_descriptors_for_it_for_members_and_for_rejections failed beside load ('members are reached': E in place of TDCZ): with its file 4 of 12 and 3 of 16 plays beside 30 busy processes, alone 0 of 30.

Traced on a copy that prints the answer and the kernel's sockets: the answer was 53300 'too many connections' with clients_open=54, and the 52 client sockets that the test had dropped were still established or just closing. Other tests of the file start processes at that moment; until such a process executes its program it holds copies of all sockets, so that dropping them closes nothing. The gateway was right: all places were taken. Callers do not meet this.

Change: the test shuts the sockets down, which ends the connections whoever holds copies. All expectations are as they were.

--- a/crates/stackgw-cli/tests/discovery.rs
+++ b/crates/stackgw-cli/tests/discovery.rs
@@ -8,7 +8,7 @@
 use common::pg_connection::{frame_kinds, insert, PgConnection, TIMEOUT};
 use common::scripted_member::start_member;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Sender};
 use std::time::{Duration, Instant};
 
@@ -241,7 +241,11 @@
         "TDCZ",
         "members are reached with all places taken"
     );
-    drop(waiting);
+    for connection in waiting {
+        // A process that another test is just starting may hold a copy of the socket, so that dropping it closes nothing yet.
+        let closed = connection.socket.shutdown(Shutdown::Both);
+        closed.expect("closed");
+    }
     let mut client = gateway.ready_client();
     client.write(&[insert("k2")]);
     assert_eq!(
