Seeded soak over real processes, judged by what clients, members and the list service wrote down

One test of the judge for each rule gives it a record with that break.

Found while it was built, both faults of the rig: a replica's position jumped back when a lag began, which no replica does; a write that a member refused as no primary counted as an execution.

--- a/crates/stackgw-testkit/src/client.rs
+++ b/crates/stackgw-testkit/src/client.rs
@@ -3,7 +3,7 @@
 use crate::statements::{read_statement, write_statement, BOUNDED_READ_CLASS, SESSION_READ_CLASS};
 use stackgw_gateway::pg::{write, Frame, FrameDecoder};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Beyond any request's deadline; what is not answered by then is lost.
@@ -89,11 +89,43 @@
 
     /// Sends a statement, and waits for the one reply.
     pub fn query(&mut self, text: &str) -> RequestOutcome {
-        let mut bytes = Vec::new();
-        write::query(&mut bytes, text);
-        if self.socket.write_all(&bytes).is_err() {
+        if !self.send(text) {
             return RequestOutcome::Disconnected;
         }
+        self.receive()
+    }
+
+    /// Sends a statement; false where the connection is over or takes no more.
+    pub(crate) fn send(&mut self, text: &str) -> bool {
+        let mut bytes = Vec::new();
+        write::query(&mut bytes, text);
+        self.socket.write_all(&bytes).is_ok()
+    }
+
+    /// Sends the first half of a statement's message.
+    pub(crate) fn send_part(&mut self, text: &str) -> bool {
+        let mut bytes = Vec::new();
+        write::query(&mut bytes, text);
+        self.socket.write_all(&bytes[..bytes.len() / 2]).is_ok()
+    }
+
+    /// Takes no more than the socket does at once from now on.
+    pub(crate) fn set_nonblocking(&self) {
+        let _ = self.socket.set_nonblocking(true);
+    }
+
+    /// Ends this side of the connection.
+    pub(crate) fn half_close(&self) {
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
+    /// Ends both sides of the connection.
+    pub(crate) fn close(&self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+    }
+
+    /// Waits for the one reply to what was sent.
+    pub(crate) fn receive(&mut self) -> RequestOutcome {
         let reply = match self.read_reply() {
             Ok(reply) => reply,
             Err(outcome) => return outcome,
--- a/crates/stackgw-testkit/src/gateway_fleet.rs
+++ b/crates/stackgw-testkit/src/gateway_fleet.rs
@@ -24,6 +24,12 @@
 
 const LISTEN_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Counters that are not in the log by then do not come.
+const COUNTERS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What a gateway logs before its counters.
+const COUNTERS_LINE: &str = "counters ";
+
 /// What a gateway logs before the address at which it listens ...
 const LISTENING_LINE: &str = "listening on ";
 /// ... and before the one of Flight SQL.
@@ -185,6 +191,27 @@
         }
     }
 
+    /// Has a gateway log its counters; the line, or `None` where it does not come in time.
+    pub fn counters(&self, index: usize) -> Option<String> {
+        let log = self.files(index).log();
+        let lines = || {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            let lines = text.lines().filter(|line| line.contains(COUNTERS_LINE));
+            lines.map(str::to_owned).collect::<Vec<_>>()
+        };
+        let before = lines().len();
+        self.signal(index, Signal::USR1);
+        let asked = Instant::now();
+        while asked.elapsed() < COUNTERS_TIMEOUT {
+            let now = lines();
+            if now.len() > before {
+                return now.into_iter().last();
+            }
+            std::thread::sleep(LISTEN_CHECK_INTERVAL);
+        }
+        None
+    }
+
     /// Has all of them write their counters into their logs.
     pub fn log_counters(&self) {
         (0..self.len()).for_each(|index| self.signal(index, Signal::USR1));
--- a/crates/stackgw-testkit/src/lib.rs
+++ b/crates/stackgw-testkit/src/lib.rs
@@ -41,6 +41,7 @@
 mod replica_group;
 mod replicated_log;
 mod slow_start_model;
+pub mod soak;
 mod statements;
 mod statistics;
 mod sync;
--- a/crates/stackgw-testkit/src/postgres_member.rs
+++ b/crates/stackgw-testkit/src/postgres_member.rs
@@ -66,6 +66,7 @@
         let member = &self.member;
         let is_startup = is_startup(&frame);
         let _in_flight = (!is_startup).then(|| member.begin_work());
+        self.log.note_arrival(self.index, member, &frame);
         if member.is_unresponsive() && !is_startup {
             return client_stays(socket, Duration::MAX).then_some(());
         }
--- a/crates/stackgw-testkit/src/process_stats.rs
+++ b/crates/stackgw-testkit/src/process_stats.rs
@@ -37,3 +37,9 @@
     let kib = value.trim().strip_suffix(" kB")?.trim().parse::<f64>();
     kib.ok().map(|kib| kib / KIB_PER_MIB)
 }
+
+/// How many descriptors a process has open.
+pub(crate) fn descriptors(pid: u32) -> Option<usize> {
+    let entries = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?;
+    Some(entries.count())
+}
--- a/crates/stackgw-testkit/src/replica_group.rs
+++ b/crates/stackgw-testkit/src/replica_group.rs
@@ -5,7 +5,7 @@
 use crate::list_service::ListService;
 use crate::member::FakeMember;
 use crate::postgres_member::PostgresMember;
-use crate::replicated_log::{unix_ms, ExecutionLog, ReplicatedLog};
+use crate::replicated_log::{unix_ms, ExecutionLog, LoggedArrival, ReplicatedLog};
 use crate::slow_start_model::{ObservedLoad, SlowStartModel};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -119,6 +119,11 @@
         self.log.executions()
     }
 
+    /// What has come to members so far.
+    pub(crate) fn arrivals(&self) -> Vec<LoggedArrival> {
+        self.log.arrivals()
+    }
+
     /// The service that lists the members.
     pub fn list_service(&self) -> &ListService {
         &self.list_service
--- a/crates/stackgw-testkit/src/replicated_log.rs
+++ b/crates/stackgw-testkit/src/replicated_log.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Milliseconds since 1970.
 pub(crate) fn unix_ms() -> u64 {
@@ -105,10 +105,28 @@
     executions: ExecutionLog,
 }
 
+/// A client's statement has come to a member, whatever became of it there.
+#[derive(Debug, Clone)]
+pub(crate) struct LoggedArrival {
+    /// The request's id.
+    pub(crate) id: String,
+    /// The member.
+    pub(crate) member: usize,
+    /// When its last byte came.
+    pub(crate) at: Instant,
+    /// The time that it was told to have, in milliseconds.
+    pub(crate) timeout_ms: u64,
+    /// It is a write, and the member answers that it is no primary.
+    pub(crate) is_refused_write: bool,
+    /// How far the member was behind, in milliseconds.
+    pub(crate) staleness_ms: u64,
+}
+
 /// The log of a group.
 #[derive(Default)]
 pub(crate) struct ReplicatedLog {
     state: Mutex<LogState>,
+    arrivals: Mutex<Vec<LoggedArrival>>,
 }
 
 impl ReplicatedLog {
@@ -117,6 +135,28 @@
         lock(&self.state).executions.clone()
     }
 
+    /// What has come to members so far.
+    pub(crate) fn arrivals(&self) -> Vec<LoggedArrival> {
+        lock(&self.arrivals).clone()
+    }
+
+    /// Notes that a message has come to a member, if it is a client's statement.
+    pub(crate) fn note_arrival(&self, index: usize, member: &FakeMember, frame: &Frame) {
+        let at = Instant::now();
+        if let Ok(statement) = Statement::parse(frame.clone()) {
+            lock(&self.arrivals).push(LoggedArrival {
+                id: statement.id,
+                member: index,
+                at,
+                timeout_ms: statement.wait_ms,
+                is_refused_write: statement.write
+                    && !member.is_primary()
+                    && !member.is_unresponsive(),
+                staleness_ms: member.lag_in_ms(),
+            });
+        }
+    }
+
     /// Runs a statement at a member.
     pub(crate) fn execute(&self, member: &FakeMember, text: &str) -> StatementOutcome {
         // Every commit up to here is seen at this member.
--- /dev/null
+++ b/crates/stackgw-testkit/src/soak/clients.rs
@@ -0,0 +1,334 @@
+//! The clients of a soak: they ask, rest, leave, stop inside messages and flood, each by its own random numbers.
+
+use super::records::{ClientMisuse, RequestEnd, RequestKind, RequestRecord, SoakRecord};
+use crate::client::{Client, RequestOutcome};
+use crate::gateway_fleet::GatewayFleet;
+use crate::statements::{
+    timed_read_statement, timed_write_statement, BOUNDED_READ_CLASS, READ_TIMEOUT,
+    SESSION_READ_CLASS, WRITE_TIMEOUT,
+};
+use crate::sync::lock;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Where no gateway takes a connection, its clients wait so long.
+const NO_GATEWAY_PAUSE: Duration = Duration::from_millis(20);
+/// A client that stopped inside a message waits so long for its end.
+const STALLED_WAIT: Duration = Duration::from_millis(4_500);
+const FLOOD_STATEMENT_BYTES: usize = 60 << 10;
+
+/// What all parts of a soak share.
+pub(super) struct SoakState<'a> {
+    pub(super) gateways: &'a GatewayFleet,
+    pub(super) started: Instant,
+    pub(super) record: Mutex<SoakRecord>,
+    /// Whether new connections are dealt out to each gateway.
+    pub(super) takes_clients: Vec<AtomicBool>,
+    pub(super) is_over: AtomicBool,
+    next_id: AtomicU64,
+}
+
+impl<'a> SoakState<'a> {
+    pub(super) fn new(gateways: &'a GatewayFleet) -> Self {
+        SoakState {
+            gateways,
+            started: Instant::now(),
+            record: Mutex::default(),
+            takes_clients: (0..gateways.len()).map(|_| AtomicBool::new(true)).collect(),
+            is_over: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+        }
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    fn next(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A gateway that is dealt new connections, from this one on.
+    fn open_gateway(&self, first: usize) -> Option<usize> {
+        let count = self.gateways.len();
+        let mut gateways = (0..count).map(|n| (first + n) % count);
+        gateways.find(|gateway| self.takes_clients[*gateway].load(Ordering::Relaxed))
+    }
+}
+
+/// What a client does with one request.
+enum Conduct {
+    /// It waits for the answer.
+    Waits,
+    /// It closes its connection this long after it has asked.
+    Closes(Duration),
+    /// It ends its own side of the connection, and stays.
+    HalfCloses(Duration),
+}
+
+/// One client, which asks until the soak is over.
+pub(super) struct SoakClient<'a> {
+    state: &'a SoakState<'a>,
+    rng: SmallRng,
+    gateway: usize,
+    key: String,
+}
+
+impl<'a> SoakClient<'a> {
+    pub(super) fn new(state: &'a SoakState<'a>, gateway: usize, number: usize, seed: u64) -> Self {
+        let mix = seed.wrapping_mul(1_000).wrapping_add(number as u64);
+        SoakClient {
+            state,
+            rng: SmallRng::seed_from_u64(mix),
+            gateway,
+            key: format!("s{seed:x}c{number}"),
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        while !self.state.is_over() {
+            let gateway = self.state.open_gateway(self.gateway);
+            let address = gateway.and_then(|gateway| self.state.gateways.address(gateway));
+            match (gateway, address.and_then(Client::connect)) {
+                (Some(gateway), Some(client)) => self.use_connection(gateway, client),
+                _ => std::thread::sleep(NO_GATEWAY_PAUSE),
+            }
+        }
+    }
+
+    /// Asks on a connection for as long as it stays open, or until the client leaves.
+    fn use_connection(&mut self, gateway: usize, mut client: Client) {
+        let mut last_own_write = None;
+        while !self.state.is_over() {
+            self.rest();
+            let conduct = self.draw_conduct();
+            let (mut record, statement) = self.draw_request(gateway, last_own_write);
+            let is_on = match conduct {
+                Conduct::Waits => ask(self.state, &mut client, &mut record, &statement),
+                Conduct::Closes(after) => {
+                    send_and_wait(self.state, &mut client, &mut record, &statement, after);
+                    client.close();
+                    false
+                }
+                Conduct::HalfCloses(after) => {
+                    send_and_wait(self.state, &mut client, &mut record, &statement, after);
+                    client.half_close();
+                    record.ended_at = self.state.now();
+                    std::thread::sleep(Duration::from_millis(200));
+                    false
+                }
+            };
+            if let Conduct::Closes(_) = conduct {
+                record.ended_at = self.state.now();
+            }
+            if let (RequestKind::Write, RequestEnd::Served(value)) = (record.kind, &record.end) {
+                last_own_write = last_own_write.max(*value);
+            }
+            lock(&self.state.record).requests.push(record);
+            if !is_on {
+                return;
+            }
+        }
+    }
+
+    /// Mostly asks again soon; sometimes rests until the gateway may have closed the connection.
+    fn rest(&mut self) {
+        let ms = match self.rng.random_range(0..40) {
+            0 => self.rng.random_range(200..1_500),
+            1..20 => self.rng.random_range(0..40),
+            _ => 0,
+        };
+        std::thread::sleep(Duration::from_millis(ms));
+    }
+
+    fn draw_conduct(&mut self) -> Conduct {
+        let after = Duration::from_millis(self.rng.random_range(0..60));
+        match self.rng.random_range(0..60) {
+            0 => Conduct::Closes(after),
+            1 => Conduct::HalfCloses(after),
+            _ => Conduct::Waits,
+        }
+    }
+
+    fn draw_request(
+        &mut self,
+        gateway: usize,
+        last_own_write: Option<u64>,
+    ) -> (RequestRecord, String) {
+        let number = self.state.next();
+        let id = write_id(number);
+        let (kind, mut timeout) = match self.rng.random_range(0..10) {
+            0..3 => (RequestKind::Write, WRITE_TIMEOUT),
+            3..6 => (RequestKind::SessionRead, READ_TIMEOUT),
+            _ => (RequestKind::BoundedRead, READ_TIMEOUT),
+        };
+        if self.rng.random_range(0..12) == 0 {
+            timeout = Duration::from_millis(self.rng.random_range(5..120));
+        }
+        let statement = match kind {
+            RequestKind::Write => timed_write_statement(&id, &self.key, number, timeout),
+            RequestKind::SessionRead => {
+                timed_read_statement(&id, &self.key, SESSION_READ_CLASS, timeout)
+            }
+            RequestKind::BoundedRead => {
+                timed_read_statement(&id, &self.key, BOUNDED_READ_CLASS, timeout)
+            }
+        };
+        let record = RequestRecord {
+            id,
+            kind,
+            gateway,
+            sent_at: Duration::ZERO,
+            timeout,
+            ended_at: Duration::ZERO,
+            end: RequestEnd::Left,
+            last_own_write,
+        };
+        (record, statement)
+    }
+}
+
+/// The id of the request that writes this value.
+pub(super) fn write_id(value: u64) -> String {
+    format!("k{value:x}")
+}
+
+/// Asks and waits for the answer; whether the connection is still open.
+fn ask(
+    state: &SoakState<'_>,
+    client: &mut Client,
+    record: &mut RequestRecord,
+    statement: &str,
+) -> bool {
+    let was_sent = client.send(statement);
+    record.sent_at = state.now();
+    let outcome = if was_sent {
+        client.receive()
+    } else {
+        RequestOutcome::Disconnected
+    };
+    record.ended_at = state.now();
+    record.end = match outcome {
+        RequestOutcome::Served(value) => RequestEnd::Served(parse_value(&value)),
+        RequestOutcome::Rejected => RequestEnd::Rejected,
+        RequestOutcome::Failed | RequestOutcome::Malformed => RequestEnd::Failed,
+        RequestOutcome::Disconnected => RequestEnd::Disconnected,
+        RequestOutcome::TimedOut => RequestEnd::Unanswered,
+        RequestOutcome::DuplicateReply => RequestEnd::AnsweredTwice,
+    };
+    !matches!(
+        record.end,
+        RequestEnd::Disconnected | RequestEnd::Unanswered
+    )
+}
+
+fn send_and_wait(
+    state: &SoakState<'_>,
+    client: &mut Client,
+    record: &mut RequestRecord,
+    statement: &str,
+    wait: Duration,
+) {
+    client.send(statement);
+    record.sent_at = state.now();
+    std::thread::sleep(wait);
+}
+
+/// A value as writes of a soak have it; `None` where nothing was written yet.
+fn parse_value(value: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(value).ok()?;
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// Sends part of a message, stays, and notes when the gateway ended that.
+pub(super) fn stall(state: &SoakState<'_>, gateway: usize) {
+    let address = state.gateways.address(gateway);
+    let Some(mut client) = address.and_then(Client::connect) else {
+        return;
+    };
+    let statement = timed_read_statement("half", "half", BOUNDED_READ_CLASS, READ_TIMEOUT);
+    if !client.send_part(&statement) {
+        return;
+    }
+    let stopped_at = state.now();
+    client.set_reply_timeout(STALLED_WAIT);
+    let ended = match client.receive() {
+        RequestOutcome::TimedOut => None,
+        _ => Some(state.now()),
+    };
+    lock(&state.record).misuses.push(ClientMisuse {
+        gateway,
+        stopped_at,
+        ended_at: ended,
+    });
+}
+
+/// Sends large statements without reading for so long.
+pub(super) fn flood(state: &SoakState<'_>, gateway: usize, time: Duration) {
+    let address = state.gateways.address(gateway);
+    let Some(mut client) = address.and_then(Client::connect) else {
+        return;
+    };
+    client.set_nonblocking();
+    let started = Instant::now();
+    while started.elapsed() < time && !state.is_over() {
+        let number = state.next();
+        let key = "k".repeat(FLOOD_STATEMENT_BYTES);
+        let statement = timed_read_statement(
+            &format!("f{number:x}"),
+            &key,
+            BOUNDED_READ_CLASS,
+            READ_TIMEOUT,
+        );
+        // Once its socket takes no more in one go, half a message is the last that it sends.
+        if !client.send(&statement) {
+            std::thread::sleep(time.saturating_sub(started.elapsed()));
+        }
+    }
+}
+
+/// Connections that ask nothing.
+pub(super) struct IdleCrowd(Vec<TcpStream>);
+
+impl IdleCrowd {
+    pub(super) fn connect(state: &SoakState<'_>, gateway: usize, size: usize) -> Self {
+        let address = state.gateways.address(gateway);
+        let connect = |_| address.and_then(|address| TcpStream::connect(address).ok());
+        IdleCrowd((0..size).filter_map(connect).collect())
+    }
+
+    /// Connects anew where the gateway has closed a connection.
+    pub(super) fn refresh(&mut self, state: &SoakState<'_>, gateway: usize) {
+        let Some(address) = state.gateways.address(gateway) else {
+            return;
+        };
+        for socket in &mut self.0 {
+            let _ = socket.set_nonblocking(true);
+            let is_open = match socket.read(&mut [0; 64]) {
+                Ok(count) => count > 0,
+                Err(error) => error.kind() == ErrorKind::WouldBlock,
+            };
+            if !is_open {
+                if let Ok(new) = TcpStream::connect(address) {
+                    *socket = new;
+                }
+            }
+        }
+    }
+
+    /// Half of them say something that is no message.
+    pub(super) fn misbehave(&mut self) {
+        for socket in self.0.iter_mut().step_by(2) {
+            let _ = socket.write_all(b"?");
+        }
+    }
+}
--- /dev/null
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -0,0 +1,298 @@
+//! Plays the schedule of a soak.
+
+use super::clients::{flood, stall, IdleCrowd, SoakClient, SoakState};
+use super::plan::{SoakFault, SoakPlan};
+use super::records::{Announcement, Arrival, GatewayRest, GatewayStart, Interval, SoakRecord};
+use crate::client::Client;
+use crate::error::TestkitError;
+use crate::fleet_config::{FleetConfig, FleetMode};
+use crate::gateway_fleet::GatewayFleet;
+use crate::list_revisions::ListedPhase;
+use crate::list_service::ServiceState;
+use crate::process_stats::{descriptors, peak_memory_mib};
+use crate::replica_group::{GroupConfig, ReplicaGroup};
+use crate::sync::lock;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// SIGKILL comes this long after SIGTERM at the earliest: the longest deadline and 0.7 s.
+const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// New connections still come for so long after SIGTERM.
+const FRONT_NOTICES_AFTER: Duration = Duration::from_millis(300);
+/// Between the further signals of a shutdown, and between those of a series.
+const SIGNAL_INTERVAL: Duration = Duration::from_millis(60);
+/// How long a gateway may take to be ready before the soak goes on without it.
+const READY_TIMEOUT: Duration = Duration::from_secs(12);
+/// How long gateways have to come to rest once their clients have gone.
+const REST_TIMEOUT: Duration = Duration::from_secs(8);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// A lagging replica's position is moved this often.
+const LAG_STEP: Duration = Duration::from_millis(5);
+const CROWD_INTERVAL: Duration = Duration::from_millis(250);
+/// Counters of what is open or buffered.
+const AT_REST_COUNTERS: [&str; 3] = ["clients_open", "buffered_bytes", "read_ahead_bytes"];
+
+/// Starts a group and gateways of this program in a folder of their own, plays the plan, and gives what was written down.
+///
+/// # Errors
+/// Where a gateway does not start.
+pub fn run_soak(
+    plan: &SoakPlan,
+    program: PathBuf,
+    folder: PathBuf,
+) -> Result<SoakRecord, TestkitError> {
+    std::fs::create_dir_all(&folder).map_err(|error| TestkitError::file(&folder, error))?;
+    let lags: Vec<u64> = (0..plan.replicas as u64).map(|n| 20 + 40 * n).collect();
+    let group = ReplicaGroup::start_with(GroupConfig::new(&lags))
+        .map_err(|error| TestkitError::file(&folder, error))?;
+    let lists = vec![group.list_service().address(0)];
+    let gateways = GatewayFleet::start(FleetConfig {
+        gateways: plan.gateways,
+        mode: FleetMode::LocalSessions,
+        ..FleetConfig::new(program, folder, lists)
+    })?;
+    let state = SoakState::new(&gateways);
+    let soak = Soak {
+        plan,
+        group: &group,
+        state: &state,
+        lagging: Mutex::default(),
+    };
+    soak.play();
+    soak.note_rests();
+    let mut record = std::mem::take(&mut *lock(&state.record));
+    record.arrivals = arrivals(&group, state.started);
+    gateways.clean_up();
+    Ok(record)
+}
+
+fn arrivals(group: &ReplicaGroup, started: Instant) -> Vec<Arrival> {
+    let arrivals = group.arrivals().into_iter().map(|arrival| Arrival {
+        id: arrival.id,
+        member: arrival.member,
+        at: arrival.at.saturating_duration_since(started),
+        timeout: Duration::from_millis(arrival.timeout_ms),
+        is_refused_write: arrival.is_refused_write,
+        staleness: Duration::from_millis(arrival.staleness_ms),
+    });
+    arrivals.collect()
+}
+
+struct Soak<'a> {
+    plan: &'a SoakPlan,
+    group: &'a ReplicaGroup,
+    state: &'a SoakState<'a>,
+    /// Held while a replica lags.
+    lagging: Mutex<()>,
+}
+
+impl Soak<'_> {
+    /// Runs clients and faults, each on a thread of its own, to the plan's end.
+    fn play(&self) {
+        std::thread::scope(|scope| {
+            for gateway in 0..self.plan.gateways {
+                self.wait_until_ready(gateway);
+                for n in 0..self.plan.clients_per_gateway {
+                    let number = gateway * self.plan.clients_per_gateway + n;
+                    let client = SoakClient::new(self.state, gateway, number, self.plan.seed);
+                    scope.spawn(move || client.run());
+                }
+                if self.plan.crowd > 0 {
+                    scope.spawn(move || self.keep_crowd(gateway));
+                }
+            }
+            for planned in &self.plan.faults {
+                scope.spawn(move || {
+                    self.sleep_until(planned.at);
+                    self.apply(planned.fault);
+                });
+            }
+            self.sleep_until(self.plan.duration);
+            self.state.is_over.store(true, Ordering::Relaxed);
+        });
+    }
+
+    fn sleep_until(&self, at: Duration) {
+        std::thread::sleep(at.saturating_sub(self.state.now()));
+    }
+
+    fn keep_crowd(&self, gateway: usize) {
+        let mut crowd = IdleCrowd::connect(self.state, gateway, self.plan.crowd);
+        crowd.misbehave();
+        while !self.state.is_over() {
+            crowd.refresh(self.state, gateway);
+            std::thread::sleep(CROWD_INTERVAL);
+        }
+    }
+
+    fn apply(&self, fault: SoakFault) {
+        match fault {
+            SoakFault::ListService(service, time) => self.break_list_service(service, time),
+            SoakFault::MemberHangs(member, time) => {
+                let flag = &self.group.members[member].unresponsive;
+                flag.store(true, Ordering::Relaxed);
+                std::thread::sleep(time);
+                flag.store(false, Ordering::Relaxed);
+            }
+            SoakFault::MemberSlows(member, ms, time) => {
+                let delay = &self.group.members[member].delay_ms;
+                delay.store(ms, Ordering::Relaxed);
+                std::thread::sleep(time);
+                delay.store(0, Ordering::Relaxed);
+            }
+            SoakFault::MemberDropsWriteReplies(member, time) => {
+                let flag = &self.group.members[member].drops_write_replies;
+                flag.store(true, Ordering::Relaxed);
+                std::thread::sleep(time);
+                flag.store(false, Ordering::Relaxed);
+            }
+            SoakFault::ReplicaLags(member, ms, time) => {
+                self.lag(member, ms, time);
+            }
+            SoakFault::MemberLeaves(member, phase, time) => {
+                self.announce(member, phase);
+                std::thread::sleep(time);
+                self.announce(member, ListedPhase::Ready);
+            }
+            SoakFault::PrimaryMoves(member, list_delay) => {
+                self.group.promote(member);
+                std::thread::sleep(list_delay);
+                self.group.list_service().announce_primary(member);
+            }
+            SoakFault::GatewayHeldUp(gateway, time) => {
+                self.state.gateways.pause(gateway);
+                std::thread::sleep(time);
+                self.state.gateways.resume(gateway);
+            }
+            SoakFault::GatewayReloads(gateway, times) => {
+                for _ in 0..times {
+                    self.state.gateways.reload(gateway);
+                    std::thread::sleep(SIGNAL_INTERVAL);
+                }
+            }
+            SoakFault::GatewayRestarts(gateway, signals) => self.restart(gateway, signals),
+            SoakFault::ClientFloods(gateway, time) => flood(self.state, gateway, time),
+            SoakFault::ClientStalls(gateway) => stall(self.state, gateway),
+        }
+    }
+
+    /// A replica applies nothing until it is so far behind, stays so for the rest of the time, and catches up at once.
+    fn lag(&self, member: usize, ms: u64, time: Duration) {
+        let Ok(_one_at_a_time) = self.lagging.try_lock() else {
+            // A second one would set the position of the first one's replica back.
+            return;
+        };
+        let lag = &self.group.members[member].lag_ms;
+        let before = lag.load(Ordering::Relaxed);
+        let began = Instant::now();
+        while began.elapsed() < time {
+            let behind = before + began.elapsed().as_millis() as u64;
+            lag.store(behind.min(ms.max(before)), Ordering::Relaxed);
+            std::thread::sleep(LAG_STEP);
+        }
+        lag.store(before, Ordering::Relaxed);
+    }
+
+    fn break_list_service(&self, service: ServiceState, time: Duration) {
+        let from = self.state.now();
+        self.group.list_service().set_state(service);
+        std::thread::sleep(time);
+        self.group.list_service().set_state(ServiceState::Up);
+        let to = self.state.now();
+        lock(&self.state.record)
+            .list_outages
+            .push(Interval { from, to });
+    }
+
+    fn announce(&self, member: usize, phase: ListedPhase) {
+        self.group.announce(member, phase);
+        let at = self.state.now();
+        lock(&self.state.record)
+            .announcements
+            .push(Announcement { member, phase, at });
+    }
+
+    /// Shuts a gateway down while its clients go on using their connections, kills it when the page says, and starts it anew.
+    fn restart(&self, gateway: usize, signals: u32) {
+        let takes_clients = &self.state.takes_clients[gateway];
+        if !takes_clients.swap(false, Ordering::SeqCst) {
+            // Its last restart is still going on.
+            return;
+        }
+        takes_clients.store(true, Ordering::SeqCst);
+        let fleet = self.state.gateways;
+        let began = Instant::now();
+        fleet.terminate(gateway);
+        for n in 0..signals {
+            std::thread::sleep(SIGNAL_INTERVAL);
+            if n % 2 == 0 {
+                fleet.reload(gateway);
+            } else {
+                fleet.terminate(gateway);
+            }
+        }
+        std::thread::sleep(FRONT_NOTICES_AFTER.saturating_sub(began.elapsed()));
+        takes_clients.store(false, Ordering::SeqCst);
+        while began.elapsed() < KILL_AFTER && !fleet.has_ended(gateway).unwrap_or(true) {
+            std::thread::sleep(CHECK_INTERVAL);
+        }
+        fleet.kill(gateway);
+        if fleet.restart(gateway).is_ok() {
+            self.wait_until_ready(gateway);
+        }
+        takes_clients.store(true, Ordering::SeqCst);
+    }
+
+    fn wait_until_ready(&self, gateway: usize) {
+        let at = self.state.now();
+        let timeout = at + READY_TIMEOUT;
+        let mut ready_at = None;
+        while ready_at.is_none() && self.state.now() < timeout {
+            let address = self.state.gateways.address(gateway);
+            let mut client = address.and_then(Client::connect);
+            let is_ready = client.as_mut().is_some_and(Client::is_ready);
+            ready_at = is_ready.then(|| self.state.now());
+            std::thread::sleep(CHECK_INTERVAL);
+        }
+        let start = GatewayStart {
+            gateway,
+            at,
+            ready_at,
+        };
+        lock(&self.state.record).starts.push(start);
+    }
+
+    /// Notes what gateways still hold once their clients have gone and there has been time.
+    fn note_rests(&self) {
+        let deadline = Instant::now() + REST_TIMEOUT;
+        for gateway in 0..self.plan.gateways {
+            let mut not_at_rest = self.open_counters(gateway);
+            while !not_at_rest.is_empty() && Instant::now() < deadline {
+                std::thread::sleep(CHECK_INTERVAL);
+                not_at_rest = self.open_counters(gateway);
+            }
+            let pid = self.state.gateways.pid(gateway);
+            lock(&self.state.record).rests.push(GatewayRest {
+                gateway,
+                not_at_rest,
+                peak_memory_mib: pid.and_then(peak_memory_mib).unwrap_or_default(),
+                descriptors: pid.and_then(descriptors).unwrap_or_default(),
+            });
+        }
+    }
+
+    /// The counters that are not 0 although nothing is open; one line where the gateway does not say.
+    fn open_counters(&self, gateway: usize) -> Vec<String> {
+        let Some(line) = self.state.gateways.counters(gateway) else {
+            return vec!["no counters".to_owned()];
+        };
+        let words = line.split([' ', ',']);
+        let open = words.filter(|word| {
+            word.split_once('=')
+                .is_some_and(|(name, value)| AT_REST_COUNTERS.contains(&name) && value != "0")
+        });
+        open.map(str::to_owned).collect()
+    }
+}
--- /dev/null
+++ b/crates/stackgw-testkit/tests/soak_judge.rs
@@ -0,0 +1,277 @@
+//! The judge of a soak says each broken rule, and nothing of what is allowed: each test gives it a record with one break.
+
+use stackgw_testkit::soak::{
+    judge, Announcement, Arrival, ClientMisuse, GatewayRest, GatewayStart, Interval, RequestEnd,
+    RequestKind, RequestRecord, SoakFault, SoakPlan, SoakRecord, Violation,
+};
+use stackgw_testkit::ListedPhase;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A request sent after 20 s with a second for its answer, which came after 50 ms.
+fn request(kind: RequestKind, end: RequestEnd) -> RequestRecord {
+    RequestRecord {
+        id: "k1".to_owned(),
+        kind,
+        gateway: 0,
+        sent_at: ms(20_000),
+        timeout: ms(1_000),
+        ended_at: ms(20_050),
+        end,
+        last_own_write: None,
+    }
+}
+
+fn served(kind: RequestKind) -> RequestRecord {
+    request(kind, RequestEnd::Served(Some(7)))
+}
+
+/// Its arrival at the second member, 10 ms after it was sent.
+fn arrival() -> Arrival {
+    Arrival {
+        id: "k1".to_owned(),
+        member: 1,
+        at: ms(20_010),
+        timeout: ms(980),
+        is_refused_write: false,
+        staleness: ms(100),
+    }
+}
+
+fn record(request: RequestRecord, arrivals: Vec<Arrival>) -> SoakRecord {
+    SoakRecord {
+        requests: vec![request],
+        arrivals,
+        ..SoakRecord::default()
+    }
+}
+
+fn name(violation: &Violation) -> String {
+    let text = violation.to_string();
+    text.split('(').next().unwrap_or_default().to_owned()
+}
+
+fn names(record: &SoakRecord) -> Vec<String> {
+    judge(record).iter().map(name).collect()
+}
+
+#[test]
+fn a_record_without_a_break_has_no_violation() {
+    for kind in [
+        RequestKind::Write,
+        RequestKind::SessionRead,
+        RequestKind::BoundedRead,
+    ] {
+        assert!(names(&record(served(kind), vec![arrival()])).is_empty());
+    }
+}
+
+#[test]
+fn a_request_without_an_answer_is_lost() {
+    let lost = request(RequestKind::Write, RequestEnd::Unanswered);
+    assert_eq!(names(&record(lost, vec![])), ["Lost"]);
+    let broken = request(RequestKind::Write, RequestEnd::Disconnected);
+    assert_eq!(names(&record(broken.clone(), vec![arrival()])), ["Lost"]);
+    assert!(
+        names(&record(broken.clone(), vec![])).is_empty(),
+        "it crossed a close"
+    );
+    let read = RequestRecord {
+        ended_at: ms(20_060),
+        ..broken
+    };
+    assert_eq!(
+        names(&record(read, vec![])),
+        ["Lost"],
+        "too late to have crossed it"
+    );
+}
+
+#[test]
+fn an_answer_half_a_second_after_its_time_is_lost() {
+    let answered_at = |at| RequestRecord {
+        ended_at: ms(at),
+        ..request(RequestKind::Write, RequestEnd::Rejected)
+    };
+    assert!(names(&record(answered_at(21_540), vec![])).is_empty());
+    assert_eq!(names(&record(answered_at(21_560), vec![])), ["Lost"]);
+}
+
+#[test]
+fn more_than_one_answer_is_told() {
+    let twice = request(RequestKind::BoundedRead, RequestEnd::AnsweredTwice);
+    assert_eq!(names(&record(twice, vec![])), ["AnsweredTwice"]);
+}
+
+#[test]
+fn a_write_that_may_have_run_twice_is_told() {
+    let twice = vec![arrival(), arrival()];
+    assert_eq!(
+        names(&record(served(RequestKind::Write), twice.clone())),
+        ["RepeatedWrite"]
+    );
+    assert!(names(&record(served(RequestKind::BoundedRead), twice)).is_empty());
+    let refused = Arrival {
+        is_refused_write: true,
+        ..arrival()
+    };
+    let moved = vec![refused, arrival()];
+    assert!(names(&record(served(RequestKind::Write), moved)).is_empty());
+}
+
+#[test]
+fn an_attempt_for_a_client_that_has_left_is_told() {
+    let left = request(RequestKind::BoundedRead, RequestEnd::Left);
+    let begun_at = |at| Arrival {
+        at: ms(at),
+        timeout: ms(500),
+        ..arrival()
+    };
+    assert!(names(&record(left.clone(), vec![begun_at(20_190)])).is_empty());
+    assert_eq!(
+        names(&record(left, vec![begun_at(20_210)])),
+        ["BegunAfterClientLeft"]
+    );
+}
+
+#[test]
+fn an_attempt_that_is_told_more_time_than_is_left_is_told() {
+    let told = |ms_told| Arrival {
+        timeout: ms(ms_told),
+        ..arrival()
+    };
+    let read = served(RequestKind::BoundedRead);
+    assert!(names(&record(read.clone(), vec![told(1_190)])).is_empty());
+    assert_eq!(names(&record(read, vec![told(1_191)])), ["ToldTooMuchTime"]);
+}
+
+#[test]
+fn a_bounded_read_of_old_data_is_told() {
+    let old = Arrival {
+        staleness: ms(2_051),
+        ..arrival()
+    };
+    let read = |kind| names(&record(served(kind), vec![old.clone()]));
+    assert_eq!(read(RequestKind::BoundedRead), ["Stale"]);
+    assert!(read(RequestKind::Write).is_empty());
+}
+
+#[test]
+fn a_session_that_misses_its_own_write_is_told() {
+    let read = |value| RequestRecord {
+        last_own_write: Some(7),
+        ..request(RequestKind::SessionRead, RequestEnd::Served(value))
+    };
+    assert!(names(&record(read(Some(7)), vec![])).is_empty());
+    assert_eq!(names(&record(read(Some(6)), vec![])), ["OwnWriteMissed"]);
+    assert_eq!(names(&record(read(None), vec![])), ["OwnWriteMissed"]);
+}
+
+/// A member that has been in this phase since some time before its request.
+fn announced(phase: ListedPhase, before: Duration) -> SoakRecord {
+    SoakRecord {
+        announcements: vec![Announcement {
+            member: 1,
+            phase,
+            at: arrival().at - before,
+        }],
+        ..record(served(RequestKind::BoundedRead), vec![arrival()])
+    }
+}
+
+#[test]
+fn a_request_to_a_member_that_drains_or_is_gone_is_told() {
+    for phase in [ListedPhase::Draining, ListedPhase::Gone] {
+        assert!(names(&announced(phase, ms(1_050))).is_empty());
+        assert_eq!(names(&announced(phase, ms(1_051))), ["SentToDraining"]);
+    }
+    assert!(names(&announced(ListedPhase::Ready, ms(5_000))).is_empty());
+}
+
+#[test]
+fn a_drain_counts_six_seconds_after_an_outage_of_the_list() {
+    let during = |before, outage: [u64; 2]| SoakRecord {
+        list_outages: vec![Interval {
+            from: ms(outage[0]),
+            to: ms(outage[1]),
+        }],
+        ..announced(ListedPhase::Draining, ms(before))
+    };
+    assert!(names(&during(8_000, [11_000, 13_000])).is_empty());
+    assert_eq!(names(&during(8_000, [10_000, 12_500])), ["SentToDraining"]);
+    assert_eq!(
+        names(&during(8_000, [14_000, 16_000])),
+        ["SentToDraining"],
+        "it came later"
+    );
+}
+
+#[test]
+fn a_stalled_client_that_is_kept_is_told() {
+    let misuse = |ended_at| SoakRecord {
+        misuses: vec![ClientMisuse {
+            gateway: 0,
+            stopped_at: ms(1_000),
+            ended_at,
+        }],
+        ..SoakRecord::default()
+    };
+    assert!(names(&misuse(Some(ms(4_050)))).is_empty());
+    assert_eq!(names(&misuse(Some(ms(4_051)))), ["StalledClientKept"]);
+    assert_eq!(names(&misuse(None)), ["StalledClientKept"]);
+}
+
+#[test]
+fn a_gateway_that_is_not_ready_in_time_is_told() {
+    let start = |ready_at| SoakRecord {
+        starts: vec![GatewayStart {
+            gateway: 0,
+            at: ms(1_000),
+            ready_at,
+        }],
+        ..SoakRecord::default()
+    };
+    assert!(names(&start(Some(ms(11_000)))).is_empty());
+    assert_eq!(names(&start(Some(ms(11_001)))), ["NotReady"]);
+    assert_eq!(names(&start(None)), ["NotReady"]);
+}
+
+#[test]
+fn what_a_gateway_holds_at_the_end_is_told() {
+    let at_rest = GatewayRest {
+        gateway: 0,
+        not_at_rest: vec![],
+        peak_memory_mib: 192.0,
+        descriptors: 256,
+    };
+    let rest = |rest: GatewayRest| SoakRecord {
+        rests: vec![rest],
+        ..SoakRecord::default()
+    };
+    assert!(names(&rest(at_rest.clone())).is_empty());
+    let holds = GatewayRest {
+        not_at_rest: vec!["clients_open=1".to_owned()],
+        peak_memory_mib: 193.0,
+        descriptors: 257,
+        ..at_rest
+    };
+    assert_eq!(names(&rest(holds)), ["NotAtRest"; 3]);
+}
+
+#[test]
+fn a_seed_draws_the_same_schedule_each_time_and_seeds_differ() {
+    let draw = |seed| SoakPlan::draw(seed, ms(30_000));
+    assert_eq!(draw(3), draw(3));
+    assert_ne!(draw(3).faults, draw(5).faults);
+    assert!(draw(4).crowd > 0 && draw(5).crowd == 0);
+    // Fifty seeds draw every fault.
+    let faults = (1..=50).flat_map(|seed| draw(seed).faults);
+    let drawn: std::collections::BTreeSet<_> = faults.map(|planned| planned.fault.name()).collect();
+    assert_eq!(drawn.len(), 14, "{drawn:?}");
+    let all = (1..=50).flat_map(|seed| draw(seed).faults);
+    let restarts = all.filter(|planned| matches!(planned.fault, SoakFault::GatewayRestarts(..)));
+    assert!(restarts.count() > 20);
+}
