Soak: a primary that is moved away does not fall back behind its own commits

Traced to the rig: a demoted member went back to its lag of 60 ms, so that it forgot what it had committed as the primary, which no replica does; the gateway had sent the session's read to it as the primary that it still was by the last answer.

Change: the old primary goes on without a lag, and a lag that was set otherwise meanwhile is left alone. The rule that a session sees its own writes stays as it is.

--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -157,7 +157,7 @@
                 self.announce(member, ListedPhase::Ready);
             }
             SoakFault::PrimaryMoves(member, list_delay) => {
-                self.group.promote(member);
+                self.move_primary(member);
                 std::thread::sleep(list_delay);
                 self.group.list_service().announce_primary(member);
             }
@@ -178,7 +178,17 @@
         }
     }
 
-    /// A replica applies nothing until it is so far behind, stays so for the rest of the time, and catches up at once.
+    /// Makes another member the primary. The one before it has all that was committed, and goes on without a lag.
+    fn move_primary(&self, member: usize) {
+        let members = self.group.members.iter();
+        for primary in members.filter(|member| member.is_primary()) {
+            primary.lag_ms.store(0, Ordering::Relaxed);
+        }
+        self.group.promote(member);
+    }
+
+    /// A replica applies nothing until it is so far behind, stays so for the rest of the time, and catches up at once. One
+    /// that was the primary meanwhile does not fall back behind what it has committed.
     fn lag(&self, member: usize, ms: u64, time: Duration) {
         let Ok(_one_at_a_time) = self.lagging.try_lock() else {
             // A second one would set the position of the first one's replica back.
@@ -186,13 +196,19 @@
         };
         let lag = &self.group.members[member].lag_ms;
         let before = lag.load(Ordering::Relaxed);
+        let mut current = before;
         let began = Instant::now();
         while began.elapsed() < time {
             let behind = before + began.elapsed().as_millis() as u64;
-            lag.store(behind.min(ms.max(before)), Ordering::Relaxed);
+            let next = behind.min(ms.max(before));
+            let was_set = lag.compare_exchange(current, next, Ordering::Relaxed, Ordering::Relaxed);
+            if was_set.is_err() {
+                return;
+            }
+            current = next;
             std::thread::sleep(LAG_STEP);
         }
-        lag.store(before, Ordering::Relaxed);
+        let _ = lag.compare_exchange(current, before, Ordering::Relaxed, Ordering::Relaxed);
     }
 
     fn break_list_service(&self, service: ServiceState, time: Duration) {
