A request that waits for a paced connection gets one as soon as a stream ends

Callers saw: with connections to cold members paced, up to half a second of waiting although the stream's connection stood idle.

Change: it says that the member's connections have changed, as release_connection does.

Failed before: what_waits_for_a_paced_connection_is_sent_when_a_stream_ends, 0 statements sent in place of 1.

--- a/crates/stackgw-gateway/src/reducer/steps/streams.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/streams.rs
@@ -159,6 +159,7 @@
                 connection.state = ConnectionState::Idle;
             }
             self.connections.return_to_pool(cx.now, member, id);
+            self.note_connections_changed(member);
         } else {
             cx.counters.streams_broken += 1;
             self.close_connection(cx, id);
--- a/crates/stackgw-gateway/tests/streams.rs
+++ b/crates/stackgw-gateway/tests/streams.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use stackgw_cluster::{Key, Keyring};
+use stackgw_config::{Bootstrap, Duration};
 use stackgw_gateway::config::{Config, FlightConfig};
 use stackgw_gateway::reducer::{
     BackendRequest, CallId, CloseReason, ConnectionId, Effect, FinalResponse, Input, StreamHeader,
@@ -238,3 +239,47 @@
     assert!(closed(&effects).contains(&conn));
     assert!(rig.reducer.counters().health_checks_failed > 0);
 }
+
+/// A gateway that may open one connection a second or so to members that have just started.
+fn paced_rig() -> Rig {
+    let mut config = configured("127.0.0.1:0");
+    config.initial_endpoints = None;
+    // Its budget for members that warm up is no limit here.
+    config.settings.router.fleet_size = 1;
+    let options = Bootstrap {
+        bears: 100,
+        opens: Some(1),
+        service: String::new(),
+        list: None,
+        kept_wait: Duration::from_millis(0),
+        reset_after: Duration::from_millis(60_000),
+    };
+    config.bootstrap = Some(options.clone());
+    let mut rig = Rig::with(config);
+    let mut effects = Vec::new();
+    rig.reducer
+        .enable_bootstrap(rig.now, &options, None, None, &mut effects);
+    rig.pass(100 * MS);
+    let since = format!("\"up_since_ms\":{}", START / MS);
+    let entries = [entry(1, "ready", "leader")].map(|e| e.replace("\"up_since_ms\":0", &since));
+    rig.input(Input::EndpointList(list(1, true, &entries)));
+    rig
+}
+
+/// The connection of a stream that had ended was not used for what waited, until the pacer looked at all members again.
+#[test]
+fn what_waits_for_a_paced_connection_is_sent_when_a_stream_ends() {
+    let mut rig = paced_rig();
+    let effects = rig.input(Input::Call(CallId(1), read(1_900), true));
+    let (conn, _) = asked(&mut rig, effects);
+    rig.input(Input::StreamStarted(conn, StreamHeader::default()));
+    let effects = rig.input(Input::Call(CallId(2), read(1_900), true));
+    let sends = |effects: &[Effect]| {
+        let sent = effects.iter();
+        sent.filter(|e| matches!(e, Effect::BackendSend(..)))
+            .count()
+    };
+    assert_eq!(sends(&effects), 0, "the one connection is taken");
+    let effects = rig.input(Input::StreamEnded(conn, Outcome::Served));
+    assert_eq!(sends(&effects), 1, "{effects:?}");
+}
