Large calls of other frontends are rejected once the bytes of statements are taken

Cause: PostgreSQL clients' statements are held back at their connections; calls come in without a look at bytes.

Change: once the shared bytes are taken, a call larger than a client's reserve is rejected at once and counted; a small one always finds room.

--- a/crates/stackgw-gateway/src/reducer/steps/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/requests.rs
@@ -64,6 +64,9 @@
         requester: Requester,
         statement: Statement,
     ) -> Result<RequestId, FinalResponse> {
+        if matches!(requester, Requester::Call(_)) {
+            check_bytes(cx, &statement)?;
+        }
         let class = self.check_statement(cx, &statement)?;
         let consistency = self.classes[class].consistency;
         self.check_capacity(cx, consistency)?;
@@ -228,6 +231,17 @@
     }
 }
 
+/// Rejects a call whose statement does not fit beside those that are buffered; one as small as a client's reserve always does.
+/// Clients' own messages are held back before they come here.
+fn check_bytes(cx: &mut Context<'_>, statement: &Statement) -> Result<(), FinalResponse> {
+    let is_full = cx.counters.buffered_bytes >= cx.limits.shared_client_bytes() as u64;
+    if is_full && statement.size_bytes() > cx.limits.reserved_client_bytes() {
+        let response = FinalResponse::Rejected("too many bytes of statements are open", None);
+        return Err(reject_unseen(cx, response));
+    }
+    Ok(())
+}
+
 /// Counts a request that is rejected before the router has seen it.
 fn reject_unseen(cx: &mut Context<'_>, response: FinalResponse) -> FinalResponse {
     cx.counters.rejected_early += 1;
--- a/crates/stackgw-gateway/tests/calls.rs
+++ b/crates/stackgw-gateway/tests/calls.rs
@@ -104,3 +104,35 @@
         (0, 1)
     );
 }
+
+/// Statements of calls took memory without a bound but their number: a flood of large ones was over what the platform grants.
+#[test]
+fn large_calls_are_rejected_once_the_bytes_of_statements_are_taken() {
+    let mut config = config(&three());
+    config.limits.client_bytes = 1 << 20;
+    let mut rig = Rig::with(config);
+    rig.members_stuck = true;
+    let large = || {
+        let (id, key) = (new_id(), "k".repeat(60 << 10));
+        query(&format!(
+            "SELECT val FROM state WHERE uid = '{key}' /* id={id},c=look,d=900,cluster=2 */"
+        ))
+    };
+    let mut rejected = 0;
+    for call in 0..200 {
+        let effects = rig.input(Input::Call(CallId(call), large(), false));
+        let is_rejected = |e: &Effect| matches!(e, Effect::CallCompleted(_, FinalResponse::Rejected(text, None)) if text.contains("bytes"));
+        rejected += usize::from(effects.iter().any(is_rejected));
+    }
+    assert!(rejected > 180, "{rejected} at once");
+    let buffered = rig.reducer.counters().buffered_bytes;
+    assert!(buffered <= 1 << 20, "{buffered} bytes");
+    // A small one finds room.
+    let effects = rig.input(Input::Call(CallId(900), read(900), false));
+    assert!(
+        !effects
+            .iter()
+            .any(|e| matches!(e, Effect::CallCompleted(..))),
+        "{effects:?}"
+    );
+}
