Fakes: a demoted primary does not forget its last commit

Traced to the rig: a commit's time is rounded up to the next millisecond, and a member without a lag that is no primary any more sees what is older than now. No replica is behind its own commits.

Change: a member's position is never behind what it has committed itself.

--- a/crates/stackgw-testkit/src/member.rs
+++ b/crates/stackgw-testkit/src/member.rs
@@ -29,6 +29,8 @@
     /// Requests that it got, health checks aside.
     pub requests: AtomicU64,
     is_primary: AtomicBool,
+    /// Its last commit as the primary, in Unix milliseconds.
+    committed_ms: AtomicU64,
     load: Mutex<Option<MemberLoad>>,
     /// Since when the list has it draining or gone.
     draining_since: Mutex<Option<Instant>>,
@@ -60,6 +62,7 @@
             cancellations: AtomicU64::default(),
             requests: AtomicU64::default(),
             is_primary: AtomicBool::default(),
+            committed_ms: AtomicU64::default(),
             load: Mutex::default(),
             draining_since: Mutex::default(),
             is_dead: AtomicBool::default(),
@@ -85,6 +88,15 @@
         }
     }
 
+    pub(crate) fn committed_ms(&self) -> u64 {
+        self.committed_ms.load(Ordering::SeqCst)
+    }
+
+    /// It has committed up to here as the primary, and does not forget that as a replica.
+    pub(crate) fn note_commit(&self, commit_ms: u64) {
+        self.committed_ms.fetch_max(commit_ms, Ordering::SeqCst);
+    }
+
     /// How far its log is behind.
     pub(crate) fn lag_in_ms(&self) -> u64 {
         if self.is_primary() {
--- a/crates/stackgw-testkit/src/replicated_log.rs
+++ b/crates/stackgw-testkit/src/replicated_log.rs
@@ -159,8 +159,9 @@
 
     /// Runs a statement at a member.
     pub(crate) fn execute(&self, member: &FakeMember, text: &str) -> StatementOutcome {
-        // Every commit up to here is seen at this member.
-        let position_ms = unix_ms().saturating_sub(member.lag_in_ms());
+        // Every commit up to here is seen at this member, and what it has committed itself.
+        let replicated_ms = unix_ms().saturating_sub(member.lag_in_ms());
+        let position_ms = replicated_ms.max(member.committed_ms());
         if text == HEALTH_CHECK {
             return StatementOutcome::LoadReport(load_report(member, position_ms));
         }
@@ -181,7 +182,9 @@
             return state.read(member, &statement, position_ms);
         }
         if member.is_primary() {
-            return state.write(&statement, text);
+            let outcome = state.write(&statement, text);
+            member.note_commit(state.last_commit_ms);
+            return outcome;
         }
         state.executions.misrouted_writes += 1;
         StatementOutcome::NotPrimary { position_ms }
