--- a/crates/stackgw-gateway/src/reducer/state/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/state/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod backoff;
 pub(crate) mod bootstrap;
 pub(crate) mod client;
+mod client_buffers;
 pub(crate) mod clients;
 pub(crate) mod cluster;
 pub(crate) mod connection;
