--- a/crates/stackgw-cli/tests/ending.rs
+++ b/crates/stackgw-cli/tests/ending.rs
@@ -7,6 +7,14 @@
 use common::gateway_process::{start_fixture, GatewayFixture};
 use common::pg_connection::{insert, TIMEOUT};
 use std::io::Write;
+use std::time::{Duration, Instant};
+
+/// The longest deadline of the fixture's classes.
+const LONGEST_DEADLINE_MS: u64 = 2_000;
+/// The last answers are due so long after the longest deadline.
+const LAST_ANSWERS_AFTER_MS: u64 = 420;
+/// So long a gateway may be held up.
+const HELD_UP: Duration = Duration::from_millis(150);
 
 /// Found by reading: the end answered what was in hand and ended in the same moment; statements that a client's task had read and
 /// could not hand over yet went with the process.
@@ -107,3 +115,42 @@
     );
     drop(release);
 }
+
+/// A gateway may be held up for 0.15 s at any moment, also around its last answers, which it owes before it is killed.
+#[test]
+fn queued_statements_are_answered_when_the_gateway_is_held_up_at_its_end() {
+    let offsets = [-140, -100, -50, -10, 10, 60, 110];
+    let plays = offsets.map(|offset_ms| std::thread::spawn(move || hold_up_at_the_end(offset_ms)));
+    let answered = plays.map(|play| play.join().expect("no panic"));
+    assert_eq!(
+        answered, [301; 7],
+        "held up from {offsets:?} ms after the last answers are due"
+    );
+}
+
+/// Holds a gateway up from this long after the last answers are due; how many statements of 301 are answered.
+fn hold_up_at_the_end(offset_ms: i64) -> usize {
+    let GatewayFixture {
+        mut gateway,
+        statements,
+        release,
+        ..
+    } = start_fixture(&format!("held-{offset_ms}"));
+    let mut client = gateway.ready_client();
+    client.write(&[insert("slow")]);
+    statements.recv_timeout(TIMEOUT).expect("the statement");
+    client.write(&(0..300).map(|_| insert("slow")).collect::<Vec<_>>());
+    gateway.signal("TERM");
+    let told = Instant::now();
+    let due_ms = LONGEST_DEADLINE_MS + LAST_ANSWERS_AFTER_MS;
+    let holds_at = Duration::from_millis(due_ms.saturating_add_signed(offset_ms));
+    std::thread::sleep(holds_at.saturating_sub(told.elapsed()));
+    gateway.signal("STOP");
+    std::thread::sleep(HELD_UP);
+    gateway.signal("CONT");
+    let answers = std::iter::from_fn(|| Some(client.read_reply()).filter(|a| a.len() == 2));
+    let answered = answers.count();
+    assert!(gateway.wait_for_exit().success());
+    drop(release);
+    answered
+}
