Settings with extreme times no longer panic or wrap around

Found by a test that sets every number of the configuration to nine extremes and lets the gateway run: five panicked.

Causes: a bound on staleness of a few nanoseconds gave a gossip term of 0, by which the router divides (a crash in a release too); deadlines, the dial's time and the quantum near the largest number overflowed in sums with the clock.

Change: times of the settings longer than a year count as a year, in the one place that reads them; a gossip term is at least 1 ns. Nothing that was accepted is refused now.

Failed before: a_configuration_with_an_extreme_number_is_refused_or_runs, DeadlineNs (two classes), DialTimeoutNs, QuantumNs at i64::MAX and StalenessBoundNs at 1.

--- /dev/null
+++ b/crates/stackgw-gateway/tests/extreme_numbers.rs
@@ -0,0 +1,78 @@
+//! Every number of the configuration at its extremes: it is refused by name, or the gateway runs with it.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use stackgw_gateway::config::Config;
+use stackgw_router::api::{MS, SECOND};
+
+/// JSON pointers to all numbers of a document.
+fn numbers(value: &Value, at: &str, found: &mut Vec<String>) {
+    match value {
+        Value::Number(_) => found.push(at.to_owned()),
+        Value::Array(values) => {
+            for (index, value) in values.iter().enumerate() {
+                numbers(value, &format!("{at}/{index}"), found);
+            }
+        }
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                numbers(value, &format!("{at}/{name}"), found);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn extremes() -> Vec<Value> {
+    vec![
+        json!(0),
+        json!(1),
+        json!(-1),
+        json!(0.5),
+        json!(1e18),
+        json!(i64::MAX),
+        json!(i64::MIN),
+        json!(u64::MAX),
+        json!(1e300),
+    ]
+}
+
+/// Starts a gateway of this configuration, and lets some time pass with requests in flight.
+fn run_for_a_while(config: Config) {
+    let mut rig = Rig::with(config);
+    let client = rig.client(1);
+    for frame in [read(900), buy(1_900)] {
+        if rig.reducer.accepts_frame(client) {
+            rig.ask(client, frame);
+        }
+    }
+    rig.pass(50 * MS);
+    rig.pass(3 * SECOND);
+}
+
+/// A number that is accepted and overflows later panics in a debug build, and wraps around in a release.
+#[test]
+fn a_configuration_with_an_extreme_number_is_refused_or_runs() {
+    let document: Value = serde_json::from_str(&config_text(&three())).expect("a document");
+    let mut pointers = Vec::new();
+    numbers(&document, "", &mut pointers);
+    assert!(pointers.len() > 40, "{pointers:?}");
+    let mut panicked = Vec::new();
+    for pointer in &pointers {
+        for extreme in extremes() {
+            let mut changed = document.clone();
+            *changed.pointer_mut(pointer).expect("it is there") = extreme.clone();
+            let run = || {
+                if let Ok(config) = Config::from_text(&changed.to_string(), |_| None) {
+                    run_for_a_while(config);
+                }
+            };
+            if std::panic::catch_unwind(run).is_err() {
+                panicked.push(format!("{pointer} = {extreme}"));
+            }
+        }
+    }
+    assert!(panicked.is_empty(), "{panicked:#?}");
+}
--- a/crates/stackgw-router/src/router/gossip.rs
+++ b/crates/stackgw-router/src/router/gossip.rs
@@ -14,7 +14,7 @@
         if !self.settings.limits.gossip {
             return;
         }
-        let term = self.now / (self.tightest_bound / TERMS_PER_BOUND);
+        let term = self.now / (self.tightest_bound / TERMS_PER_BOUND).max(1);
         let broadcast_at = self.gossip.broadcast_at;
         if broadcast_at.map_or(term == self.gossip.term, |broadcast_at| self.now < broadcast_at) {
             return;
--- a/crates/stackgw-settings/src/section.rs
+++ b/crates/stackgw-settings/src/section.rs
@@ -3,6 +3,9 @@
 use crate::error::{SettingsError, ValueType};
 use serde_json::Value;
 
+/// A year in nanoseconds. Longer times count as this, so that no sum of a time and some of them overflows.
+pub(crate) const MAX_SPAN: i64 = 365 * 86_400 * 1_000_000_000;
+
 /// An object of the document.
 #[derive(Clone, Copy)]
 pub(crate) struct Section<'a>(&'a Value);
@@ -57,10 +60,11 @@
         self.typed(key, ValueType::Integer, Value::as_i64)
     }
 
+    /// At most [`MAX_SPAN`].
     pub(crate) fn non_negative(self, key: &'static str) -> Result<i64, SettingsError> {
         let number = self.integer(key)?;
         if number >= 0 {
-            Ok(number)
+            Ok(number.min(MAX_SPAN))
         } else {
             Err(SettingsError::Negative(key))
         }
@@ -78,11 +82,11 @@
         }
     }
 
-    /// Danger: the router divides by these.
+    /// At most [`MAX_SPAN`]. Danger: the router divides by these.
     pub(crate) fn positive(self, key: &'static str) -> Result<i64, SettingsError> {
         let number = self.integer(key)?;
         if number > 0 {
-            Ok(number)
+            Ok(number.min(MAX_SPAN))
         } else {
             Err(SettingsError::NotPositive(key))
         }
