Fakes record arrivals only for a soak; one bound for Unix times of list entries

Read over: every member of the testkit parsed each statement a second time and kept what came for as long as it ran, also in the demo, the measurements and fleets of hundreds, which never look at it. The soak asks for it now. The bound on start times stood in two packages, once as a float: the list's reader uses the bootstrap's.

No check, bound or expectation changed.

--- a/crates/stackgw-bootstrap/src/endpoint.rs
+++ b/crates/stackgw-bootstrap/src/endpoint.rs
@@ -7,7 +7,7 @@
 /// The `up_since_ms` of a process that has been up for long.
 const UP_FOR_LONG: i64 = 0;
 /// Unix times in milliseconds are below this (the year 2223), which leaves room for sums of them in nanoseconds.
-const MAX_UNIX_MS: i64 = 8_000_000_000_000;
+pub const MAX_UNIX_MS: i64 = 8_000_000_000_000;
 /// The `up_since_ms` of a process whose start is not known. All numbers below 0 and beyond all times are read as this.
 pub(crate) const UP_SINCE_UNKNOWN: i64 = -1;
 
--- a/crates/stackgw-bootstrap/src/lib.rs
+++ b/crates/stackgw-bootstrap/src/lib.rs
@@ -46,7 +46,7 @@
 
 pub use bootstrap::Bootstrap;
 pub use connection_pacer::{ConnectionPacer, ListedMember, PacerConfig};
-pub use endpoint::{Endpoint, EndpointUpdate, StartTime};
+pub use endpoint::{Endpoint, EndpointUpdate, StartTime, MAX_UNIX_MS};
 pub use endpoint_cache::{EndpointCache, EndpointDelta, MergeOutcome};
 pub use message::{EndpointSnapshot, Fragment, Message, Poll};
 pub use observation::{Observation, Observations};
--- a/crates/stackgw-gateway/src/discovery/list.rs
+++ b/crates/stackgw-gateway/src/discovery/list.rs
@@ -2,10 +2,9 @@
 
 use super::{ListEntry, ListUpdate};
 use serde_json::Value;
+use stackgw_bootstrap::MAX_UNIX_MS;
 use stackgw_router::api::Lifecycle;
 
-/// No moment is later than this (some 200 years on); as nanoseconds it still fits.
-const MAX_UNIX_MS: f64 = 8e12;
 /// The size of a member whose entry has none.
 const DEFAULT_SIZE: f64 = 1.0;
 /// The start of a member whose entry has none: long ago.
@@ -85,7 +84,7 @@
     let size =
         number_or(value, "size", DEFAULT_SIZE).filter(|size| size.is_finite() && *size >= 0.0);
     let up_since_ms = number_or(value, "up_since_ms", DEFAULT_UP_SINCE_MS);
-    let up_since_ms = up_since_ms.filter(|ms| (0.0..MAX_UNIX_MS).contains(ms));
+    let up_since_ms = up_since_ms.filter(|ms| (0.0..MAX_UNIX_MS as f64).contains(ms));
     let (Some(cell), Some(size), Some(up_since_ms)) = (cell, size, up_since_ms) else {
         return Err(ListError::Number);
     };
--- a/crates/stackgw-testkit/src/replica_group.rs
+++ b/crates/stackgw-testkit/src/replica_group.rs
@@ -124,7 +124,12 @@
         self.log.write_order()
     }
 
-    /// What has come to members so far.
+    /// Records what comes to members from now on.
+    pub(crate) fn record_arrivals(&self) {
+        self.log.record_arrivals();
+    }
+
+    /// What has come to members since it is recorded.
     pub(crate) fn arrivals(&self) -> Vec<LoggedArrival> {
         self.log.arrivals()
     }
--- a/crates/stackgw-testkit/src/replicated_log.rs
+++ b/crates/stackgw-testkit/src/replicated_log.rs
@@ -128,7 +128,8 @@
 #[derive(Default)]
 pub(crate) struct ReplicatedLog {
     state: Mutex<LogState>,
-    arrivals: Mutex<Vec<LoggedArrival>>,
+    /// What has come to members, where that is recorded.
+    arrivals: Mutex<Option<Vec<LoggedArrival>>>,
 }
 
 impl ReplicatedLog {
@@ -142,16 +143,25 @@
         lock(&self.state).write_order.clone()
     }
 
-    /// What has come to members so far.
+    /// Records what comes to members from now on.
+    pub(crate) fn record_arrivals(&self) {
+        lock(&self.arrivals).get_or_insert_default();
+    }
+
+    /// What has come to members since it is recorded.
     pub(crate) fn arrivals(&self) -> Vec<LoggedArrival> {
-        lock(&self.arrivals).clone()
+        lock(&self.arrivals).clone().unwrap_or_default()
     }
 
-    /// Notes that a message has come to a member, if it is a client's statement.
+    /// Notes that a message has come to a member, if it is a client's statement and arrivals are recorded.
     pub(crate) fn note_arrival(&self, index: usize, member: &FakeMember, frame: &Frame) {
         let at = Instant::now();
+        let mut arrivals = lock(&self.arrivals);
+        let Some(arrivals) = arrivals.as_mut() else {
+            return;
+        };
         if let Ok(statement) = Statement::parse(frame.clone()) {
-            lock(&self.arrivals).push(LoggedArrival {
+            arrivals.push(LoggedArrival {
                 id: statement.id,
                 member: index,
                 at,
--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -47,6 +47,7 @@
     let lags: Vec<u64> = (0..plan.replicas as u64).map(|n| 20 + 40 * n).collect();
     let group = ReplicaGroup::start_with(GroupConfig::new(&lags))
         .map_err(|error| TestkitError::file(&folder, error))?;
+    group.record_arrivals();
     let lists = vec![group.list_service().address(0)];
     let gateways = GatewayFleet::start(FleetConfig {
         gateways: plan.gateways,
