Router: only a member's own answer ends its denial of the primary role for reads

Cause: a read without a known recent position falls back to the primary, and what makes a member the primary could be the list, gossip or a health check, although this member's own answer had told this gateway that it is a replica. MemberState::restart reset replica_as_of, so that is_listed in Router::primary trusted a late list again at each new start; gossip of a claim with a later position overrode the denial; the half-open attempt at an ejected primary looked at neither.

Change: a member keeps whether its latest answer denied the role (denies_primary), over restarts, until another answer of its own claims it. While it does, it gets a read only by its known position: bounded, session and strong reads, as fallback or half-open. A strong read may also go to such a primary once it reports a position after the read's arrival, or it would wait for ever where nothing else is sent. Such a primary is checked like a replica, so that reads wait for one health check. Writes go to it as before: one at a replica has no effect.

--- a/crates/stackgw-router/src/router/health_checks.rs
+++ b/crates/stackgw-router/src/router/health_checks.rs
@@ -55,7 +55,9 @@
     /// All due members if requests are queued without a usable primary, one for queued reads, else by budget.
     fn due_checks(&mut self, group: GroupId) -> Vec<MemberId> {
         let primary = self.usable_primary(group);
-        let members = self.members.of_group(group).filter(|(id, _)| Some(*id) != primary);
+        // Reads need the position of a primary whose own answer denied the role.
+        let is_checked = |id: MemberId, m: &MemberState| Some(id) != primary || m.denies_primary;
+        let members = self.members.of_group(group).filter(|(id, member)| is_checked(*id, member));
         let replicas: Vec<_> = members.filter(|(_, member)| self.accepts(member, Role::Replica)).collect();
         if primary.is_none() && self.any_queued(group, |_| true) {
             let due = self.due_in_primary_search(&replicas);
@@ -96,7 +98,8 @@
         use Consistency::{ReadYourWrites, Strong};
         let needs_claim = |request: &RequestState| matches!(request.consistency(), Strong | ReadYourWrites);
         let claimed = self.members.claimed_primary(group);
-        let is_confirmed = |id| claimed == Some(id) || !self.any_queued(group, needs_claim);
+        let is_trusted = |id| claimed == Some(id) && !self.members[id].denies_primary;
+        let is_confirmed = |id| is_trusted(id) || !self.any_queued(group, needs_claim);
         self.primary(group).filter(|id| !self.members[*id].ejected && is_confirmed(*id))
     }
 
--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -88,8 +88,10 @@
         if observed.is_primary == Some(true) && order >= group.claimed_at.max(member.replica_as_of) {
             group.primary = Some(observed.member);
             group.claimed_at = order;
+            member.denies_primary &= !is_answer;
         } else if observed.is_primary == Some(false) && (is_answer || order >= member.replica_as_of) {
             member.replica_as_of = order.max(member.replica_as_of);
+            member.denies_primary |= is_answer;
             if is_answer || order >= group.claimed_at {
                 group.clear_primary(observed.member);
             }
--- a/crates/stackgw-router/src/router/selection.rs
+++ b/crates/stackgw-router/src/router/selection.rs
@@ -46,7 +46,9 @@
         match self.request.consistency() {
             Consistency::Write if self.primary.is_some() => self.select_primary(FULL_LIMIT, |_| true),
             Consistency::Write => self.search_for_primary(),
-            Consistency::Strong => self.select_primary(FULL_LIMIT, |id| self.has_claimed(id)),
+            Consistency::Strong => self.select_primary(FULL_LIMIT, |id| {
+                self.has_claimed(id) && self.has_applied(id, self.request.arrived_at)
+            }),
             Consistency::ReadYourWrites => self.select_for_session(),
             Consistency::BoundedStaleness(bound) => {
                 self.select_for_read(self.router.now - (bound - STALENESS_MARGIN).max(bound / 2))
@@ -77,7 +79,9 @@
     fn select_for_read(&self, min_position: Time) -> Option<Selected> {
         let replicas = self.replicas_with_capacity();
         // An ejected primary gets reads as half-open attempts: it is sent few others, and writes wait for it.
-        let half_open = self.primary_within(FULL_LIMIT).filter(|id| self.router.members[*id].ejected);
+        let is_half_open =
+            |id: &MemberId| self.router.members[*id].ejected && self.may_fall_back(*id, min_position);
+        let half_open = self.primary_within(FULL_LIMIT).filter(is_half_open);
         let fresh = || select_replica(&replicas, |member| member.position >= min_position);
         let selected = half_open
             .map(Selected::because(SelectionReason::HalfOpenPrimary))
@@ -86,8 +90,15 @@
         if selected.is_some() || self.awaits_health_check(&replicas, min_position) {
             return selected;
         }
+        self.select_primary(FALLBACK_SHARE, |id| self.may_fall_back(id, min_position))
+    }
+
+    /// Whether a read that needs this position may go to the primary: a former one may be a replica that lags.
+    /// A session read needs a claim of the role; for others the list is enough until an answer denies the role.
+    fn may_fall_back(&self, primary: MemberId, min_position: Time) -> bool {
         let is_session_read = self.request.consistency() == Consistency::ReadYourWrites;
-        self.select_primary(FALLBACK_SHARE, |id| !is_session_read || self.has_applied(id, min_position))
+        let is_trusted = !is_session_read && !self.router.members[primary].denies_primary;
+        is_trusted || self.has_applied(primary, min_position)
     }
 
     /// Where replicas check reads themselves, one with a stale position may be tried: the next in rotation of
@@ -147,9 +158,11 @@
             && self.router.has_capacity(member, role, share)
     }
 
-    /// Whether a member has applied the write. A merely listed primary may be a replica: its position tells.
-    fn has_applied(&self, id: MemberId, write: Time) -> bool {
-        self.has_claimed(id) || self.router.members[id].position >= write
+    /// Whether a member has applied all commits up to this time: it is the primary, or its position tells. One that
+    /// is merely listed, or that denied the role to this router, may be a replica.
+    fn has_applied(&self, id: MemberId, time: Time) -> bool {
+        let member = &self.router.members[id];
+        self.has_claimed(id) && !member.denies_primary || member.position >= time
     }
 
     fn has_claimed(&self, id: MemberId) -> bool {
--- a/crates/stackgw-router/src/state/member.rs
+++ b/crates/stackgw-router/src/state/member.rs
@@ -25,6 +25,9 @@
     pub(crate) lag: Span,
     /// Position (or time, without one) at which it last reported to be a replica.
     pub(crate) replica_as_of: Time,
+    /// Whether its latest answer that states a role denied that it is the primary. Only an answer ends this: not the
+    /// list, not a restart, and not what others say.
+    pub(crate) denies_primary: bool,
 
     pub(crate) in_flight: u32,
     pub(crate) last_sent_at: Time,
@@ -81,11 +84,12 @@
         MemberSnapshot { in_flight, ejected, latency_ratio, concurrency_limit, position }
     }
 
-    /// Resets the state after a restart of the process: it is cold, and its earlier health and role no longer apply.
-    /// Its drain, its position, its requests in flight and its connection permits remain.
+    /// Resets the state after a restart of the process: it is cold, and its earlier health and claims no longer apply.
+    /// Its drain, its position, its denial of the role, its requests in flight and its connection permits remain.
     pub(crate) fn restart(&mut self, initial: MemberState) {
         *self = MemberState {
             position: self.position,
+            denies_primary: self.denies_primary,
             in_flight: self.in_flight,
             lifecycle: self.lifecycle,
             unavailable_since: self.unavailable_since,
--- a/crates/stackgw-router/tests/decisions/main.rs
+++ b/crates/stackgw-router/tests/decisions/main.rs
@@ -15,4 +15,5 @@
 mod primary_changes;
 mod selection;
 mod slow_start;
+mod stale_primaries;
 mod stalls;
