Router: an older answer as the primary does not undo a newer one as a replica

What callers saw: bounded reads at a replica far behind its bound, for as long as nothing else was heard of it.

Cause: answers of two connections may be read in another order than they were made. apply_role_and_position raised the order of an answer's claim to the member's latest position, which the newer answer had just set, so the older claim won; a claim without a position counted from its arrival.

Change: a claim counts at its own position, or from when its request was sent; a denial at the member's position, or at its arrival; at the same position a denial in an answer stands.

--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -76,23 +76,28 @@
         claimed.or_else(|| self.members.of_group(group).find(|(_, m)| is_listed(m)).map(|(id, _)| id))
     }
 
-    /// Updates position and role. A claim never overrides one with a later position. An answer that denies
-    /// the role takes effect at once: from then on, the staleness bounds apply to reads at that member.
+    /// Updates position and role. A claim never overrides one with a later position, or a denial that may be later:
+    /// answers may be read in another order than they were made. An answer that denies the role takes effect at
+    /// once: from then on, the staleness bounds apply to reads at that member.
     pub(super) fn apply_role_and_position(&mut self, observed: &Observation) {
         let Some((member, group)) = self.members.with_group(observed.member) else { return };
         member.advance_position(observed);
         let is_answer = observed.source == Source::Answer;
-        let min_order = if is_answer { member.position } else { 0 };
-        let order = observed.position.unwrap_or(observed.at).max(min_order);
+        let claimed_at = observed.position.unwrap_or(observed.asked_at);
+        let min_denied_at = if is_answer { member.position } else { 0 };
+        let denied_at = observed.position.unwrap_or(observed.at).max(min_denied_at);
+        // At the position of an answer that denies the role, the claim is the older one.
+        let is_older = claimed_at == member.replica_as_of && member.denies_primary;
+        let is_latest_claim = claimed_at >= group.claimed_at.max(member.replica_as_of) && !is_older;
         let before = group.primary;
-        if observed.is_primary == Some(true) && order >= group.claimed_at.max(member.replica_as_of) {
+        if observed.is_primary == Some(true) && is_latest_claim {
             group.primary = Some(observed.member);
-            group.claimed_at = order;
+            group.claimed_at = claimed_at;
             member.denies_primary &= !is_answer;
-        } else if observed.is_primary == Some(false) && (is_answer || order >= member.replica_as_of) {
-            member.replica_as_of = order.max(member.replica_as_of);
+        } else if observed.is_primary == Some(false) && (is_answer || denied_at >= member.replica_as_of) {
+            member.replica_as_of = denied_at.max(member.replica_as_of);
             member.denies_primary |= is_answer;
-            if is_answer || order >= group.claimed_at {
+            if is_answer || denied_at >= group.claimed_at {
                 group.clear_primary(observed.member);
             }
         }
--- a/crates/stackgw-router/src/state/gossip.rs
+++ b/crates/stackgw-router/src/state/gossip.rs
@@ -16,7 +16,10 @@
 /// What a member reported about its role and position.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Observation {
+    /// When it was received.
     pub(crate) at: Time,
+    /// The earliest time at which the member may have stated it.
+    pub(crate) asked_at: Time,
     pub(crate) member: MemberId,
     pub(crate) is_primary: Option<bool>,
     pub(crate) position: Option<Time>,
@@ -25,18 +28,18 @@
 
 impl Observation {
     pub(crate) fn of_answer(at: Time, result: &AttemptResult) -> Self {
-        let AttemptResult { member, is_primary, position, .. } = *result;
-        Observation { at, member, is_primary, position, source: Source::Answer }
+        let AttemptResult { member, is_primary, position, elapsed, .. } = *result;
+        Observation { at, asked_at: at - elapsed, member, is_primary, position, source: Source::Answer }
     }
 
     pub(crate) fn of_report(at: Time, member: MemberId, report: &LoadReport) -> Self {
         let LoadReport { is_primary, position, .. } = *report;
-        Observation { at, member, is_primary, position, source: Source::Report }
+        Observation { at, asked_at: at, member, is_primary, position, source: Source::Report }
     }
 
     pub(crate) fn of_gossip(at: Time, update: &GossipUpdate) -> Self {
         let GossipUpdate { member, is_primary, position, .. } = *update;
-        Observation { at, member, is_primary, position, source: Source::Report }
+        Observation { at, asked_at: at, member, is_primary, position, source: Source::Report }
     }
 
     /// Why the known primary of the group changed, if this observation changed it.
