Router: a claim of the primary role from before a restart does not count after it

Gossip of a claim that was made by a member's earlier process arrived after the list had told its new start, and made the new process the primary again: strong and session reads went to it.

Cause: apply_role_and_position compared a claim with other claims and denials alone, and the restart had dropped both. Change: a claim older than the member's listed start is ignored, unless that start lies in the future.

--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -89,8 +89,10 @@
         // At the position of an answer that denies the role, the claim is the older one.
         let is_older = claimed_at == member.replica_as_of && member.denies_primary;
         let is_latest_claim = claimed_at >= group.claimed_at.max(member.replica_as_of) && !is_older;
+        let started_at = member.started_at.filter(|started_at| *started_at <= observed.at);
+        let is_of_this_process = started_at.is_none_or(|started_at| claimed_at >= started_at);
         let before = group.primary;
-        if observed.is_primary == Some(true) && is_latest_claim {
+        if observed.is_primary == Some(true) && is_latest_claim && is_of_this_process {
             group.primary = Some(observed.member);
             group.claimed_at = claimed_at;
             member.denies_primary &= !is_answer;
--- a/crates/stackgw-router/tests/decisions/stale_primaries.rs
+++ b/crates/stackgw-router/tests/decisions/stale_primaries.rs
@@ -183,3 +183,14 @@
         "a strong read was sent by a claim of an earlier process: {actions:?}"
     );
 }
+
+/// A start in the future says nothing: the list may be wrong, and the primary must still be found.
+#[test]
+fn a_start_time_in_the_future_hides_no_claim() {
+    let mut host = TestHost::new(without_health_checks(), 2);
+    let restarted = just_started(1, false, host.now + SECOND);
+    list(&mut host, restarted);
+    let now = host.now;
+    gossip_claim(&mut host, 1, now);
+    assert_eq!(sent_to(&host.request(WRITE).1), [1]);
+}
