Router: a member that is forgotten and listed again is no primary by the list alone

A member that had denied the role, was removed for over 30 s and listed again as the primary got bounded reads 5 s behind, one from each of three gateways (stale_primary.rs).

Cause: forget_unavailable drops a member's record with its denial, and it comes back under a new identifier. Change: once a member with a denial has been dropped, each member that is listed for the first time counts as having denied the role until its own answer claims it; its position opens it for reads as before. One flag for the router, nothing that grows. Cost: a new member that the list alone names as the primary gets a health check before its first fallback read.

--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -76,9 +76,9 @@
         claimed.or_else(|| self.members.of_group(group).find(|(_, m)| is_listed(m)).map(|(id, _)| id))
     }
 
-    /// Updates position and role. A claim never overrides one with a later position, or a denial that may be later:
-    /// answers may be read in another order than they were made. An answer that denies the role takes effect at
-    /// once: from then on, the staleness bounds apply to reads at that member.
+    /// Updates position and role. A claim never overrides one with a later position, or a denial that may be
+    /// later: answers may be read in another order than they were made. An answer that denies the role takes
+    /// effect at once: from then on, the staleness bounds apply to reads at that member.
     pub(super) fn apply_role_and_position(&mut self, observed: &Observation) {
         let Some((member, group)) = self.members.with_group(observed.member) else { return };
         member.advance_position(observed);
--- a/crates/stackgw-router/src/state/member.rs
+++ b/crates/stackgw-router/src/state/member.rs
@@ -25,8 +25,8 @@
     pub(crate) lag: Span,
     /// Position (or time, without one) at which it last reported to be a replica.
     pub(crate) replica_as_of: Time,
-    /// Whether its latest answer that states a role denied that it is the primary. Only an answer ends this: not the
-    /// list, not a restart, and not what others say.
+    /// Whether its latest answer that states a role denied that it is the primary, or may have. Only an answer ends
+    /// this: not the list, not a restart, and not what others say.
     pub(crate) denies_primary: bool,
 
     pub(crate) in_flight: u32,
--- a/crates/stackgw-router/src/state/table.rs
+++ b/crates/stackgw-router/src/state/table.rs
@@ -50,6 +50,9 @@
 pub(crate) struct MemberTable {
     members: BTreeMap<MemberId, MemberState>,
     groups: BTreeMap<GroupId, GroupState>,
+    /// Whether a dropped member's answer denied the primary role. A member that is listed from then on may be that one
+    /// under a new identifier.
+    has_dropped_denial: bool,
 }
 
 /// Returns a member; panics if it is not in the table.
@@ -102,7 +105,8 @@
         missing.map(|(_, member)| member)
     }
 
-    /// An endpoint's member, inserted with the initial state if it is not known yet, and its group.
+    /// An endpoint's member, inserted with the initial state if it is not known yet, and its group. Once a member that
+    /// denied the primary role has been dropped, an inserted one counts as having denied it.
     pub(crate) fn get_or_insert(
         &mut self,
         endpoint: &Member,
@@ -111,7 +115,7 @@
         let group = self.groups.entry(endpoint.group).or_default();
         let member = self.members.entry(endpoint.id).or_insert_with(|| {
             group.members.push(endpoint.id);
-            initial.clone()
+            MemberState { denies_primary: self.has_dropped_denial, ..initial.clone() }
         });
         (member, group)
     }
@@ -188,7 +192,8 @@
         let unused = self.members.iter().filter(|(_, member)| member.is_unused_since(before));
         let forgotten: Vec<MemberId> = unused.map(|(id, _)| *id).collect();
         for id in &forgotten {
-            self.members.remove(id);
+            let dropped = self.members.remove(id);
+            self.has_dropped_denial |= dropped.is_some_and(|member| member.denies_primary);
             for group in self.groups.values_mut() {
                 group.members.retain(|member| member != id);
                 group.clear_primary(*id);
