--- a/crates/stackgw-router/src/router/selection.rs
+++ b/crates/stackgw-router/src/router/selection.rs
@@ -93,8 +93,8 @@
         self.select_primary(FALLBACK_SHARE, |id| self.may_fall_back(id, min_position))
     }
 
-    /// Whether a read that needs this position may go to the primary: a former one may be a lagging replica. A
-    /// session read needs a claim of the role; for others the list is enough until an answer denies the role.
+    /// Whether a read that needs this position may go to the primary: a former one may be a lagging replica.
+    /// A session read needs a claim of the role; for others the list is enough until an answer denies it.
     fn may_fall_back(&self, primary: MemberId, min_position: Time) -> bool {
         let is_session_read = self.request.consistency() == Consistency::ReadYourWrites;
         let is_trusted = !is_session_read && !self.router.members[primary].denies_primary;
@@ -158,8 +158,8 @@
             && self.router.has_capacity(member, role, share)
     }
 
-    /// Whether a member has applied all commits up to this time: it is the primary, or its position tells. One
-    /// that is merely listed, or that denied the role to this router, may be a replica.
+    /// Whether a member has applied all commits up to this time: it is the primary, or its position tells.
+    /// One that is merely listed, or that denied the role to this router, may be a replica.
     fn has_applied(&self, id: MemberId, time: Time) -> bool {
         let member = &self.router.members[id];
         self.has_claimed(id) && !member.denies_primary || member.position >= time
