Router: gossip dates no claim of the primary role later than it was made

Cause: GossipUpdate::merge kept the role of an earlier update beside a later position that came without one, so other routers took a claim to be as recent as that position, and it won over a denial made in between. Change: at a later position an earlier claim is dropped; an earlier denial stays, as it costs little to believe. The decision test failed before and passes.

--- a/crates/stackgw-router/src/state/gossip.rs
+++ b/crates/stackgw-router/src/state/gossip.rs
@@ -99,11 +99,14 @@
 }
 
 impl GossipUpdate {
-    /// Merges a later update on the same member: keeps the latest position and averages the latency ratio.
+    /// Merges a later update on the same member: keeps the latest position and averages the latency ratio. A claim of
+    /// the primary role is dropped at a later position: others would date it by that.
     fn merge(&mut self, later: &GossipUpdate) {
         if later.position >= self.position {
+            let is_same_position = later.position == self.position;
+            let earlier = self.is_primary.filter(|is_primary| is_same_position || !is_primary);
             self.position = later.position;
-            self.is_primary = later.is_primary.or(self.is_primary);
+            self.is_primary = later.is_primary.or(earlier);
         }
         let samples = self.samples + later.samples;
         let own_sum = self.latency_ratio * f64::from(self.samples);
--- a/crates/stackgw-router/tests/decisions/gossip.rs
+++ b/crates/stackgw-router/tests/decisions/gossip.rs
@@ -81,3 +81,18 @@
     assert_eq!(sent_to(&host.request(WRITE).1), [2], "the primary known from gossip, without a health check");
     assert!(host.advance(2 * SECOND).iter().all(|action| !matches!(action, Action::SendGossip { .. })));
 }
+
+/// Regression: gossip stated a claim of the role beside a later position, at which nobody had made it.
+#[test]
+fn gossip_states_no_claim_beside_a_later_position_without_one() {
+    let limits = Limits { host_gossip: true, ..settings().limits };
+    for (is_primary, expected) in [(true, None), (false, Some(false))] {
+        let mut host = TestHost::new(Settings { limits: limits.clone(), fleet_size: 3, ..settings() }, 1);
+        for (stated, position) in [(Some(is_primary), START), (None, START + SECOND)] {
+            let (id, _) = host.request(EVENTUAL);
+            host.end_attempt_as(id, 0, Outcome::Served, MS, stated, Some(position));
+        }
+        let update = &host.router.take_gossip()[0];
+        assert_eq!((update.position, update.is_primary), (Some(START + SECOND), expected));
+    }
+}
