Router: a request rejected by a replica denies the primary role without naming it

A member that the list named as the primary rejected a write (25006) or a read that it was too far behind for, in an answer without node_role, and went on to get bounded reads. Cause: the role was taken from the parameter alone, the outcome Misrouted said nothing. Change: it counts as a denial. The decision test failed before and passes.

--- a/crates/stackgw-router/src/state/gossip.rs
+++ b/crates/stackgw-router/src/state/gossip.rs
@@ -1,7 +1,9 @@
 //! Observations of members' roles and positions, and the updates about them for other routers.
 
 use super::measure::LatencySample;
-use crate::api::{Action, AttemptResult, GossipUpdate, LoadReport, MemberId, PrimaryChangeReason, Time};
+use crate::api::{
+    Action, AttemptResult, GossipUpdate, LoadReport, MemberId, Outcome, PrimaryChangeReason, Time,
+};
 use std::collections::BTreeMap;
 
 /// Source of an observation.
@@ -27,8 +29,11 @@
 }
 
 impl Observation {
+    /// Only a replica rejects a request by its role or its lag, whether or not the answer names the role.
     pub(crate) fn of_answer(at: Time, result: &AttemptResult) -> Self {
-        let AttemptResult { member, is_primary, position, elapsed, .. } = *result;
+        let AttemptResult { member, position, elapsed, .. } = *result;
+        let implied = (result.outcome == Outcome::Misrouted).then_some(false);
+        let is_primary = result.is_primary.or(implied);
         Observation { at, asked_at: at - elapsed, member, is_primary, position, source: Source::Answer }
     }
 
--- a/crates/stackgw-router/tests/decisions/stale_primaries.rs
+++ b/crates/stackgw-router/tests/decisions/stale_primaries.rs
@@ -167,6 +167,19 @@
     assert_eq!(members_sent(&host.log, id), [0]);
 }
 
+/// Regression: a member's rejection of a write, or of a read that it is too far behind for, did not count as a denial of the role
+/// where the answer named no role.
+#[test]
+fn a_member_that_rejects_a_request_as_a_replica_denies_the_role() {
+    for class in [WRITE, BOUNDED] {
+        let mut host = TestHost::new(without_health_checks(), 1);
+        let (id, actions) = host.request(class);
+        assert_eq!(sent_to(&actions), [0]);
+        host.end_attempt_as(id, 0, Outcome::Misrouted, MS, None, None);
+        assert_gets_no_bounded_read(&mut host, 0);
+    }
+}
+
 /// Gossip of a claim that was made before the process started says nothing of the process that runs now.
 #[test]
 fn a_claim_from_before_a_restart_does_not_count_after_it() {
