Gateway: a denial of the primary role counts in a response that breaks off or has a wrong position

By the protocol what was written counts as known.

Cause: finish_task dropped the whole reply unless it was complete, and discard_implausible the role with the position. Both are right to distrust a claim. Change: a denial stays, unless the bytes were malformed. Both reducer tests failed before (the next bounded read went to the member) and pass.

--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -90,6 +90,15 @@
         self.is_ready
     }
 
+    /// Reduces the reply to a denial of the primary role, if it holds one. A claim of the role, and a position, are only as
+    /// credible as the reply; to believe a denial costs little, and not to believe it may cost a stale read.
+    pub fn keep_only_denial(&mut self) {
+        *self = Reply {
+            primary: self.primary.filter(|is_primary| !is_primary),
+            ..Reply::default()
+        };
+    }
+
     /// Returns the outcome; `None` until an error or a completion has been received. The outcome may be known before the reply
     /// is complete, and is kept if the connection closes then.
     pub fn outcome(&self) -> Option<ReplyOutcome> {
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -242,9 +242,10 @@
         };
         let member = connection.member;
         let mut reply = std::mem::take(&mut connection.reply);
-        if !reply.is_complete() || outcome == Outcome::MalformedResponse {
-            // The role, position and load report of an incomplete reply are not used.
+        if outcome == Outcome::MalformedResponse {
             reply = Reply::default();
+        } else if !reply.is_complete() {
+            reply.keep_only_denial();
         }
         if connection.state != ConnectionState::Idle {
             self.forget_connection(cx, id);
@@ -340,10 +341,10 @@
     }
 }
 
-/// Discards an implausible position with the role beside it, and a load report with an implausible position.
+/// Discards an implausible position with a claim of the primary role beside it, and a load report with an implausible position.
 pub(super) fn discard_implausible(cx: &mut Context<'_>, reply: &mut Reply) {
     if !is_plausible(cx, reply.position) {
-        reply.primary = None;
+        reply.primary = reply.primary.filter(|is_primary| !is_primary);
         reply.position = None;
     }
     if !is_plausible(cx, reply.report.position) {
--- a/crates/stackgw-gateway/tests/member_responses.rs
+++ b/crates/stackgw-gateway/tests/member_responses.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use stackgw_gateway::reducer::{CloseReason, Input};
+use stackgw_gateway::reducer::{CloseReason, ConnectionId, Input};
 use stackgw_router::api::{MS, SECOND};
 
 #[test]
@@ -233,6 +233,53 @@
     assert_eq!(harness.reducer.counters().positions_implausible, 1);
 }
 
+/// Responses to a read at the only member, which the list names as the primary; each denies the role. Returns whether the next read
+/// goes to that member.
+fn gets_reads_after(respond: impl FnOnce(&mut ReducerHarness, ConnectionId)) -> bool {
+    let mut harness = ReducerHarness::new("null");
+    harness.answer_health_checks = false;
+    let members = list(1, true, &[entry(1, "ready", "leader")]);
+    harness.input(Input::EndpointList(members));
+    let client = harness.client(1);
+    let mut effects = harness.send(client, read_query(900));
+    effects.extend(harness.advance(20 * MS));
+    let (conn, _) = statements(&effects)[0].clone();
+    respond(&mut harness, conn);
+    let other = harness.client(2);
+    let mut effects = harness.send(other, read_query(900));
+    effects.extend(harness.advance(100 * MS));
+    !statements(&effects).is_empty()
+}
+
+/// Regression: a member's denial of the primary role was ignored if its response broke off, and bounded reads went on to it.
+#[test]
+fn a_denial_of_the_primary_role_counts_even_if_its_response_breaks_off() {
+    let gets_reads = gets_reads_after(|harness, conn| {
+        let denial = vec![status("node_role", "follower")];
+        harness.reply(conn, [row(b"x"), denial].concat());
+        harness.disconnect(conn);
+    });
+    assert!(
+        !gets_reads,
+        "a bounded read was sent to a replica with no known position"
+    );
+}
+
+/// Regression: as above, for a denial beside a position in the future.
+#[test]
+fn a_denial_of_the_primary_role_counts_beside_an_implausible_position() {
+    let gets_reads = gets_reads_after(|harness, conn| {
+        let at = ((harness.now + 5 * SECOND) / MS).to_string();
+        let role = status("node_role", "follower");
+        let tail = vec![role, status("replay_position", &at), ready()];
+        harness.reply(conn, [row(b"x"), tail].concat());
+    });
+    assert!(
+        !gets_reads,
+        "a bounded read was sent to a replica with no known position"
+    );
+}
+
 #[test]
 fn a_row_without_a_ready_message_is_not_served() {
     let (mut harness, _, conn) = request_in_flight(write_query(900));
