--- a/crates/stackgw-router/src/router/health_checks.rs
+++ b/crates/stackgw-router/src/router/health_checks.rs
@@ -55,9 +55,7 @@
     /// All due members if requests are queued without a usable primary, one for queued reads, else by budget.
     fn due_checks(&mut self, group: GroupId) -> Vec<MemberId> {
         let primary = self.usable_primary(group);
-        // Reads need the position of a primary whose own answer denied the role.
-        let is_checked = |id: MemberId, m: &MemberState| Some(id) != primary || m.denies_primary;
-        let members = self.members.of_group(group).filter(|(id, member)| is_checked(*id, member));
+        let members = self.members.of_group(group).filter(|(id, _)| Some(*id) != primary);
         let replicas: Vec<_> = members.filter(|(_, member)| self.accepts(member, Role::Replica)).collect();
         if primary.is_none() && self.any_queued(group, |_| true) {
             let due = self.due_in_primary_search(&replicas);
@@ -69,6 +67,9 @@
         let is_pending = replicas.iter().any(|(_, m)| m.is_check_pending_within(self.now, MAX_WAIT));
         if !is_pending && self.any_queued(group, |request| !request.is_write()) {
             stale.truncate(1);
+            if stale.is_empty() {
+                stale.extend(primary.filter(|id| self.needs_position(&self.members[*id])));
+            }
         } else {
             stale.truncate(self.health_check_budget as usize);
             self.health_check_budget -= stale.len() as f64;
@@ -83,12 +84,20 @@
         reachable.filter(|(_, m)| m.is_unchecked_for(self.now, interval)).map(|(id, _)| *id).collect()
     }
 
+    /// Whether reads could fall back to this primary, which denied the role in an answer, if it were checked.
+    fn needs_position(&self, primary: &MemberState) -> bool {
+        primary.denies_primary && self.is_stale_and_due(primary)
+    }
+
+    fn is_stale_and_due(&self, member: &MemberState) -> bool {
+        let is_usable = !member.ejected && member.has_connection_permit(self.now);
+        let is_stale = self.now - member.position > self.tightest_bound / 2;
+        is_usable && is_stale && self.is_check_due(member)
+    }
+
     /// Replicas with a stale position that are due for a health check, in rotation order.
     fn stale_replicas(&self, replicas: &[Candidate]) -> Vec<MemberId> {
-        let is_usable = |m: &MemberState| !m.ejected && m.has_connection_permit(self.now);
-        let is_stale = |m: &MemberState| self.now - m.position > self.tightest_bound / 2;
-        let is_due = |m: &MemberState| is_usable(m) && is_stale(m) && self.is_check_due(m);
-        let mut stale: Vec<_> = replicas.iter().filter(|(_, member)| is_due(member)).collect();
+        let mut stale: Vec<_> = replicas.iter().filter(|(_, m)| self.is_stale_and_due(m)).collect();
         stale.sort_by(|a, b| a.1.virtual_time.total_cmp(&b.1.virtual_time));
         stale.into_iter().map(|(id, _)| *id).collect()
     }
@@ -98,7 +107,9 @@
         use Consistency::{ReadYourWrites, Strong};
         let needs_claim = |request: &RequestState| matches!(request.consistency(), Strong | ReadYourWrites);
         let claimed = self.members.claimed_primary(group);
-        let is_trusted = |id| claimed == Some(id) && !self.members[id].denies_primary;
+        let is_strong = |request: &RequestState| request.consistency() == Strong;
+        let needs_proof = |id: MemberId| self.members[id].denies_primary && self.any_queued(group, is_strong);
+        let is_trusted = |id| claimed == Some(id) && !needs_proof(id);
         let is_confirmed = |id| is_trusted(id) || !self.any_queued(group, needs_claim);
         self.primary(group).filter(|id| !self.members[*id].ejected && is_confirmed(*id))
     }
--- a/crates/stackgw-router/tests/decisions/stale_primaries.rs
+++ b/crates/stackgw-router/tests/decisions/stale_primaries.rs
@@ -151,6 +151,27 @@
     assert_eq!(sent_to(&host.request(STRONG).1), [0]);
 }
 
+/// Replicas come first: the primary is checked only for a read that no replica can serve.
+#[test]
+fn a_read_without_a_fresh_replica_waits_for_a_health_check_of_a_primary_that_denied_the_role() {
+    let mut host = host_of_denying_members(settings());
+    let old = host.now - LAG;
+    host.advance(LAG); // The write of the setup has ended.
+    answer_health_checks(&mut host, old);
+    host.now += SECOND;
+    let claimed_at = host.now - SECOND;
+    gossip_claim(&mut host, 0, claimed_at);
+    let (id, actions) = host.request(BOUNDED);
+    assert_eq!(health_checked(&actions), [1]);
+    let lagging = host.now - LAG;
+    host.report(1, false, lagging);
+    assert_eq!(health_checked(&host.log).last(), Some(&0));
+    host.now += MS;
+    let now = host.now;
+    host.report(0, true, now);
+    assert_eq!(members_sent(&host.log, id), [0]);
+}
+
 /// Without writes and other reads, strong reads at a new primary that was known as a replica would wait for ever.
 #[test]
 fn a_strong_read_goes_to_a_new_primary_that_reports_a_position_after_the_reads_arrival() {
