Gateway: a wrong clock at the start makes no stale replica fresh

What callers saw: bounded reads on data older than their class allows, for the whole life of a gateway whose machine's wall clock stood back as it started (term: a wall clock may be stepped by seconds or an hour).

Cause: the process reads Unix time once (io/clock.rs) and compares members' positions with it for ever; positions of the primary, which stand at the present, lay in the future and were discarded as implausible, so nothing contradicted the clock.

Change: positions are the second clock. MemberClock keeps by how much positions of primaries, and any that lie in the future, were ahead when they arrived (the last eight); the largest is taken for how far the members' clock is ahead, in staleness bounds. Until one sample is known no position proves a replica fresh: the first bounded read waits for a health check of the primary beside the replica's, at most 20 ms, then falls back as before. One wrong number makes no member the freshest: a position in the future is used once two samples agree. A clock that is ahead makes all replicas look old (safe) and no cold member warm: the members' time counts for slow start.

--- a/crates/stackgw-cli/tests/common/gateway_process.rs
+++ b/crates/stackgw-cli/tests/common/gateway_process.rs
@@ -5,6 +5,7 @@
 use super::pg_connection::{frame_kinds, PgConnection, Side, TIMEOUT};
 use super::scripted_list_service::start_list_service;
 use super::scripted_member::start_member;
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -28,6 +29,16 @@
 
     /// As [`GatewayProcess::start`], with this configuration.
     pub fn start_with_config(name: &str, list_address: SocketAddr, text: &str) -> Self {
+        Self::start_with_env(name, list_address, text, &[])
+    }
+
+    /// As [`GatewayProcess::start_with_config`], with further environment variables.
+    pub fn start_with_env(
+        name: &str,
+        list_address: SocketAddr,
+        text: &str,
+        env: &[(&str, &OsStr)],
+    ) -> Self {
         let config =
             std::env::temp_dir().join(format!("stackgw-{}-{name}.json", std::process::id()));
         std::fs::write(&config, text).expect("a file");
@@ -35,6 +46,7 @@
             .env("ROUTER_CONFIG", &config)
             .env("ROUTER_LISTEN", "127.0.0.1:0")
             .env("ROUTER_DISCOVERY", list_address.to_string())
+            .envs(env.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the gateway");
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -122,6 +122,8 @@
     members_unexpected_data,
     /// Positions discarded because they were in the future.
     positions_implausible,
+    /// Changes of the estimated offset of the members' clock to half a second or more.
+    clock_offsets,
     /// Attempts and health checks moved to another connection because theirs was closed before they were sent.
     members_reopened,
     /// Members from endpoint lists that are still known.
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -78,6 +78,9 @@
     pub answer_stall_timeout: Span,
     /// How far a member's clock may be ahead of the gateway's; a position later than that is discarded.
     pub max_clock_skew: Span,
+    /// The host keeps this process's clock and the members' within `max_clock_skew`. Otherwise bounded reads go to replicas only
+    /// once a primary's position has shown the members' time.
+    pub clock_is_synchronized: bool,
     /// Idle connections to members are closed after this time, before the members' own limit closes them.
     pub member_idle_timeout: Span,
     /// Interval at which idle and stalled connections are checked.
@@ -196,6 +199,7 @@
     health_check_timeout: 0,
     answer_stall_timeout: 150 * MS,
     max_clock_skew: 20 * MS,
+    clock_is_synchronized: false,
     member_idle_timeout: 0,
     sweep_interval: SECOND / 2,
     first_request_timeout: SECOND + SECOND / 2,
--- a/crates/stackgw-gateway/src/reducer/state/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/state/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod connection;
 pub(crate) mod connections;
 pub(crate) mod gossip;
+pub(crate) mod member_clock;
 pub(crate) mod members;
 mod pool;
 pub(crate) mod requests;
@@ -31,6 +32,7 @@
 use cluster::ClusterMembership;
 use connections::Connections;
 use gossip::Gossip;
+use member_clock::MemberClock;
 use members::MemberDirectory;
 use requests::Requests;
 use router_driver::RouterDriver;
@@ -54,6 +56,7 @@
     pub(crate) requests: Requests,
     pub(crate) connections: Connections,
     pub(crate) members: MemberDirectory,
+    pub(crate) member_clock: MemberClock,
     pub(crate) watch: EndpointWatch,
     pub(crate) gossip: Gossip,
     pub(crate) shutdown: Shutdown,
@@ -86,6 +89,10 @@
         // If the platform has no gossip messages, observations of members are sent with the endpoint list.
         settings.limits.host_gossip =
             config.bootstrap.is_some() && config.cluster.is_some() && !settings.limits.gossip;
+        let mut router = RouterDriver::new(settings.clone(), config.seed);
+        if !config.limits.clock_is_synchronized {
+            router.set_clock_offset(None);
+        }
         let gateway = Gateway {
             static_config,
             names: config.settings.names,
@@ -94,6 +101,7 @@
             clients: Clients::new(config.seed),
             requests: Requests::default(),
             connections: Connections::default(),
+            member_clock: MemberClock::default(),
             members: MemberDirectory::new(BackendSelection::new(&config.operator)),
             watch: EndpointWatch::new(
                 config.discovery,
@@ -110,7 +118,7 @@
             sessions: None,
             cluster: None,
             bootstrap: None,
-            router: RouterDriver::new(settings, config.seed),
+            router,
         };
         (gateway, config.limits)
     }
--- a/crates/stackgw-gateway/src/reducer/state/router_driver.rs
+++ b/crates/stackgw-gateway/src/reducer/state/router_driver.rs
@@ -2,7 +2,7 @@
 
 use crate::reducer::clock::TickClock;
 use stackgw_router::api::{
-    Action, ConnectionPermits, Event, GossipUpdate, MemberId, MemberSnapshot, Settings, Time,
+    Action, ConnectionPermits, Event, GossipUpdate, MemberId, MemberSnapshot, Settings, Span, Time,
 };
 use stackgw_router::Router;
 use std::collections::VecDeque;
@@ -64,6 +64,11 @@
         self.router.take_gossip()
     }
 
+    /// Sets at least how far the members' clock is ahead of this process's; `None` until that is known.
+    pub(crate) fn set_clock_offset(&mut self, offset: Option<Span>) {
+        self.router.set_clock_offset(offset);
+    }
+
     /// Sets a member's connection permits; `None` if its connections are not paced.
     pub(crate) fn set_connection_permits(
         &mut self,
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -9,9 +9,7 @@
 use crate::reducer::state::connection::{Attempt, ConnectionState, ConnectionTask};
 use crate::reducer::state::requests::OpenAttempt;
 use crate::reducer::state::Gateway;
-use stackgw_router::api::{
-    AttemptResult, Event, LoadReport, MemberId, Outcome, RequestId, Span, Time, MS,
-};
+use stackgw_router::api::{AttemptResult, Event, MemberId, Outcome, RequestId, Span, Time, MS};
 
 /// The statement of a health check.
 const HEALTH_CHECK: &str = "SHOW server_load";
@@ -295,8 +293,11 @@
         let report = reply
             .column()
             .filter(|_| outcome == Outcome::Served)
-            .and_then(pg::parse_load_report)
-            .filter(|report| is_plausible(cx, report.position));
+            .and_then(pg::parse_load_report);
+        if let Some(report) = &report {
+            self.observe_clock(cx, report.is_primary, report.position);
+        }
+        let report = report.filter(|report| self.is_plausible(cx, report.position));
         cx.counters.health_checks_failed += u64::from(report.is_none());
         self.router.enqueue(Event::HealthChecked {
             member,
@@ -318,7 +319,7 @@
         count_outcome(cx, outcome);
         let open = self.requests.get(request);
         let was_finished = open.is_none_or(|open| open.is_finished);
-        discard_implausible(cx, &mut reply);
+        self.discard_implausible(cx, &mut reply);
         if outcome == Outcome::Served && !was_finished {
             let row = std::mem::take(&mut reply.row);
             if let Some(row) = self.await_write_confirmation(cx, request, reply.position, row) {
@@ -341,26 +342,6 @@
     }
 }
 
-/// Discards an implausible position with a claim of the primary role beside it, and a load report with an implausible position.
-pub(super) fn discard_implausible(cx: &mut Context<'_>, reply: &mut Reply) {
-    if !is_plausible(cx, reply.position) {
-        reply.primary = reply.primary.filter(|is_primary| !is_primary);
-        reply.position = None;
-    }
-    if !is_plausible(cx, reply.report.position) {
-        reply.report = LoadReport::default();
-    }
-}
-
-/// Returns whether a position is not in the future, within the allowed clock skew; counts it otherwise.
-///
-/// Without this check, a position in the future would make its member the freshest until that time.
-pub(super) fn is_plausible(cx: &mut Context<'_>, position: Option<Time>) -> bool {
-    let is_plausible = position.is_none_or(|at| at <= cx.now + cx.limits.max_clock_skew);
-    cx.counters.positions_implausible += u64::from(!is_plausible);
-    is_plausible
-}
-
 pub(super) fn count_outcome(cx: &mut Context<'_>, outcome: Outcome) {
     let counters = &mut *cx.counters;
     let counter = match outcome {
--- a/crates/stackgw-gateway/src/reducer/steps/bootstrap.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/bootstrap.rs
@@ -1,7 +1,6 @@
 //! Bootstrap of the endpoint list: passes messages between `stackgw-bootstrap`, the watch, the other instances, the disk and
 //! the router. `stackgw-bootstrap` decides which source is trusted for what.
 
-use super::attempts::is_plausible;
 use crate::discovery::ListEntry;
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
@@ -198,7 +197,7 @@
             return;
         };
         let position = Some(observation.position()).filter(|at| *at > 0);
-        if !is_plausible(cx, position) {
+        if !self.is_plausible(cx, position) {
             return;
         }
         // A member that has restarted since the observation is not the primary until its own responses say so.
--- a/crates/stackgw-gateway/src/reducer/steps/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/mod.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod member_connections;
 mod member_messages;
+mod positions;
 mod reload;
 mod requests;
 mod router_actions;
--- a/crates/stackgw-gateway/src/reducer/steps/streams.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/streams.rs
@@ -1,7 +1,7 @@
 //! Responses that are streams: from its first message on, such a response belongs to its call and is never restarted on
 //! another member. It counts as load of its member until it is paused for its reader.
 
-use super::attempts::{count_outcome, discard_implausible};
+use super::attempts::count_outcome;
 use crate::pg::Reply;
 use crate::reducer::backend::StreamHeader;
 use crate::reducer::context::Context;
@@ -75,7 +75,7 @@
         reply.primary = header.primary;
         reply.position = header.position;
         reply.report = header.report;
-        discard_implausible(cx, &mut reply);
+        self.discard_implausible(cx, &mut reply);
         if let Some(connection) = self.connections.get_mut(id) {
             connection.reply = reply;
             connection.state = ConnectionState::Streaming(StreamState {
--- a/crates/stackgw-router/src/router/health_checks.rs
+++ b/crates/stackgw-router/src/router/health_checks.rs
@@ -67,7 +67,7 @@
         let is_pending = replicas.iter().any(|(_, m)| m.is_check_pending_within(self.now, MAX_WAIT));
         if !is_pending && self.any_queued(group, |request| !request.is_write()) {
             stale.truncate(1);
-            if stale.is_empty() {
+            if stale.is_empty() || self.clock_offset.is_none() {
                 stale.extend(primary.filter(|id| self.needs_position(&self.members[*id])));
             }
         } else {
@@ -84,15 +84,15 @@
         reachable.filter(|(_, m)| m.is_unchecked_for(self.now, interval)).map(|(id, _)| *id).collect()
     }
 
-    /// Whether reads could fall back to this primary, which denied the role in an answer, if it were checked.
+    /// Whether reads wait for a health check of this primary: it denied the role in an answer, so that they
+    /// need its position, or its position tells the members' time.
     fn needs_position(&self, primary: &MemberState) -> bool {
-        primary.denies_primary && self.is_stale_and_due(primary)
+        (primary.denies_primary || self.clock_offset.is_none()) && self.is_stale_and_due(primary)
     }
 
     fn is_stale_and_due(&self, member: &MemberState) -> bool {
         let is_usable = !member.ejected && member.has_connection_permit(self.now);
-        let is_stale = self.now - member.position > self.tightest_bound / 2;
-        is_usable && is_stale && self.is_check_due(member)
+        is_usable && self.is_position_older(member, self.tightest_bound / 2) && self.is_check_due(member)
     }
 
     /// Replicas with a stale position that are due for a health check, in rotation order.
--- a/crates/stackgw-router/src/router/mod.rs
+++ b/crates/stackgw-router/src/router/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! `requests` accepts and dispatches each request: it selects a member (`selection`) that has capacity
 //! (`admission`, `slow_start`). Without one, the request is queued until it can be dispatched or is rejected.
+//! `clock_offset` allows for a host whose clock differs from the members'.
 //! `membership`, `health_checks` and `gossip` process what members report about themselves, `outliers` the
 //! results of attempts, and `schedule` runs periodic work. This file and `events`, which passes each event to
 //! the other modules, make no decisions.
 
 mod admission;
+mod clock_offset;
 mod events;
 mod gossip;
 mod health_checks;
@@ -29,6 +31,8 @@
 
     /// Time of the event being handled.
     now: Time,
+    /// At least how far the members' clock is ahead of the host's; `None`: not known yet.
+    clock_offset: Option<Span>,
     /// How long this router was stalled before that event; 0 if it was not.
     stall: Span,
     /// Actions that result from that event.
@@ -59,7 +63,7 @@
 impl Router {
     /// Creates a router without members or requests.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let mut router = Router { settings, seed, ..Router::default() };
+        let mut router = Router { settings, seed, clock_offset: Some(0), ..Router::default() };
         router.derive_from_settings();
         router
     }
@@ -81,6 +85,13 @@
         self.throughput.seed(rate);
     }
 
+    /// Sets at least how far the members' clock, by which they state positions and start times, is ahead of the host's
+    /// (behind it, if negative). `None`: the host does not know yet, and no position proves that a replica is fresh. At
+    /// the start of the router it is 0.
+    pub fn set_clock_offset(&mut self, offset: Option<Span>) {
+        self.clock_offset = offset;
+    }
+
     /// Takes the updates collected since the last call, for a host that carries gossip to other routers.
     pub fn take_gossip(&mut self) -> Vec<GossipUpdate> {
         self.gossip.take()
--- a/crates/stackgw-router/src/router/requests.rs
+++ b/crates/stackgw-router/src/router/requests.rs
@@ -77,10 +77,10 @@
 
     fn send(&mut self, id: RequestId, selected: Selected) {
         let Selected { member: to, reason } = selected;
+        let slow_start_factor = self.members.get(to).map_or(1.0, |member| self.slow_start_factor(member));
         let Some((member, group)) = self.members.with_group(to) else { return };
         let Some(request) = self.requests.get_mut(id) else { return };
         let rules = &self.settings.obligations;
-        let slow_start_factor = member.slow_start_factor(self.now, rules);
         group.advance_rotation(member, 1.0 / (member.weight * slow_start_factor).max(MIN_ROTATION_WEIGHT));
         member.start_attempt(self.now);
         if member.ejected {
--- a/crates/stackgw-router/src/router/selection.rs
+++ b/crates/stackgw-router/src/router/selection.rs
@@ -6,8 +6,6 @@
 
 /// Session reads this soon after a write go to the primary; a shorter time brings no benefit.
 const READ_AFTER_WRITE: Span = SECOND;
-/// Subtracted from staleness bounds (at most half of each) for the time from the decision to the send.
-const STALENESS_MARGIN: Span = 100 * MS;
 /// Replicas with more than this times the replicas' mean in flight, plus one, are skipped.
 const MAX_IN_FLIGHT_RATIO: f64 = 1.3;
 /// Share of the primary's limit for reads that no replica can serve; requests that need it get the rest.
@@ -50,9 +48,7 @@
                 self.has_claimed(id) && self.has_applied(id, self.request.arrived_at)
             }),
             Consistency::ReadYourWrites => self.select_for_session(),
-            Consistency::BoundedStaleness(bound) => {
-                self.select_for_read(self.router.now - (bound - STALENESS_MARGIN).max(bound / 2))
-            }
+            Consistency::BoundedStaleness(bound) => self.select_for_read(self.router.min_position(bound)),
             Consistency::Eventual => self.select_for_read(0),
         }
     }
@@ -125,7 +121,8 @@
         let is_pending = |m: &MemberState| m.is_check_pending_within(router.now, health_checks::MAX_WAIT);
         let will_report = |m: &MemberState| !m.ejected && (is_pending(m) || router.is_check_due(m));
         let may_wait = router_checks && router.settings.limits.health_checks;
-        may_wait && replicas.iter().any(|(_, member)| will_report(member))
+        let shows_time = |id| router.clock_offset.is_none() && will_report(&router.members[id]);
+        may_wait && (replicas.iter().any(|(_, m)| will_report(m)) || self.primary.is_some_and(shows_time))
     }
 
     /// The primary, if it is suitable and one more request fits within this share of its limit.
--- a/crates/stackgw-router/src/router/slow_start.rs
+++ b/crates/stackgw-router/src/router/slow_start.rs
@@ -11,10 +11,6 @@
 const THROUGHPUT_SMOOTHING: f64 = 0.3;
 
 impl Router {
-    pub(super) fn slow_start_factor(&self, member: &MemberState) -> f64 {
-        member.slow_start_factor(self.now, &self.settings.obligations)
-    }
-
     /// A cold member falls over if all routers together send it too much. Each router's budget follows its
     /// own traffic per member, so the fleet's total follows the throughput of warm members.
     pub(super) fn has_slow_start_budget(&self, member: &MemberState) -> bool {
