Router: reads wait for the members' time only while a primary may show it; claims end denials

What is left open: a wrong clock while no primary answers and all replicas lag by more than the clock is wrong. - An answer that claims the role did not end the denial if a newer report of the same claim had been applied first, as a report in the same answer is (recorded conversation of the adapter: one read was not sent).

--- a/crates/stackgw-router/src/router/health_checks.rs
+++ b/crates/stackgw-router/src/router/health_checks.rs
@@ -19,11 +19,15 @@
         let Some(member) = self.members.get_mut(id) else { return };
         member.check_pending = false;
         let group = member.group;
-        if let Some(report) = report {
-            let observed = Observation::of_report(self.now, id, &report);
+        if let Some(report) = &report {
+            let observed = Observation::of_report(self.now, id, report);
             self.apply_role_and_position(&observed);
             self.gossip.push(observed.to_update(None));
         }
+        let is_silent = report.is_none() && self.primary(group) == Some(id);
+        if self.clock_offset.is_none() && (is_silent || self.is_without_primary(group)) {
+            self.clock_offset = Some(0); // No primary shows the members' time, so the host's is taken.
+        }
         self.requests.forget_rejections(self.members.queued(group));
         self.dispatch_queued(group);
         self.check_health(group);
@@ -65,18 +69,26 @@
         }
         let mut stale = self.stale_replicas(&replicas);
         let is_pending = replicas.iter().any(|(_, m)| m.is_check_pending_within(self.now, MAX_WAIT));
-        if !is_pending && self.any_queued(group, |request| !request.is_write()) {
+        let is_read_queued = self.any_queued(group, |request| !request.is_write());
+        if !is_pending && is_read_queued {
             stale.truncate(1);
-            if stale.is_empty() || self.clock_offset.is_none() {
-                stale.extend(primary.filter(|id| self.needs_position(&self.members[*id])));
-            }
         } else {
             stale.truncate(self.health_check_budget as usize);
             self.health_check_budget -= stale.len() as f64;
         }
+        let is_primary_next = self.clock_offset.is_none() || !is_pending && stale.is_empty();
+        if is_read_queued && is_primary_next {
+            stale.extend(primary.filter(|id| self.needs_position(&self.members[*id])));
+        }
         stale
     }
 
+    /// Whether all members of a group have been checked and none is known as the primary.
+    fn is_without_primary(&self, group: GroupId) -> bool {
+        let is_checked = |m: &MemberState| !m.check_pending && m.checked_at > 0;
+        self.primary(group).is_none() && self.members.of_group(group).all(|(_, m)| is_checked(m))
+    }
+
     /// Health checks during the search for a primary: every reachable member, at the shortest interval.
     fn due_in_primary_search(&self, replicas: &[Candidate]) -> Vec<MemberId> {
         let interval = (MIN_INTERVAL as f64 * self.fleet_divisor * self.jitter) as Span;
--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -88,14 +88,16 @@
         let denied_at = observed.position.unwrap_or(observed.at).max(min_denied_at);
         // At the position of an answer that denies the role, the claim is the older one.
         let is_older = claimed_at == member.replica_as_of && member.denies_primary;
-        let is_latest_claim = claimed_at >= group.claimed_at.max(member.replica_as_of) && !is_older;
+        let is_after_denial = claimed_at >= member.replica_as_of && !is_older;
         let started_at = member.started_at.filter(|started_at| *started_at <= observed.at);
         let is_of_this_process = started_at.is_none_or(|started_at| claimed_at >= started_at);
         let before = group.primary;
-        if observed.is_primary == Some(true) && is_latest_claim && is_of_this_process {
-            group.primary = Some(observed.member);
-            group.claimed_at = claimed_at;
+        if observed.is_primary == Some(true) && is_after_denial && is_of_this_process {
             member.denies_primary &= !is_answer;
+            if claimed_at >= group.claimed_at {
+                group.primary = Some(observed.member);
+                group.claimed_at = claimed_at;
+            }
         } else if observed.is_primary == Some(false) && (is_answer || denied_at >= member.replica_as_of) {
             member.replica_as_of = denied_at.max(member.replica_as_of);
             member.denies_primary |= is_answer;
--- a/crates/stackgw-router/src/router/mod.rs
+++ b/crates/stackgw-router/src/router/mod.rs
@@ -86,8 +86,8 @@
     }
 
     /// Sets at least how far the members' clock, by which they state positions and start times, is ahead of the host's
-    /// (behind it, if negative). `None`: the host does not know yet, and no position proves that a replica is fresh. At
-    /// the start of the router it is 0.
+    /// (behind it, if negative). `None`: the host does not know yet, and no position proves that a replica is fresh;
+    /// if no primary is there or answers its health check, the host's clock is taken. At the start it is 0.
     pub fn set_clock_offset(&mut self, offset: Option<Span>) {
         self.clock_offset = offset;
     }
--- a/crates/stackgw-router/tests/decisions/health_checks.rs
+++ b/crates/stackgw-router/tests/decisions/health_checks.rs
@@ -27,3 +27,42 @@
     assert_eq!(sent_to(&actions), [0], "no report will arrive, so the read goes to the primary");
     assert!(health_checked(&host.log).is_empty());
 }
+
+/// A host with an unknown clock, two members, and a bounded read that waits for their health checks.
+fn host_with_unknown_clock(primary: Option<u32>) -> (TestHost, RequestId) {
+    let mut host = TestHost::new(settings(), 0);
+    host.router.set_clock_offset(None);
+    let members = (0..2).map(|id| member(id, Some(id) == primary)).collect();
+    host.send_event(Event::EndpointList { scope: ListScope::Full, members });
+    let (id, actions) = host.request(BOUNDED);
+    assert!(sent_to(&actions).is_empty(), "a bounded read was sent without a proof of freshness");
+    let mut checked = health_checked(&host.log);
+    checked.sort_unstable();
+    assert_eq!(checked, [0, 1]);
+    (host, id)
+}
+
+#[test]
+fn with_an_unknown_clock_a_read_waits_until_the_primary_leaves_its_health_check_unanswered() {
+    let (mut host, id) = host_with_unknown_clock(Some(0));
+    let now = host.now;
+    host.report(1, false, now);
+    assert!(members_sent(&host.log, id).is_empty(), "the primary may yet show the members' time");
+    host.send_event(Event::HealthChecked {
+        member: MemberId(0),
+        responded: false,
+        elapsed: MS,
+        load_report: LoadReport::default(),
+    });
+    assert_eq!(members_sent(&host.log, id), [1]);
+}
+
+#[test]
+fn with_an_unknown_clock_and_no_primary_a_read_waits_until_all_members_have_reported() {
+    let (mut host, id) = host_with_unknown_clock(None);
+    let now = host.now;
+    host.report(1, false, now);
+    assert!(members_sent(&host.log, id).is_empty(), "the other member may be the primary");
+    host.report(0, false, now);
+    assert_eq!(members_sent(&host.log, id).len(), 1);
+}
--- a/crates/stackgw-router/tests/decisions/stale_primaries.rs
+++ b/crates/stackgw-router/tests/decisions/stale_primaries.rs
@@ -103,6 +103,19 @@
     assert_gets_no_bounded_read(&mut host, 0);
 }
 
+/// The load report in an answer is applied before the answer itself, and may be newer.
+#[test]
+fn an_answer_that_claims_the_role_ends_the_denial_beside_a_newer_report_of_the_same_claim() {
+    let mut host = host_of_denying_members(without_health_checks());
+    host.now += SECOND;
+    let now = host.now;
+    gossip_claim(&mut host, 0, now);
+    let (id, _) = host.request(WRITE);
+    host.end_attempt_as(id, 0, Outcome::Served, MS, Some(true), Some(now - 10 * MS));
+    host.now += 2 * BOUND;
+    assert_eq!(sent_to(&host.request(BOUNDED).1), [0]);
+}
+
 /// Regression: gossip that a member had claimed the role ended its own denial, and reads went to it although its position was old.
 #[test]
 fn a_claim_in_gossip_does_not_undo_a_denial_for_reads() {
