Soak: primaries that crash and return as lagging replicas while the list names them

The judge excuses a stale read as the protocol does, and no further: the member has been the primary, and no answer to this process has said since that it is a replica. Each arrival records the member's role for it.

--- a/crates/stackgw-testkit/src/replicated_log.rs
+++ b/crates/stackgw-testkit/src/replicated_log.rs
@@ -122,6 +122,8 @@
     pub(crate) is_misrouted_write: bool,
     /// The member's replication lag, in milliseconds.
     pub(crate) staleness_ms: u64,
+    /// Whether the member is the primary.
+    pub(crate) is_primary: bool,
 }
 
 /// The replicated log of a group.
@@ -170,6 +172,7 @@
                     && !member.is_primary()
                     && !member.is_unresponsive(),
                 staleness_ms: member.effective_lag_ms(),
+                is_primary: member.is_primary(),
             });
         }
     }
--- a/crates/stackgw-testkit/src/soak/judge.rs
+++ b/crates/stackgw-testkit/src/soak/judge.rs
@@ -22,6 +22,8 @@
 const NOTIFIED_WITHIN: Duration = Duration::from_secs(6);
 /// The bound on the staleness of bounded reads.
 const STALENESS_BOUND: Duration = Duration::from_secs(2);
+/// An answer counts as known to its gateway this long after its client has it.
+const ANSWER_KNOWN_AFTER: Duration = Duration::from_millis(150);
 /// A client that stops inside a message must get an error or a close within this time.
 const STALLED_CLIENT_WITHIN: Duration = Duration::from_secs(3);
 /// A gateway must be ready within this time after it listens.
@@ -173,6 +175,7 @@
             }
             if request.kind == RequestKind::BoundedRead
                 && arrival.staleness > STALENESS_BOUND + SLACK
+                && !self.is_excused(request.gateway, arrival)
             {
                 violations.push(Violation::Stale(arrival.clone()));
             }
@@ -183,6 +186,37 @@
         violations
     }
 
+    /// Whether the gateway could not know that the member's data was old: the member has been the primary, and none of its answers
+    /// to this process, or only one before a later one as the primary, has said that it is a replica.
+    fn is_excused(&self, gateway: usize, arrival: &Arrival) -> bool {
+        let promotions = self.record.promotions.iter();
+        let was_primary = promotions
+            .filter(|p| p.at <= arrival.at)
+            .any(|p| p.member == arrival.member);
+        was_primary && self.last_known_role(gateway, arrival) != Some(false)
+    }
+
+    /// Whether the member was the primary in its last answer that this gateway's process must have read before the arrival.
+    fn last_known_role(&self, gateway: usize, arrival: &Arrival) -> Option<bool> {
+        let starts = self.record.starts.iter();
+        let started_at = starts
+            .filter(|start| start.gateway == gateway && start.at <= arrival.at)
+            .map(|start| start.at)
+            .max()
+            .unwrap_or_default();
+        let answers = self.record.arrivals.iter().filter_map(|other| {
+            let request = self.requests.get(other.id.as_str())?;
+            let is_told = other.member == arrival.member
+                && request.gateway == gateway
+                && matches!(request.end, RequestEnd::Served(_))
+                && self.attempts_of(&other.id) == 1
+                && other.at >= started_at
+                && request.ended_at + ANSWER_KNOWN_AFTER <= arrival.at;
+            is_told.then_some((request.ended_at, other.is_primary))
+        });
+        answers.max().map(|(_, is_primary)| is_primary)
+    }
+
     /// How long after the end of the grace time the request arrived at a draining or gone member; `None`: it did not.
     fn after_drain(&self, arrival: &Arrival) -> Option<Duration> {
         let announcements = self.record.announcements.iter();
--- a/crates/stackgw-testkit/src/soak/mod.rs
+++ b/crates/stackgw-testkit/src/soak/mod.rs
@@ -13,7 +13,7 @@
 pub use judge::{judge, Violation};
 pub use plan::{PlannedFault, SoakFault, SoakPlan};
 pub use records::{
-    Announcement, Arrival, GatewayResources, GatewayStart, Interval, RequestEnd, RequestKind,
-    RequestRecord, SoakRecord, StalledClient,
+    Announcement, Arrival, GatewayResources, GatewayStart, Interval, Promotion, RequestEnd,
+    RequestKind, RequestRecord, SoakRecord, StalledClient,
 };
 pub use run::run_soak;
--- a/crates/stackgw-testkit/src/soak/plan.rs
+++ b/crates/stackgw-testkit/src/soak/plan.rs
@@ -12,6 +12,10 @@
 const IDLE_CLIENTS: usize = 140;
 /// The average rate of faults.
 const FAULTS_PER_SECOND: f64 = 1.2;
+/// The average rate of crashes of the primary.
+const CRASHES_PER_SECOND: f64 = 0.15;
+/// Separates the random numbers of these crashes from those of the other faults.
+const CRASH_SEED_MASK: u64 = 0xc4a5;
 /// How long a gateway's process may be paused at any time.
 const GATEWAY_PAUSE_TIME: Duration = Duration::from_millis(150);
 /// No fault begins within this time before the soak's end, so that the effects of the last faults are part of the record.
@@ -36,6 +40,9 @@
     MemberLeaves(usize, ListedPhase, Duration),
     /// A member becomes the primary; the list shows it after this delay.
     PrimaryMoves(usize, Duration),
+    /// The primary dies, another member takes over, and the former primary returns after this time as a replica that lags by the
+    /// time since its death; the list shows its new start at once, and the new primary after the delay.
+    PrimaryCrashes(Duration, Duration),
     /// A gateway's process is paused.
     GatewayPauses(usize, Duration),
     /// A gateway reloads its configuration this many times in a row.
@@ -62,6 +69,7 @@
             SoakFault::ReplicaLags(..) => "replica lags",
             SoakFault::MemberLeaves(..) => "member drains or goes",
             SoakFault::PrimaryMoves(..) => "primary moves",
+            SoakFault::PrimaryCrashes(..) => "primary crashes",
             SoakFault::GatewayPauses(..) => "gateway held up",
             SoakFault::GatewayReloads(..) => "SIGHUP series",
             SoakFault::GatewayRestarts(..) => "SIGTERM, restart",
@@ -99,6 +107,20 @@
     pub faults: Vec<PlannedFault>,
 }
 
+/// Draws the crashes of primaries, from random numbers of their own, so that a seed's other faults stay as they are.
+fn draw_primary_crashes(seed: u64, last_start: f64) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CRASH_SEED_MASK);
+    let count = (last_start * CRASHES_PER_SECOND).ceil() as usize;
+    let crashes = (0..count).map(|_| PlannedFault {
+        at: Duration::from_secs_f64(rng.random_range(0.5..last_start.max(0.6))),
+        fault: SoakFault::PrimaryCrashes(
+            Duration::from_millis(rng.random_range(500..4_000)),
+            Duration::from_millis(rng.random_range(200..3_000)),
+        ),
+    });
+    crashes.collect()
+}
+
 impl SoakPlan {
     /// Draws the schedule for a seed.
     pub fn draw(seed: u64, duration: Duration) -> Self {
@@ -124,6 +146,7 @@
                 fault: plan.draw_fault(&mut rng),
             })
             .collect();
+        faults.extend(draw_primary_crashes(seed, last));
         faults.sort_by_key(|planned| planned.at);
         plan.faults = faults;
         plan
--- a/crates/stackgw-testkit/src/soak/records.rs
+++ b/crates/stackgw-testkit/src/soak/records.rs
@@ -69,6 +69,8 @@
     pub is_misrouted_write: bool,
     /// The age of the member's data.
     pub staleness: Duration,
+    /// Whether the member was the primary.
+    pub is_primary: bool,
 }
 
 /// A span of time.
@@ -91,6 +93,15 @@
     pub at: Duration,
 }
 
+/// The start of a member's time as the primary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Promotion {
+    /// The member's index.
+    pub member: usize,
+    /// When it became the primary.
+    pub at: Duration,
+}
+
 /// A client that stopped inside a message and kept its connection open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StalledClient {
@@ -137,6 +148,8 @@
     pub write_order: Vec<String>,
     /// Changes of members' phases in the list.
     pub announcements: Vec<Announcement>,
+    /// The members that have been the primary.
+    pub promotions: Vec<Promotion>,
     /// The times in which the list service was unreachable or did not serve.
     pub list_outages: Vec<Interval>,
     /// Clients that stopped inside a message.
--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -2,7 +2,9 @@
 
 use super::clients::{flood, stall_inside_message, IdleConnections, SoakClient, SoakState};
 use super::plan::{SoakFault, SoakPlan};
-use super::records::{Announcement, Arrival, GatewayResources, GatewayStart, Interval, SoakRecord};
+use super::records::{
+    Announcement, Arrival, GatewayResources, GatewayStart, Interval, Promotion, SoakRecord,
+};
 use crate::client::Client;
 use crate::error::TestkitError;
 use crate::fleet_config::{FleetConfig, FleetMode};
@@ -30,6 +32,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which a lagging replica's position is updated.
 const LAG_STEP: Duration = Duration::from_millis(5);
+/// How long the group has no primary after a crash, and how long the former one then lags after the list is right.
+const ELECTION_TIME: Duration = Duration::from_millis(300);
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+/// A member that lags more than this does not become the primary.
+const MAX_SUCCESSOR_LAG_MS: u64 = 150;
 const IDLE_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// The counters of open and buffered resources, which must be 0 without clients.
 const RESOURCE_COUNTERS: [&str; 3] = ["clients_open", "buffered_bytes", "read_ahead_bytes"];
@@ -61,7 +68,9 @@
         state: &state,
         restart_locks: (0..plan.gateways).map(|_| Mutex::default()).collect(),
         lag_lock: Mutex::default(),
+        primary_lock: Mutex::default(),
     };
+    soak.record_promotion(0);
     soak.run();
     soak.record_gateway_resources();
     let mut record = std::mem::take(&mut *lock(&state.record));
@@ -79,6 +88,7 @@
         timeout: Duration::from_millis(arrival.timeout_ms),
         is_misrouted_write: arrival.is_misrouted_write,
         staleness: Duration::from_millis(arrival.staleness_ms),
+        is_primary: arrival.is_primary,
     });
     arrivals.collect()
 }
@@ -91,6 +101,8 @@
     restart_locks: Vec<Mutex<()>>,
     /// Locked while a replica lags.
     lag_lock: Mutex<()>,
+    /// Locked while the primary changes.
+    primary_lock: Mutex<()>,
 }
 
 impl Soak<'_> {
@@ -162,10 +174,13 @@
                 self.announce(member, ListedPhase::Ready);
             }
             SoakFault::PrimaryMoves(member, list_delay) => {
+                let guard = lock(&self.primary_lock);
                 self.move_primary(member);
+                drop(guard);
                 std::thread::sleep(list_delay);
                 self.group.list_service().announce_primary(member);
             }
+            SoakFault::PrimaryCrashes(down, list_delay) => self.crash_primary(down, list_delay),
             SoakFault::GatewayPauses(gateway, time) => {
                 self.state.gateways.pause(gateway);
                 std::thread::sleep(time);
@@ -190,6 +205,46 @@
             primary.lag_ms.store(0, Ordering::Relaxed);
         }
         self.group.promote(member);
+        self.record_promotion(member);
+    }
+
+    fn record_promotion(&self, member: usize) {
+        let at = self.state.now();
+        lock(&self.state.record)
+            .promotions
+            .push(Promotion { member, at });
+    }
+
+    /// Kills the primary; a member that has all commits takes over. The former primary returns as a replica that has applied nothing
+    /// since its death, still listed as the primary, and catches up some time later.
+    fn crash_primary(&self, down: Duration, list_delay: Duration) {
+        let guard = lock(&self.primary_lock);
+        let members = &self.group.members;
+        let Some(primary) = members.iter().position(|member| member.is_primary()) else {
+            return;
+        };
+        let has_all_commits = |member: &usize| {
+            *member != primary
+                && members[*member].lag_ms.load(Ordering::Relaxed) <= MAX_SUCCESSOR_LAG_MS
+        };
+        let Some(successor) = (0..members.len()).find(has_all_commits) else {
+            return;
+        };
+        let before_ms = members[primary].lag_ms.load(Ordering::Relaxed);
+        let died = Instant::now();
+        self.group.kill(primary);
+        std::thread::sleep(ELECTION_TIME);
+        self.group.promote(successor);
+        self.record_promotion(successor);
+        std::thread::sleep(down);
+        let lag_ms = died.elapsed().as_millis() as u64;
+        self.group.revive_as_replica(primary, lag_ms);
+        self.group.announce_start(primary);
+        std::thread::sleep(list_delay);
+        self.group.list_service().announce_primary(successor);
+        std::thread::sleep(CATCH_UP_TIME);
+        members[primary].lag_ms.store(before_ms, Ordering::Relaxed);
+        drop(guard);
     }
 
     /// Makes a replica apply nothing until it lags by `ms`, keep that lag for the rest of the time, and then catch up
