--- a/crates/stackgw-testkit/tests/soak_judge.rs
+++ b/crates/stackgw-testkit/tests/soak_judge.rs
@@ -211,7 +211,10 @@
         ready_at: Some(ms(11_100)),
     };
     assert!(with_answers(&[], vec![]).is_empty());
-    assert_eq!(with_answers(&[denial.clone()], vec![]), ["Stale"]);
+    assert_eq!(
+        with_answers(std::slice::from_ref(&denial), vec![]),
+        ["Stale"]
+    );
     assert!(with_answers(&[denial.clone(), claim], vec![]).is_empty());
     assert!(with_answers(&[too_recent], vec![]).is_empty());
     assert!(
