Router: a new start time of a cold member renews no budget within its window

MemberState::restart dropped the times of sends in slow start. A list that repeats a start with another time (one that it doesn't give is taken to be the time of the list) renewed the budget each time: 7 writes within 100 ms, budget 4 in 2 s, in the decision test, which passes now. Sends to the earlier process in the last window count against the new one: the safe side.

--- a/crates/stackgw-router/src/state/member.rs
+++ b/crates/stackgw-router/src/state/member.rs
@@ -85,11 +85,13 @@
     }
 
     /// Resets the state after a restart of the process: it is cold, and its earlier health and claims no longer apply.
-    /// Its drain, its position, its denial of the role, its requests in flight and its connection permits remain.
+    /// Its drain, its position, its denial of the role, its requests in flight and its connection permits remain, and
+    /// what it was sent in slow start: a list may repeat a start with another time.
     pub(crate) fn restart(&mut self, initial: MemberState) {
         *self = MemberState {
             position: self.position,
             denies_primary: self.denies_primary,
+            cold_sends: std::mem::take(&mut self.cold_sends),
             in_flight: self.in_flight,
             lifecycle: self.lifecycle,
             unavailable_since: self.unavailable_since,
--- a/crates/stackgw-router/tests/decisions/slow_start.rs
+++ b/crates/stackgw-router/tests/decisions/slow_start.rs
@@ -85,3 +85,18 @@
     let rate = host.router.warm_throughput();
     assert!((9.0..11.0).contains(&rate), "warm throughput of {rate} requests/s with additional writes");
 }
+
+/// Regression: each new start time in the list began the budget of a cold member anew, also one that the host made up because the
+/// list gave none.
+#[test]
+fn a_new_start_of_a_cold_member_renews_no_budget_within_its_window() {
+    let mut host = TestHost::new(settings(), 0);
+    for step in 0..10 {
+        let members = vec![just_started(0, true, host.now)];
+        host.send_event(Event::EndpointList { scope: ListScope::Changes, members });
+        (0..20).for_each(|_| drop(host.serve(WRITE, MS)));
+        let sent = sent_to(&host.log).len();
+        assert!((1..=4).contains(&sent), "{sent} writes within {step} steps of 100 ms, budget 4 in 2 s");
+        host.now += 100 * MS;
+    }
+}
