Gateway: a bounded read is not written once its replica's known position is too old

A bounded read that is given to a replica may wait for a new connection for up to the connect timeout, 250 ms, and longer where connections are paced; it was then written although the position that had let it go there was by then older than the bound allows.

Cause: freshness was judged at the decision, the bound counts from the last byte of the send. Change: the router says until when the position serves (Action::Send::write_by), the gateway ends an attempt that can't be written by then as not sent, and the router chooses anew. A primary that is trusted, and members that check reads, have no such time.

The reducer test fails without the check (handshake of 240 ms, bound 1 s) and passes with it.

--- a/crates/stackgw-gateway/src/reducer/state/connection.rs
+++ b/crates/stackgw-gateway/src/reducer/state/connection.rs
@@ -19,6 +19,8 @@
     pub(crate) number: u32,
     pub(crate) sent_at: Time,
     pub(crate) deadline: Time,
+    /// Latest time at which it may be written.
+    pub(crate) write_by: Option<Time>,
     /// A second connection was opened for it, as the first one broke during its startup.
     pub(crate) reconnected: bool,
 }
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -23,13 +23,14 @@
 }
 
 impl Gateway {
-    /// Sends an attempt of a request, with the timeout that the router sets.
+    /// Sends an attempt of a request, with the timeout and the latest time to write it that the router sets.
     pub(super) fn send_attempt(
         &mut self,
         cx: &mut Context<'_>,
         request: RequestId,
         member: MemberId,
         timeout: Option<Span>,
+        write_by: Option<Time>,
     ) {
         let Some(open) = self.requests.get_mut(request) else {
             return;
@@ -43,6 +44,7 @@
             number,
             sent_at: cx.now,
             deadline,
+            write_by,
             reconnected: false,
         });
         if deadline <= cx.now || open.is_finished {
@@ -205,13 +207,14 @@
         }
     }
 
-    /// Returns whether an attempt's request is finished or its deadline has passed.
+    /// Returns whether an attempt's request is finished, or its deadline or the latest time to write it has passed.
     fn is_obsolete(&self, now: Time, task: ConnectionTask) -> bool {
         let ConnectionTask::Attempt(attempt) = task else {
             return false;
         };
         let open = self.requests.get(attempt.request);
-        attempt.deadline <= now || open.is_none_or(|open| open.is_finished)
+        let is_late = attempt.write_by.is_some_and(|latest| now > latest);
+        attempt.deadline <= now || is_late || open.is_none_or(|open| open.is_finished)
     }
 
     /// Ends a connection's task, answered or obsolete, and returns the usable connection to the pool.
--- a/crates/stackgw-gateway/src/reducer/steps/router_actions.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/router_actions.rs
@@ -29,10 +29,11 @@
                 request,
                 member,
                 timeout,
+                write_by,
                 reason,
             } => {
                 self.record_selection(cx, request, member, reason);
-                self.send_attempt(cx, request, member, timeout);
+                self.send_attempt(cx, request, member, timeout, write_by);
             }
             Action::Cancel { request, attempt } => self.cancel_attempt(cx, request, attempt),
             Action::Reject {
--- a/crates/stackgw-gateway/tests/member_connections.rs
+++ b/crates/stackgw-gateway/tests/member_connections.rs
@@ -270,3 +270,36 @@
     )));
     assert!(closed(&harness.advance(251 * MS)).contains(&conn));
 }
+
+/// Regression: a bounded read that waited for its connection was written although its replica's known position had become too old
+/// meanwhile.
+#[test]
+fn a_bounded_read_is_not_written_once_its_replica_may_be_stale() {
+    for (handshake, is_written) in [(150 * MS, true), (240 * MS, false)] {
+        let mut harness = ReducerHarness::new("null");
+        let entries = [entry(1, "ready", "leader"), entry(2, "ready", "follower")];
+        harness.input(Input::EndpointList(list(1, true, &entries)));
+        let client = harness.client(1);
+        // The replica reports its position, serves a read, and is busy with another one.
+        let (conn, _) = statements(&harness.send(client, read_query(900)))[0].clone();
+        harness.serve(conn, b"x");
+        harness.answer_health_checks = false;
+        // The bound is 1 s, of which 100 ms are left for delays.
+        harness.advance(700 * MS);
+        let busy = harness.client(2);
+        assert_eq!(statements(&harness.send(busy, read_query(900))).len(), 1);
+        harness.auto_connect = false;
+        let late = harness.client(3);
+        let conn = opened(&harness.send(late, read_query(900)))
+            .iter()
+            .find(|(_, member)| *member == 2)
+            .expect("a second connection to the replica")
+            .0;
+        harness.advance(handshake);
+        harness.input(Input::MemberConnected(conn));
+        harness.input(Input::MemberFrame(conn, message(b'R', &[0; 4])));
+        let effects = harness.input(Input::MemberFrame(conn, ready()));
+        let is_read_written = statements(&effects).iter().any(|(to, _)| *to == conn);
+        assert_eq!(is_read_written, is_written, "handshake of {handshake} ns");
+    }
+}
--- a/crates/stackgw-router/src/api/action.rs
+++ b/crates/stackgw-router/src/api/action.rs
@@ -2,7 +2,7 @@
 
 use super::gossip::GossipUpdate;
 use super::request::{GroupId, MemberId, RequestId};
-use super::time::Span;
+use super::time::{Span, Time};
 
 /// Why a member was selected for an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +47,9 @@
         member: MemberId,
         /// Time after which the attempt times out. `None`: at the client's deadline.
         timeout: Option<Span>,
+        /// Latest time at which the host may write the attempt, on the host's clock: then the member's known position becomes too
+        /// old for the read. An attempt that is not written by then ends as not sent. `None`: no such time.
+        write_by: Option<Time>,
         /// Why this member was selected.
         reason: SelectionReason,
     },
--- a/crates/stackgw-router/src/router/clock_offset.rs
+++ b/crates/stackgw-router/src/router/clock_offset.rs
@@ -1,5 +1,6 @@
 //! Staleness and warm-up where the host's clock may differ from the members'.
 
+use super::selection::Selected;
 use super::Router;
 use crate::api::*;
 use crate::state::MemberState;
@@ -11,7 +12,22 @@
     /// The position that a member must have reached to serve a read with this staleness bound.
     pub(super) fn min_position(&self, bound: Span) -> Time {
         let max_staleness = (bound - STALENESS_MARGIN).max(bound / 2);
-        self.latest_members_time().map_or(Time::MAX, |now| now - max_staleness)
+        self.latest_members_time().map_or(Time::MAX, |now| now.saturating_sub(max_staleness))
+    }
+
+    /// Until when a member's known position satisfies a read that goes to it for that position. `None`: for
+    /// ever, or the member is trusted as the primary, or it checks reads itself.
+    pub(super) fn position_valid_until(
+        &self,
+        class: &Class,
+        member: &MemberState,
+        selected: Selected,
+    ) -> Option<Time> {
+        let Consistency::BoundedStaleness(bound) = class.consistency else { return None };
+        let is_trusted = selected.reason != SelectionReason::FreshReplica && !member.denies_primary;
+        let members_check = self.settings.lagging_reads != LaggingReads::ServedStale;
+        let slack = member.position.saturating_sub(self.min_position(bound));
+        (!is_trusted && !members_check).then_some(self.now.saturating_add(slack))
     }
 
     /// The members' time, as late as it may be; `None` if it is not known. Replicas that check reads
--- a/crates/stackgw-router/src/router/requests.rs
+++ b/crates/stackgw-router/src/router/requests.rs
@@ -77,7 +77,9 @@
 
     fn send(&mut self, id: RequestId, selected: Selected) {
         let Selected { member: to, reason } = selected;
-        let slow_start_factor = self.members.get(to).map_or(1.0, |member| self.slow_start_factor(member));
+        let (Some(member), Some(request)) = (self.members.get(to), self.requests.get(id)) else { return };
+        let slow_start_factor = self.slow_start_factor(member);
+        let write_by = self.position_valid_until(&request.class, member, selected);
         let Some((member, group)) = self.members.with_group(to) else { return };
         let Some(request) = self.requests.get_mut(id) else { return };
         let rules = &self.settings.obligations;
@@ -90,7 +92,7 @@
             member.record_cold_send(self.now, rules.overload_window);
         }
         request.start_attempt(self.now, to);
-        self.actions.push(Action::Send { request: id, member: to, timeout: None, reason });
+        self.actions.push(Action::Send { request: id, member: to, timeout: None, write_by, reason });
     }
 
     pub(super) fn record_attempt(&mut self, result: &AttemptResult) {
