Testkit: gateways' reserved ports are none that the system assigns

Known red answers_and_sessions_across_gateways ('sessions.listen: Address already in use', once in 6 runs): the kit reserves a UDP port by binding port 0 and releases it just before the gateway binds it; in between, and while a gateway restarts, the system may assign it to any other socket of the tests, which keeps it. Read, now ruled out by construction: ports are taken from 12000 to 29999, below those that the system assigns, each once in a process. The new unit test fails with port 0 (assigned ports begin at 32768). Not shown: the failure itself by this cause; the entry stays until the suite has run often enough without it.

--- a/crates/stackgw-cli/tests/common/gateway_process.rs
+++ b/crates/stackgw-cli/tests/common/gateway_process.rs
@@ -225,6 +225,16 @@
     name: &str,
     config: &str,
     start_lists: impl FnOnce(&[String]) -> SocketAddr,
+) -> GatewayFixture {
+    start_fixture_with_env(name, config, &[], start_lists)
+}
+
+/// As [`start_fixture_with_config`], with further environment variables for the gateway.
+pub fn start_fixture_with_env(
+    name: &str,
+    config: &str,
+    env: &[(&str, &OsStr)],
+    start_lists: impl FnOnce(&[String]) -> SocketAddr,
 ) -> GatewayFixture {
     let (sender, statements) = channel();
     let (mut release, mut entries) = (Vec::new(), Vec::new());
@@ -238,7 +248,7 @@
         );
     }
     GatewayFixture {
-        gateway: GatewayProcess::start_with_config(name, start_lists(&entries), config),
+        gateway: GatewayProcess::start_with_env(name, start_lists(&entries), config, env),
         statements,
         release,
         entries,
--- a/crates/stackgw-cli/tests/common/mod.rs
+++ b/crates/stackgw-cli/tests/common/mod.rs
@@ -12,3 +12,4 @@
 pub mod protocol_client;
 pub mod scripted_list_service;
 pub mod scripted_member;
+pub mod shim;
--- a/crates/stackgw-cli/tests/stepped_clock.rs
+++ b/crates/stackgw-cli/tests/stepped_clock.rs
@@ -6,10 +6,10 @@
 use common::gateway_common::config_text;
 use common::gateway_process::GatewayProcess;
 use common::pg_connection::{frame_kinds, insert, select};
+use common::shim::compile_shim;
 use stackgw_testkit::ReplicaGroup;
 use std::ffi::OsStr;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 
 /// Beyond the bound of bounded reads, which is 2 s for the members' record and 1 s in the gateway's configuration.
 const LAG_MS: u64 = 2_300;
@@ -25,24 +25,9 @@
 impl Shim {
     /// Compiles the shim for the test of this name; the clock is not stepped yet.
     fn compile(name: &str) -> Self {
-        let folder =
-            std::env::temp_dir().join(format!("stackgw-clock-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let shim = Shim {
-            library: folder.join("clock_step.so"),
-            step_file: folder.join("step"),
-        };
-        let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shims/clock_step.c");
-        let mut compiler = Command::new("cc");
-        compiler
-            .args(["-shared", "-fPIC", "-o"])
-            .arg(&shim.library)
-            .arg(source)
-            .arg("-ldl");
-        assert!(
-            compiler.status().is_ok_and(|status| status.success()),
-            "the shim does not compile"
-        );
+        let library = compile_shim("clock_step", name);
+        let step_file = library.with_file_name("step");
+        let shim = Shim { library, step_file };
         shim.step(0);
         shim
     }
--- a/crates/stackgw-testkit/src/gateway_fleet.rs
+++ b/crates/stackgw-testkit/src/gateway_fleet.rs
@@ -6,6 +6,7 @@
 use crate::gateway_files::{self, ClusterAddresses, GatewayFiles};
 use crate::network::FaultyNetwork;
 use crate::sync::lock;
+use crate::udp_ports;
 use rustix::process::{kill_process, Pid, Signal};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
@@ -79,7 +80,7 @@
     pub fn prepare(config: FleetConfig) -> Result<Self, TestkitError> {
         let folder_error = |e| TestkitError::file(&config.folder, e);
         let sockets: Vec<_> = (0..config.gateways)
-            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| udp_ports::reserve())
             .collect::<Result<_, _>>()
             .map_err(folder_error)?;
         let listen: Vec<_> = sockets
--- a/crates/stackgw-testkit/src/lib.rs
+++ b/crates/stackgw-testkit/src/lib.rs
@@ -45,6 +45,7 @@
 mod statements;
 mod statistics;
 mod sync;
+mod udp_ports;
 
 pub use audit::run_audit;
 pub use audit_plan::AuditPlan;
