--- a/crates/stackgw-cli/tests/failing_calls.rs
+++ b/crates/stackgw-cli/tests/failing_calls.rs
@@ -21,6 +21,7 @@
 #[test]
 fn requests_are_served_while_calls_on_sockets_fail_for_a_moment() {
     let library = compile_shim("failing_calls", "requests");
+    let mut failed_connects = 0;
     for seed in SEEDS {
         let env: [(&str, &OsStr); 2] = [
             ("LD_PRELOAD", library.as_os_str()),
@@ -63,7 +64,9 @@
             writes.len(),
             "seed {seed}: a write ran twice"
         );
+        failed_connects += gateway.counter("ended_no_connection");
         assert_eq!(gateway.counter("clients_bad"), 0, "seed {seed}");
         assert_eq!(gateway.counter("members_bad"), 0, "seed {seed}");
     }
+    assert!(failed_connects > 0, "the shim made no connect fail");
 }
--- a/crates/stackgw-cli/tests/shims/failing_calls.c
+++ b/crates/stackgw-cli/tests/shims/failing_calls.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <stdatomic.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 
@@ -37,7 +38,40 @@
     return fails_to_accept() ? -1 : real(fd, address, length, flags);
 }
 
-static int is_interrupted(void) {
+int socket(int domain, int type, int protocol) {
+    REAL(int, "socket", int, int, int);
+    static const int errors[] = {ENFILE, EMFILE, ENOBUFS, ENOMEM};
+    if (domain == AF_INET && !random_below(8)) {
+        errno = errors[random_below(sizeof errors / sizeof *errors)];
+        return -1;
+    }
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    REAL(int, "connect", int, const struct sockaddr *, socklen_t);
+    static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EAGAIN};
+    if (address->sa_family == AF_INET && !random_below(8)) {
+        errno = errors[random_below(sizeof errors / sizeof *errors)];
+        return -1;
+    }
+    return real(fd, address, length);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
+    REAL(int, "epoll_wait", int, struct epoll_event *, int, int);
+    if (!random_below(4)) {
+        errno = EINTR;
+        return -1;
+    }
+    return real(fd, events, count, timeout);
+}
+
+/* Only TCP connections: a signal's handler wakes its process by a local socket, and that call is never interrupted. */
+static int is_interrupted(int fd) {
+    int domain = 0;
+    socklen_t length = sizeof domain;
+    if (getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) || domain != AF_INET) return 0;
     if (random_below(6)) return 0;
     errno = EINTR;
     return 1;
@@ -50,12 +84,12 @@
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
     REAL(ssize_t, "recv", int, void *, size_t, int);
-    if (is_interrupted()) return -1;
+    if (is_interrupted(fd)) return -1;
     return real(fd, buffer, flags & MSG_PEEK ? length : shortened(length), flags);
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     REAL(ssize_t, "send", int, const void *, size_t, int);
-    if (is_interrupted()) return -1;
+    if (is_interrupted(fd)) return -1;
     return real(fd, buffer, shortened(length), flags);
 }
