--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -240,6 +240,7 @@
         let lag_ms = died.elapsed().as_millis() as u64;
         self.group.revive_as_replica(primary, lag_ms);
         self.group.announce_start(primary);
+        self.record_announcement(primary, ListedPhase::Ready);
         std::thread::sleep(list_delay);
         self.group.list_service().announce_primary(successor);
         std::thread::sleep(CATCH_UP_TIME);
@@ -285,6 +286,10 @@
 
     fn announce(&self, member: usize, phase: ListedPhase) {
         self.group.announce(member, phase);
+        self.record_announcement(member, phase);
+    }
+
+    fn record_announcement(&self, member: usize, phase: ListedPhase) {
         let at = self.state.now();
         lock(&self.state.record)
             .announcements
