Gateway: no source of outside bytes keeps the thread; a response without end is cut

Cause: all tasks share one thread, and the member's task waited only for its socket, which is always ready while the member sends faster than its messages are handled. A task that the reducer had given up went on for the same reason. The list service, datagrams, other frontends and backends were read in the same way. Parameters and notices counted toward no bound of a response.

Change: a task that handles outside input counts its steps and lets the others run after a fixed number (io/turn.rs); a member's task ends once its connection is closed; a reply is cut above 1,024 messages or 256 KiB beside its row (members_oversized), a fetched list at the size of a list, the backlog accepted at the end at its length, a single value of Flight SQL at 1,024 batches.

wire_texts: the fixture's reply 14 is now 'a reply is too large' by its own name; the line stands in the table of reworded texts, compared in full.

--- a/crates/stackgw-cli/tests/common/gateway_process.rs
+++ b/crates/stackgw-cli/tests/common/gateway_process.rs
@@ -7,7 +7,7 @@
 use super::scripted_member::start_member;
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -157,6 +157,23 @@
         descriptors.count()
     }
 
+    /// The address of the process's only UDP socket.
+    pub fn datagram_address(&self) -> SocketAddr {
+        let folder = format!("/proc/{}", self.child.id());
+        let descriptors = std::fs::read_dir(format!("{folder}/fd")).expect("the descriptors");
+        let links = descriptors.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+        let sockets: Vec<String> = links.map(|link| link.display().to_string()).collect();
+        let table = std::fs::read_to_string(format!("{folder}/net/udp")).expect("UDP sockets");
+        let port = table.lines().skip(1).find_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let (local, inode) = (fields.get(1)?, fields.get(9)?);
+            let port = local.split(':').nth(1)?;
+            let is_own = sockets.contains(&format!("socket:[{inode}]"));
+            is_own.then(|| u16::from_str_radix(port, 16).ok())?
+        });
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port.expect("a UDP socket")))
+    }
+
     /// The process's resident memory, in KiB.
     pub fn resident_kib(&self) -> usize {
         self.status_kib("VmRSS:")
--- a/crates/stackgw-cli/tests/common/scripted_list_service.rs
+++ b/crates/stackgw-cli/tests/common/scripted_list_service.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{channel, Receiver, Sender};
 
+const HEARTBEATS_PER_CHUNK: usize = 10_000;
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Starts a list service whose watches send one list and then stay open.
@@ -47,6 +48,23 @@
     address
 }
 
+/// Starts a list service whose watches send one list, then heartbeats without a pause until the connection ends.
+pub fn start_endless_list_service(list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let heartbeats = list_chunk(&"\n".repeat(HEARTBEATS_PER_CHUNK));
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let mut request = String::new();
+            let _ = BufReader::new(&socket).read_line(&mut request);
+            let _ = socket.write_all(format!("{HEAD}{}", list_chunk(&list)).as_bytes());
+            let heartbeats = heartbeats.clone();
+            std::thread::spawn(move || while socket.write_all(heartbeats.as_bytes()).is_ok() {});
+        }
+    });
+    address
+}
+
 /// A list as one line in one HTTP chunk.
 fn list_chunk(list: &str) -> String {
     let body = format!("{list}\n");
--- a/crates/stackgw-cli/tests/common/scripted_member.rs
+++ b/crates/stackgw-cli/tests/common/scripted_member.rs
@@ -11,6 +11,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+const ENDLESS_MESSAGES_PER_WRITE: usize = 4096;
+
 /// Keys whose answer has already been corrupted once.
 pub static CORRUPTED_KEYS: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
 
@@ -24,6 +26,8 @@
     LargeValue(usize),
     /// `corrupt-KIND`: the first answer is corrupted.
     Corrupt(&'a str),
+    /// `endless-KIND`: the first answer consists of such messages and never ends.
+    Endless(&'a str),
     Plain,
 }
 
@@ -34,6 +38,7 @@
             Some(("twice", _)) => Script::DuplicateReply,
             Some(("big", size)) => Script::LargeValue(size.parse().expect("a size")),
             Some(("corrupt", kind)) => Script::Corrupt(kind),
+            Some(("endless", kind)) => Script::Endless(kind),
             _ => Script::Plain,
         }
     }
@@ -124,10 +129,21 @@
                 let bytes = corrupted_row(&key, kind);
                 let _ = self.connection.socket.write_all(&bytes);
             }
+            Script::Endless(kind) if is_first_time(&key) => self.write_without_end(kind),
             _ => self.connection.write(&[head, tail].concat()),
         }
     }
 
+    /// Sends a message again and again until the connection ends.
+    fn write_without_end(&mut self, kind: &str) {
+        let frame = match kind {
+            "notice" => message(b'N', b"SNOTICE\0Mstill at it\0\0"),
+            _ => status("server_load", "x0=1,x1=0"),
+        };
+        let bytes = frame.bytes.repeat(ENDLESS_MESSAGES_PER_WRITE);
+        while self.connection.socket.write_all(&bytes).is_ok() {}
+    }
+
     /// The messages after the row: role, replay position and ReadyForQuery.
     fn tail(&self, position_ms: u128) -> Vec<Frame> {
         let role = if self.is_primary {
--- a/crates/stackgw-flight/src/backend/value.rs
+++ b/crates/stackgw-flight/src/backend/value.rs
@@ -8,6 +8,10 @@
 use futures::StreamExt;
 use tonic::Status;
 
+/// Maximum number of batches of a response with a single value. A member may send empty batches
+/// without end.
+const MAX_BATCHES: usize = 1024;
+
 /// A response that is expected to be a single value.
 pub(super) enum SingleValue {
     /// The value of a single row and column; `None` for NULL.
@@ -23,10 +27,16 @@
 ) -> Result<SingleValue, Status> {
     let mut value = None;
     let mut rows = 0;
+    let mut received = 0;
     while let Some(batch) = batches.next().await {
         let batch = batch.map_err(into_status)?;
         rows += batch.num_rows();
-        if rows > 1 || batch.num_columns() != 1 || is_too_large(&batch, max_bytes) {
+        received += 1;
+        if received > MAX_BATCHES
+            || rows > 1
+            || batch.num_columns() != 1
+            || is_too_large(&batch, max_bytes)
+        {
             return Ok(SingleValue::Unsupported);
         }
         if batch.num_rows() == 1 {
--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -118,6 +118,8 @@
     members_evicted,
     /// Connections to members closed because of bytes that are not a message of the protocol.
     members_bad,
+    /// Connections to members closed because a response was too large or did not end; counted in `members_bad`, too.
+    members_oversized,
     /// Connections to members closed because of data that no request had asked for.
     members_unexpected_data,
     /// Positions discarded because they were in the future.
--- a/crates/stackgw-gateway/src/io/backends.rs
+++ b/crates/stackgw-gateway/src/io/backends.rs
@@ -3,6 +3,7 @@
 
 use super::backend_channels::{BackendCommand, BackendEvent};
 use super::driver::Driver;
+use super::turn::Turn;
 use crate::reducer::{BackendRequest, CloseReason, ConnectionId, Input};
 use async_channel::Receiver;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 
 /// Passes the backend's events to the reducer.
 pub(super) async fn run(driver: Rc<Driver>, events: Receiver<BackendEvent>) {
+    let mut turn = Turn::default();
     while let Ok(event) = events.recv().await {
         // Events of a connection that the gateway has closed are outdated.
         if driver
@@ -20,6 +22,7 @@
         {
             driver.handle_backend_event(event);
         }
+        turn.finish_step().await;
     }
 }
 
--- a/crates/stackgw-gateway/src/io/connection/events.rs
+++ b/crates/stackgw-gateway/src/io/connection/events.rs
@@ -22,8 +22,8 @@
     Closed,
 }
 
-/// The events of a connection, as a stream. Between two reads the stream does not yield to other tasks; a client's task does so
-/// after each event.
+/// The events of a connection, as a stream. As long as the peer sends, the stream is always ready; its reader must let other tasks
+/// run between events.
 pub(in crate::io) struct ConnectionEvents {
     pub(in crate::io) connection: Rc<Connection>,
     /// Buffer for one read, shared by all connections.
--- a/crates/stackgw-gateway/src/io/discovery.rs
+++ b/crates/stackgw-gateway/src/io/discovery.rs
@@ -1,6 +1,7 @@
 //! The list service: the watch, and single requests for the complete list.
 
 use super::driver::Driver;
+use super::turn::Turn;
 use crate::discovery::{
     endpoint_request, parse_endpoint_list, HttpEvent, HttpLineReader, ListUpdate, RequestedList,
     WatchError, WatchEvent, WatchParser,
@@ -40,6 +41,7 @@
     reader: HttpLineReader,
     /// Events that have been read and not been returned yet.
     events: VecDeque<HttpEvent>,
+    turn: Turn,
 }
 
 impl Response {
@@ -63,12 +65,15 @@
             socket,
             reader: HttpLineReader::new(limits.head_bytes, limits.list_bytes),
             events: VecDeque::new(),
+            turn: Turn::default(),
         })
     }
 
     /// Returns the next event of the response.
     async fn next(&mut self, buffer: &mut [u8]) -> Result<Option<HttpEvent>, WatchError> {
+        self.turn.finish_step().await;
         while self.events.is_empty() {
+            self.turn.finish_step().await;
             match self.socket.read(buffer).await {
                 Ok(0) => {
                     let events = self.reader.finish().map_err(|error| error.to_string())?;
@@ -124,7 +129,11 @@
         match events.next().await {
             Some(Ok(HttpEvent::Line(line))) => match parser.push_line(line) {
                 Ok(WatchEvent::Heartbeat) => driver.handle_input(Input::WatchKeepalive),
-                Ok(WatchEvent::List(list)) => driver.handle_input(Input::EndpointList(list)),
+                Ok(WatchEvent::List(list)) => {
+                    driver.handle_input(Input::EndpointList(list));
+                    // A list may name thousands of members.
+                    future::yield_now().await;
+                }
                 Ok(WatchEvent::Incomplete) => {}
                 Err(error) => break error.to_string().into(),
             },
@@ -153,6 +162,9 @@
     let mut body = Vec::new();
     loop {
         match events.next().await? {
+            Ok(HttpEvent::Line(line)) if body.len() + line.len() > driver.limits.list_bytes => {
+                return None;
+            }
             Ok(HttpEvent::Line(line)) => body.extend(line),
             Ok(HttpEvent::End) => return parse_endpoint_list(&body).ok(),
             Err(_) => return None,
--- a/crates/stackgw-gateway/src/io/frontends.rs
+++ b/crates/stackgw-gateway/src/io/frontends.rs
@@ -2,6 +2,7 @@
 
 use super::driver::Driver;
 use super::request_handle::{FrontendMessage, FrontendResponse};
+use super::turn::Turn;
 use crate::pg::{message_kind, write, Frame};
 use crate::reducer::{CallId, ConnectionId, FinalResponse, Input};
 use async_channel::Receiver;
@@ -25,8 +26,12 @@
     }
 }
 
+/// Messages that are handled before other tasks run. Each may be a statement.
+const MESSAGES_PER_TURN: u32 = 4;
+
 /// Passes the messages of other frontends to the reducer.
 pub(super) async fn run(driver: Rc<Driver>, messages: Receiver<FrontendMessage>) {
+    let mut turn = Turn::of_steps(MESSAGES_PER_TURN);
     while let Ok(message) = messages.recv().await {
         match message {
             FrontendMessage::Execute(request) => {
@@ -44,5 +49,6 @@
                 driver.handle_input(Input::CallCancelled(id));
             }
         }
+        turn.finish_step().await;
     }
 }
--- a/crates/stackgw-gateway/src/io/listener.rs
+++ b/crates/stackgw-gateway/src/io/listener.rs
@@ -41,9 +41,13 @@
     driver.handle_input(Input::ListenerClosed);
 }
 
-/// Accepts the connections in the backlog: the kernel has already established them, so they are served.
+/// Accepts the connections in the backlog: the kernel has already established them, so they are served. Clients may connect as fast
+/// as they are accepted, so no more are accepted than the backlog holds.
 fn accept_backlog(driver: &Rc<Driver>, listener: &Async<TcpListener>) {
-    while let Ok((socket, _)) = listener.get_ref().accept() {
+    for _ in 0..driver.limits.backlog {
+        let Ok((socket, _)) = listener.get_ref().accept() else {
+            return;
+        };
         if let Ok(socket) = Async::new(socket) {
             driver.open_client(socket);
         }
--- a/crates/stackgw-gateway/src/io/member_table.rs
+++ b/crates/stackgw-gateway/src/io/member_table.rs
@@ -32,4 +32,8 @@
     pub(super) fn connection(&self, id: ConnectionId) -> Option<Rc<Connection>> {
         self.connections.borrow().get(&id)?.connection.clone()
     }
+
+    pub(super) fn contains(&self, id: ConnectionId) -> bool {
+        self.connections.borrow().contains_key(&id)
+    }
 }
--- a/crates/stackgw-gateway/src/io/members.rs
+++ b/crates/stackgw-gateway/src/io/members.rs
@@ -3,6 +3,7 @@
 use super::connection::{Connection, ConnectionEvent, ConnectionEvents, ReadLimits, WriteProgress};
 use super::driver::Driver;
 use super::member_table::Member;
+use super::turn::Turn;
 use crate::pg::message_kind::server;
 use crate::pg::{FrameDecoder, FrameError};
 use crate::reducer::{CloseReason, ConnectionId, Input};
@@ -94,6 +95,7 @@
         connection: connection.clone(),
         buffer: driver.read_buffer.clone(),
     };
+    let mut turn = Turn::default();
     while let Some(event) = events.next().await {
         match event {
             ConnectionEvent::Read(bytes) => frames.feed(&bytes),
@@ -101,22 +103,29 @@
             ConnectionEvent::Woken => {}
             ConnectionEvent::Closed => return CloseReason::Disconnected,
         }
-        let Ok(response_ended) = deliver_frames(driver, id, &connection, &mut frames) else {
+        let delivered = deliver_frames(driver, id, &connection, &mut frames, &mut turn).await;
+        let Ok(response_ended) = delivered else {
             return CloseReason::ProtocolError;
         };
+        if !driver.members.contains(id) {
+            break;
+        }
         if !response_ended || frames.pending_bytes() > 0 {
             driver.handle_input(Input::MemberPartialFrame(id));
         }
+        turn.finish_step().await;
     }
     CloseReason::Disconnected
 }
 
-/// Passes complete messages to the reducer. Returns whether the last of them ended a response; true if there was none.
-fn deliver_frames(
+/// Passes complete messages to the reducer until it closes the connection. Returns whether the last of them ended a response; true
+/// if there was none.
+async fn deliver_frames(
     driver: &Rc<Driver>,
     id: ConnectionId,
     connection: &Connection,
     frames: &mut FrameDecoder,
+    turn: &mut Turn,
 ) -> Result<bool, FrameError> {
     let mut response_ended = true;
     while let Some(frame) = frames.next_frame() {
@@ -126,6 +135,10 @@
         let frame = frame?;
         response_ended = frame.kind == server::READY_FOR_QUERY;
         driver.handle_input(Input::MemberFrame(id, frame));
+        if !driver.members.contains(id) {
+            break;
+        }
+        turn.finish_step().await;
     }
     connection.set_pending_bytes(frames.pending_bytes());
     Ok(response_ended)
--- a/crates/stackgw-gateway/src/io/mod.rs
+++ b/crates/stackgw-gateway/src/io/mod.rs
@@ -28,6 +28,7 @@
 mod startup;
 mod storage;
 mod timers;
+mod turn;
 
 pub use backend_channels::{BackendChannels, BackendCommand, BackendEvent, RelayedStream};
 pub use request_handle::{FrontendResponse, RequestGuard, RequestHandle};
--- a/crates/stackgw-gateway/src/io/signals.rs
+++ b/crates/stackgw-gateway/src/io/signals.rs
@@ -3,7 +3,7 @@
 use super::driver::Driver;
 use crate::reducer::Input;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{future, StreamExt};
 use std::rc::Rc;
 
 pub(super) fn listen() -> std::io::Result<Signals> {
@@ -22,5 +22,7 @@
             Ok(_) => driver.handle_input(Input::Terminate),
             Err(_) => {}
         }
+        // A reload reads files and may take long.
+        future::yield_now().await;
     }
 }
--- a/crates/stackgw-gateway/src/io/storage.rs
+++ b/crates/stackgw-gateway/src/io/storage.rs
@@ -1,6 +1,7 @@
 //! The data that the gateway stores on disk if the operator's file configures it: session records and the endpoint list.
 
 use super::driver::Driver;
+use super::turn::Turn;
 use crate::config::{Config, SessionSharingConfig};
 use crate::reducer::{Incarnation, Input};
 use async_channel::Receiver;
@@ -64,8 +65,10 @@
 
 /// Passes the outcomes of commits to the reducer.
 pub(super) async fn run(driver: Rc<Driver>, results: Receiver<CommitOutcome>) {
+    let mut turn = Turn::default();
     while let Ok(outcome) = results.recv().await {
         driver.handle_input(Input::StoreEvent(outcome));
+        turn.finish_step().await;
     }
 }
 
--- a/crates/stackgw-gateway/src/pg/mod.rs
+++ b/crates/stackgw-gateway/src/pg/mod.rs
@@ -13,7 +13,7 @@
 
 pub use frame::{Frame, FrameDecoder, FrameError};
 pub use load_report::parse_load_report;
-pub use reply::{column_value, Reply, ReplyOutcome, UnexpectedMessage};
+pub use reply::{column_value, Reply, ReplyError, ReplyOutcome, MAX_REPLY_MESSAGES};
 pub use sql::StatementTarget;
 pub use statement::{Statement, StatementError};
 
--- a/crates/stackgw-gateway/src/pg/reply.rs
+++ b/crates/stackgw-gateway/src/pg/reply.rs
@@ -7,10 +7,21 @@
 /// The body of AuthenticationOk.
 const AUTHENTICATION_OK: [u8; 4] = [0; 4];
 
-/// A message whose type or body is not valid at its place in a reply, or a reply that is too large.
+/// Maximum number of messages of a reply to one statement. A reply without an end may consist of small messages.
+pub const MAX_REPLY_MESSAGES: usize = 1024;
+/// Maximum size of the messages of a reply that are not part of its row.
+const MAX_DROPPED_BYTES: usize = 256 << 10;
+
+/// Why a reply is malformed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("unexpected message in a reply")]
-pub struct UnexpectedMessage;
+pub enum ReplyError {
+    /// A message's type or body is not valid at its place in a reply.
+    #[error("unexpected message in a reply")]
+    UnexpectedMessage,
+    /// The reply's row, or its other messages, take too many bytes, or it has too many messages.
+    #[error("a reply is too large")]
+    TooLarge,
+}
 
 /// The outcome of a reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +50,10 @@
     pub position: Option<Time>,
     /// The load report that came with the reply.
     pub report: LoadReport,
+    /// Number of messages received.
+    messages: usize,
+    /// Size of the messages that are not kept in `row`.
+    dropped_bytes: usize,
 }
 
 impl Reply {
@@ -47,8 +62,25 @@
     ///
     /// # Errors
     ///
-    /// The message is not valid here, or the row is too large; the reply is malformed.
-    pub fn add(&mut self, frame: &Frame, max_bytes: usize) -> Result<bool, UnexpectedMessage> {
+    /// The message is not valid here, or the reply is too large; the reply is malformed.
+    pub fn add(&mut self, frame: &Frame, max_bytes: usize) -> Result<bool, ReplyError> {
+        let row_bytes = self.row.len();
+        let is_ended = self.add_message(frame)?;
+        self.messages += 1;
+        if self.row.len() == row_bytes {
+            self.dropped_bytes += frame.bytes.len();
+        }
+        let is_too_large = self.row.len() > max_bytes
+            || self.dropped_bytes > MAX_DROPPED_BYTES
+            || self.messages > MAX_REPLY_MESSAGES;
+        if is_too_large {
+            return Err(ReplyError::TooLarge);
+        }
+        Ok(is_ended)
+    }
+
+    /// Adds the next message, of any size. Returns true if it ends the reply.
+    fn add_message(&mut self, frame: &Frame) -> Result<bool, ReplyError> {
         let body = frame.body();
         let is_open = self.outcome().is_none();
         match frame.kind {
@@ -68,7 +100,7 @@
             }
             server::EMPTY_QUERY_RESPONSE if is_open => self.has_completion = true,
             server::ERROR_RESPONSE if is_open => {
-                self.sqlstate = Some(parse_sqlstate(body).ok_or(UnexpectedMessage)?)
+                self.sqlstate = Some(parse_sqlstate(body).ok_or(ReplyError::UnexpectedMessage)?)
             }
             server::PARAMETER_STATUS => self.take_parameter(body),
             server::NOTICE_RESPONSE | server::BACKEND_KEY_DATA | server::NOTIFICATION_RESPONSE => {}
@@ -77,10 +109,7 @@
                 self.is_ready = true;
                 return Ok(true);
             }
-            _ => return Err(UnexpectedMessage),
-        }
-        if self.row.len() > max_bytes {
-            return Err(UnexpectedMessage);
+            _ => return Err(ReplyError::UnexpectedMessage),
         }
         Ok(false)
     }
--- a/crates/stackgw-gateway/src/reducer/steps/member_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/member_messages.rs
@@ -1,7 +1,7 @@
 //! Handlers for members' messages: a completely written task, and complete or partial messages.
 
 use super::member_connections::reply_outcome;
-use crate::pg::Frame;
+use crate::pg::{Frame, ReplyError};
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
 use crate::reducer::ids::ConnectionId;
@@ -51,7 +51,13 @@
             (ConnectionState::Startup, Ok(_)) if !is_startup_message(frame.kind) => {
                 self.abort_connection(cx, id, CloseReason::ProtocolError);
             }
-            (ConnectionState::Connecting, _) | (_, Err(_)) => {
+            (_, Err(ReplyError::TooLarge)) => {
+                cx.counters.members_oversized += 1;
+                let count = cx.counters.members_oversized;
+                cx.log_rarely(count, "responses of members above the size limit:");
+                self.abort_connection(cx, id, CloseReason::ProtocolError);
+            }
+            (ConnectionState::Connecting, _) | (_, Err(ReplyError::UnexpectedMessage)) => {
                 self.abort_connection(cx, id, CloseReason::ProtocolError);
             }
             (_, Ok(false)) => {}
--- a/crates/stackgw-gateway/tests/common/fixtures.rs
+++ b/crates/stackgw-gateway/tests/common/fixtures.rs
@@ -6,7 +6,11 @@
 use std::path::Path;
 
 /// Messages of the fixtures that have been reworded since: the full text in the fixture, and the full text now.
-const REWORDED_MESSAGES: [(&str, &str); 56] = [
+const REWORDED_MESSAGES: [(&str, &str); 57] = [
+    (
+        "reply 14: false,the message has no place in a reply",
+        "reply 14: false,a reply is too large",
+    ),
     (
         "ROUTER_CONFIG: no JSON: EOF while parsing a list at line 18 column 58",
         "ROUTER_CONFIG: not valid JSON: EOF while parsing a list at line 18 column 58",
--- a/crates/stackgw-gateway/tests/member_responses.rs
+++ b/crates/stackgw-gateway/tests/member_responses.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use stackgw_gateway::pg::MAX_REPLY_MESSAGES;
 use stackgw_gateway::reducer::{CloseReason, ConnectionId, Input};
 use stackgw_router::api::{MS, SECOND};
 
@@ -290,3 +291,37 @@
         Some("58000")
     );
 }
+
+/// Regression: parameters and notices did not count toward the size of a response, so one that consists of them never ended.
+#[test]
+fn a_response_that_never_ends_is_cut_and_its_read_is_retried() {
+    let large_notice = message(b'N', &[&b"SNOTICE\0M"[..], &[b'x'; 4000], b"\0\0"].concat());
+    for part in [status("server_load", "x0=1,x1=0"), large_notice] {
+        let (mut harness, _, conn) = request_in_flight(read_query(900));
+        let mut effects = harness.reply(conn, vec![part; MAX_REPLY_MESSAGES + 1]);
+        assert_eq!(closed(&effects), [conn]);
+        let counters = harness.reducer.counters();
+        assert_eq!(
+            (counters.members_oversized, counters.ended_malformed),
+            (1, 1)
+        );
+        effects.extend(harness.advance(60 * MS));
+        let (next, _) = statements(&effects)[0].clone();
+        assert_eq!(client_replies(&harness.serve(next, b"good"))[0][0], b'T');
+    }
+}
+
+/// As above, for a connection's startup.
+#[test]
+fn a_startup_that_never_ends_is_cut() {
+    let mut harness = ReducerHarness::new(&three_members());
+    harness.auto_connect = false;
+    let client = harness.client(1);
+    let mut effects = harness.send(client, write_query(900));
+    effects.extend(harness.advance(20 * MS));
+    let (conn, _) = opened(&effects)[0];
+    harness.input(Input::MemberConnected(conn));
+    let parameter = status("server_version", "16");
+    let effects = harness.reply(conn, vec![parameter; MAX_REPLY_MESSAGES + 1]);
+    assert!(closed(&effects).contains(&conn));
+}
