Router, gateway: a keyed write is not repeated after its window, however late it is written

Cause: the window was compared with the time of the decision; the attempt may then wait for its connection for the connect timeout, and once more after a connection that breaks in its startup. The check before the write did not look at the window.

The gateway checks all that the decision rested on at the one place where bytes leave (write_obstacle). The time holds for the last byte: an attempt still being written then is ended. Flight SQL's backend gets it along and checks before each of its two steps.

--- a/crates/stackgw-flight/src/backend/dispatcher.rs
+++ b/crates/stackgw-flight/src/backend/dispatcher.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 use tokio::sync::{mpsc, oneshot, OnceCell};
 use tonic::transport::Channel;
 
@@ -31,16 +32,22 @@
     lost_connections: AtomicU64,
 }
 
+/// A request, and the latest time at which any part of it may be sent.
+pub(super) struct TimedRequest {
+    pub(super) request: BackendRequest,
+    pub(super) send_by: Option<Instant>,
+}
+
 /// A connection as the gateway sees it. Dropping the handle closes the connection.
 struct ConnectionHandle {
-    requests: mpsc::UnboundedSender<BackendRequest>,
+    requests: mpsc::UnboundedSender<TimedRequest>,
     _open: oneshot::Sender<()>,
 }
 
 /// The gateway's commands to one connection.
 pub(super) struct ConnectionCommands {
     /// The requests to run on the connection, one at a time.
-    pub(super) requests: mpsc::UnboundedReceiver<BackendRequest>,
+    pub(super) requests: mpsc::UnboundedReceiver<TimedRequest>,
     /// Resolves when the gateway closes the connection.
     pub(super) closed: oneshot::Receiver<()>,
 }
@@ -73,11 +80,15 @@
                 BackendCommand::Open(id, address) => {
                     connections.insert(id, self.open(id, address));
                 }
-                BackendCommand::Execute(id, request) => {
-                    if let Some(connection) = connections.get(&id) {
+                BackendCommand::Execute {
+                    connection,
+                    request,
+                    send_by,
+                } => {
+                    if let Some(connection) = connections.get(&connection) {
                         // Sending fails if the connection has ended; the gateway has then been
                         // notified.
-                        let _ = connection.requests.send(request);
+                        let _ = connection.requests.send(TimedRequest { request, send_by });
                     }
                 }
                 BackendCommand::Close(id) => drop(connections.remove(&id)),
--- a/crates/stackgw-flight/src/backend/request.rs
+++ b/crates/stackgw-flight/src/backend/request.rs
@@ -1,9 +1,9 @@
 //! A request to a member.
 
-use super::dispatcher::Backend;
+use super::dispatcher::{Backend, TimedRequest};
 use super::member_status::{connection_loss, decode_frames, write_error, write_member_parameters};
 use super::value::{read_single_value, SingleValue};
-use crate::protocol::CANCEL_FLIGHT_INFO;
+use crate::protocol::{CANCEL_FLIGHT_INFO, NEVER_RAN, RAN_TRAILER};
 use crate::status::root_cause;
 use crate::sync::lock;
 use arrow_flight::decode::FlightRecordBatchStream;
@@ -20,15 +20,17 @@
 use stackgw_gateway::reducer::{BackendRequest, CloseReason, ConnectionId};
 use stackgw_gateway::BackendEvent;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
-use tonic::metadata::MetadataMap;
+use tonic::metadata::{MetadataMap, MetadataValue};
 use tonic::transport::Channel;
-use tonic::{Request, Status, Streaming};
+use tonic::{Code, Request, Status, Streaming};
 
 /// Timeout for notifying a member of a cancelled request; its reply is ignored.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
+const NOT_SENT_IN_TIME: &str = "the request could not be sent in time";
+
 /// The state of the connection after a request.
 pub(super) enum RequestEnd {
     /// The connection can run another request.
@@ -59,6 +61,8 @@
     pub(super) connection: ConnectionId,
     channel: Channel,
     request: BackendRequest,
+    /// Latest time at which any part of the request may be sent.
+    send_by: Option<Instant>,
     /// The member's reply to GetFlightInfo, which is needed to cancel the request.
     flight_info: Mutex<Option<FlightInfo>>,
 }
@@ -68,13 +72,14 @@
         backend: Arc<Backend>,
         connection: ConnectionId,
         channel: Channel,
-        request: BackendRequest,
+        timed: TimedRequest,
     ) -> Self {
         MemberRequest {
             backend,
             connection,
             channel,
-            request,
+            request: timed.request,
+            send_by: timed.send_by,
             flight_info: Mutex::default(),
         }
     }
@@ -126,6 +131,9 @@
     /// Sends the statement with GetFlightInfo and DoGet. Returns the response before its first
     /// message is read.
     pub(super) async fn send(&self) -> Result<MemberResponse, Status> {
+        if self.is_too_late() {
+            return Err(not_sent_in_time());
+        }
         let mut client = self.client();
         let timeout = Duration::from_millis(self.request.timeout_ms);
         let command = CommandStatementQuery {
@@ -139,6 +147,10 @@
         let ticket = single_ticket(&info);
         let ticket = ticket.ok_or_else(|| Status::internal("the answer is not in one place"))?;
         *lock(&self.flight_info) = Some(info);
+        if self.is_too_late() {
+            // The member may have run the statement for the first part.
+            return Err(Status::deadline_exceeded(NOT_SENT_IN_TIME));
+        }
         let mut request = Request::new(ticket);
         if !self.request.may_stream {
             request.set_timeout(timeout);
@@ -147,6 +159,10 @@
         Ok(MemberResponse { headers, messages })
     }
 
+    fn is_too_late(&self) -> bool {
+        self.send_by.is_some_and(|latest| Instant::now() > latest)
+    }
+
     /// Requests in the background that the member cancel the request; has no effect before the
     /// member has replied to GetFlightInfo. Members that detect reset streams have already stopped
     /// it.
@@ -219,6 +235,14 @@
     }
 }
 
+/// The status of a request of which nothing was sent. It is that of a member which cannot serve the
+/// request, so that the gateway may try another one.
+fn not_sent_in_time() -> Status {
+    let mut never_ran = MetadataMap::new();
+    never_ran.insert(RAN_TRAILER, MetadataValue::from_static(NEVER_RAN));
+    Status::with_metadata(Code::FailedPrecondition, NOT_SENT_IN_TIME, never_ran)
+}
+
 /// The ticket of a response with a single endpoint at the member itself; `None` for any other
 /// response.
 fn single_ticket(info: &FlightInfo) -> Option<Ticket> {
--- a/crates/stackgw-gateway/src/io/backend_channels.rs
+++ b/crates/stackgw-gateway/src/io/backend_channels.rs
@@ -9,6 +9,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// A stream that is passed from a backend to a frontend. Both know its type; the gateway does not.
 pub type RelayedStream = Box<dyn Any + Send>;
@@ -18,8 +19,16 @@
 pub enum BackendCommand {
     /// Open a connection to a member.
     Open(ConnectionId, SocketAddr),
-    /// Execute a request on a connection. The gateway sends the next one only after the response to this one has ended.
-    Execute(ConnectionId, BackendRequest),
+    /// Execute a request on a connection. The gateway sends the next one only after the response to this one has ended. `send_by`
+    /// is the latest time at which any part of it may be sent to the member.
+    Execute {
+        /// The connection.
+        connection: ConnectionId,
+        /// The request.
+        request: BackendRequest,
+        /// `None`: there is no such time.
+        send_by: Option<Instant>,
+    },
     /// Close a connection and stop the request on it; a write that has been sent is still executed to its end.
     Close(ConnectionId),
 }
--- a/crates/stackgw-gateway/src/io/backends.rs
+++ b/crates/stackgw-gateway/src/io/backends.rs
@@ -62,7 +62,12 @@
     /// Passes a request to the backend and reports it as written at once, because the backend may send it at any time from now
     /// on. If the backend could not send it, it closes the connection with [`CloseReason::NotSent`].
     pub(super) fn execute_on_backend(&self, id: ConnectionId, request: BackendRequest) {
-        self.backend.send(BackendCommand::Execute(id, request));
+        let send_by = request.write_by.map(|latest| self.clock.instant(latest));
+        self.backend.send(BackendCommand::Execute {
+            connection: id,
+            request,
+            send_by,
+        });
         self.queue_input(Input::MemberFlushed(id));
     }
 
--- a/crates/stackgw-gateway/src/reducer/backend.rs
+++ b/crates/stackgw-gateway/src/reducer/backend.rs
@@ -19,6 +19,8 @@
     pub is_write: bool,
     /// The response may be a stream; otherwise it is one value.
     pub may_stream: bool,
+    /// Latest time at which it may be sent.
+    pub write_by: Option<Time>,
 }
 
 impl BackendRequest {
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -22,6 +22,14 @@
     backend_request: BackendRequest,
 }
 
+/// Why a task must no longer be written.
+enum WriteObstacle {
+    /// The member is draining or removed, and the grace is over: its connection is of no further use.
+    MemberDrained,
+    /// The request is finished, or it is too late for the attempt.
+    Obsolete,
+}
+
 impl Gateway {
     /// Sends an attempt of a request, with the timeout and the latest time to write it that the router sets.
     pub(super) fn send_attempt(
@@ -139,22 +147,19 @@
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
-        let member = connection.member;
-        if self
-            .members
-            .is_past_grace(cx.now, member, cx.limits.drain_grace)
-        {
-            // Without this check, a request that was assigned within the drain grace could be sent after it, when the connect
-            // was slow.
-            connection.state = ConnectionState::Writing;
-            cx.emit(Effect::MemberClose(id));
-            return self.finish_task(cx, id, Outcome::NotSent);
-        }
-        // A client may disconnect, or its deadline may pass, while its attempt waits for a connection. If the settings do not
-        // allow cancellation, the attempt has not been cancelled.
-        let task = connection.task;
-        if task.is_some_and(|task| self.is_obsolete(cx.now, task)) {
-            return self.release_connection(cx, id, Outcome::NotSent);
+        let (member, task) = (connection.member, connection.task);
+        match task.and_then(|task| self.write_obstacle(cx, member, task)) {
+            None => {}
+            Some(WriteObstacle::MemberDrained) => {
+                if let Some(connection) = self.connections.get_mut(id) {
+                    connection.state = ConnectionState::Writing;
+                }
+                cx.emit(Effect::MemberClose(id));
+                return self.finish_task(cx, id, Outcome::NotSent);
+            }
+            Some(WriteObstacle::Obsolete) => {
+                return self.release_connection(cx, id, Outcome::NotSent);
+            }
         }
         let Some(outgoing) = task.and_then(|task| self.prepare_task(cx, task)) else {
             return;
@@ -167,7 +172,10 @@
         connection.reply = Reply::default();
         connection.response_started = false;
         connection.task_deadline = outgoing.deadline;
-        self.connections.set_timer(cx, id, outgoing.deadline);
+        let write_by = outgoing.backend_request.write_by;
+        let write_timeout = write_by.map_or(outgoing.deadline, |latest| latest.saturating_add(1));
+        let at = outgoing.deadline.min(write_timeout);
+        self.connections.set_timer(cx, id, at);
         cx.emit(if is_backend {
             Effect::BackendSend(id, outgoing.backend_request.with_query(&outgoing.query))
         } else {
@@ -175,6 +183,29 @@
         });
     }
 
+    /// Returns why a task must no longer be written to a member. This is the only place where bytes leave for a member, and a task
+    /// may have waited for its connection, so everything that the decision to send it rested on is checked once more.
+    fn write_obstacle(
+        &self,
+        cx: &Context<'_>,
+        member: MemberId,
+        task: ConnectionTask,
+    ) -> Option<WriteObstacle> {
+        let grace = cx.limits.drain_grace;
+        if self.members.is_past_grace(cx.now, member, grace) {
+            return Some(WriteObstacle::MemberDrained);
+        }
+        let ConnectionTask::Attempt(attempt) = task else {
+            return None;
+        };
+        // Its client may have disconnected. If the settings do not allow cancellation, the attempt has not been cancelled.
+        let open = self.requests.get(attempt.request);
+        let is_finished = open.is_none_or(|open| open.is_finished);
+        let is_late = attempt.write_by.is_some_and(|latest| cx.now > latest);
+        let may_write = !is_finished && !is_late && cx.now < attempt.deadline;
+        (!may_write).then_some(WriteObstacle::Obsolete)
+    }
+
     fn prepare_task(&self, cx: &Context<'_>, task: ConnectionTask) -> Option<OutgoingTask> {
         match task {
             ConnectionTask::Attempt(attempt) => {
@@ -187,6 +218,7 @@
                         timeout_ms,
                         is_write: open.statement.write,
                         may_stream: open.may_stream,
+                        write_by: attempt.write_by,
                         ..BackendRequest::default()
                     },
                 })
@@ -207,16 +239,6 @@
         }
     }
 
-    /// Returns whether an attempt's request is finished, or its deadline or the latest time to write it has passed.
-    fn is_obsolete(&self, now: Time, task: ConnectionTask) -> bool {
-        let ConnectionTask::Attempt(attempt) = task else {
-            return false;
-        };
-        let open = self.requests.get(attempt.request);
-        let is_late = attempt.write_by.is_some_and(|latest| now > latest);
-        attempt.deadline <= now || is_late || open.is_none_or(|open| open.is_finished)
-    }
-
     /// Ends a connection's task, answered or obsolete, and returns the usable connection to the pool.
     pub(super) fn release_connection(
         &mut self,
--- a/crates/stackgw-gateway/src/reducer/steps/member_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/member_messages.rs
@@ -20,8 +20,15 @@
             return;
         }
         connection.state = ConnectionState::AwaitingResponse;
-        let is_attempt = matches!(connection.task, Some(ConnectionTask::Attempt(_)));
-        cx.counters.written += u64::from(is_attempt);
+        let deadline = connection.task_deadline;
+        let Some(ConnectionTask::Attempt(attempt)) = connection.task else {
+            return;
+        };
+        cx.counters.written += 1;
+        if attempt.write_by.is_some() {
+            // Until now, the timer was that of the latest time to write.
+            self.connections.set_timer(cx, id, deadline);
+        }
     }
 
     /// Handles a member's complete message.
--- a/crates/stackgw-router/src/api/action.rs
+++ b/crates/stackgw-router/src/api/action.rs
@@ -47,8 +47,9 @@
         member: MemberId,
         /// Time after which the attempt times out. `None`: at the client's deadline.
         timeout: Option<Span>,
-        /// Latest time at which the host may write the attempt, on the host's clock: then the member's known position becomes too
-        /// old for the read. An attempt that is not written by then ends as not sent. `None`: no such time.
+        /// Latest time at which the host may write the attempt's last byte, on the host's clock: then the member's known position
+        /// becomes too old for the read, or the members forget the idempotency key of a request that may have run before. An
+        /// attempt that is not written by then ends as not sent. `None`: no such time.
         write_by: Option<Time>,
         /// Why this member was selected.
         reason: SelectionReason,
--- a/crates/stackgw-router/src/router/mod.rs
+++ b/crates/stackgw-router/src/router/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! `requests` accepts and dispatches each request: it selects a member (`selection`) that has capacity
 //! (`admission`, `slow_start`). Without one, the request is queued until it can be dispatched or is rejected.
+//! `validity` says how long such a decision holds.
 //! `clock_offset` allows for a host whose clock differs from the members'.
 //! `membership`, `health_checks` and `gossip` process what members report about themselves, `outliers` the
 //! results of attempts, and `schedule` runs periodic work. This file and `events`, which passes each event to
@@ -19,6 +20,7 @@
 mod schedule;
 mod selection;
 mod slow_start;
+mod validity;
 
 use crate::api::*;
 use crate::state::{ByRole, GossipQueue, MemberTable, RequestTable, SessionWrites, ThroughputMeter};
--- a/crates/stackgw-router/src/router/requests.rs
+++ b/crates/stackgw-router/src/router/requests.rs
@@ -79,7 +79,7 @@
         let Selected { member: to, reason } = selected;
         let (Some(member), Some(request)) = (self.members.get(to), self.requests.get(id)) else { return };
         let slow_start_factor = self.slow_start_factor(member);
-        let write_by = self.position_valid_until(&request.class, member, selected);
+        let write_by = self.write_by(request, member, selected);
         let Some((member, group)) = self.members.with_group(to) else { return };
         let Some(request) = self.requests.get_mut(id) else { return };
         let rules = &self.settings.obligations;
@@ -158,11 +158,12 @@
         if is_exhausted || request.deadline() - self.now <= self.settings.tick {
             return false;
         }
-        let margin = self.settings.tick * 2;
         match (request.class.idempotency, request.may_have_run_at) {
             (Idempotency::Idempotent, _) | (_, None) => true,
             (Idempotency::WithKey { scope: KeyScope::Zone, .. }, _) => false,
-            (Idempotency::WithKey { window, .. }, Some(first)) => self.now - first < window - margin,
+            (Idempotency::WithKey { .. }, _) => {
+                self.key_valid_until(request).is_none_or(|end| self.now < end)
+            }
             (Idempotency::NonIdempotent, Some(_)) => false,
         }
     }
--- /dev/null
+++ b/crates/stackgw-router/src/router/validity.rs
@@ -0,0 +1,30 @@
+//! How long a decision to send holds: an attempt may wait for its connection, and is checked once more before
+//! it is written.
+
+use super::selection::Selected;
+use super::Router;
+use crate::api::*;
+use crate::state::{MemberState, RequestState};
+
+/// Subtracted from the time for which members remember a key, in ticks.
+const KEY_WINDOW_MARGIN_TICKS: Span = 2;
+
+impl Router {
+    /// Latest time at which an attempt may be written. `None`: no such time but the request's deadline.
+    pub(super) fn write_by(
+        &self,
+        request: &RequestState,
+        member: &MemberState,
+        selected: Selected,
+    ) -> Option<Time> {
+        let position_end = self.position_valid_until(&request.class, member, selected);
+        position_end.into_iter().chain(self.key_valid_until(request)).min()
+    }
+
+    /// Until when members drop a repeat of a request that may have run. `None`: it may be sent at any time.
+    pub(super) fn key_valid_until(&self, request: &RequestState) -> Option<Time> {
+        let Idempotency::WithKey { window, .. } = request.class.idempotency else { return None };
+        let first = request.may_have_run_at?;
+        Some(first.saturating_add(window - self.settings.tick * KEY_WINDOW_MARGIN_TICKS))
+    }
+}
--- a/crates/stackgw-router/tests/decisions/idempotency.rs
+++ b/crates/stackgw-router/tests/decisions/idempotency.rs
@@ -65,3 +65,26 @@
     }
     assert_eq!(count, 6, "attempts of a request; `max_attempts` is 6");
 }
+
+/// Regression: the window of a key was compared with the time of the decision alone, and the attempt could wait for its
+/// connection beyond it.
+#[test]
+fn a_repeat_of_a_write_with_a_key_must_be_written_inside_its_window() {
+    let write_by = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { write_by, .. } => Some(*write_by),
+            _ => None,
+        })
+    };
+    let mut host = TestHost::with_reports(settings(), 3);
+    let sent_at = host.now;
+    let (id, actions) = host.request(WITH_KEY);
+    assert_eq!(write_by(&actions), Some(None), "the first attempt may be written at any time");
+    host.now += 1_900 * MS;
+    let actions = host.end_attempt(id, 0, Outcome::ConnectionReset, 1_900 * MS);
+    let latest = write_by(&actions).expect("the write is repeated").expect("a latest time to write it");
+    assert!(
+        (host.now..=sent_at + 2 * SECOND).contains(&latest),
+        "{latest} is not between now and the end of the window"
+    );
+}
