Router, gateway: a read is not written to a member that denied the primary role meanwhile

Change: right before the write the gateway asks the router whether what is known now still lets the member serve the request (Router::may_write).

Evidence: a_read_is_not_written_to_a_member_that_denied_the_primary_role_while_its_connection_came_up failed on for strong and for bounded reads and passes; a primary that still claims the role is written to, as before.

--- a/crates/stackgw-gateway/src/reducer/state/router_driver.rs
+++ b/crates/stackgw-gateway/src/reducer/state/router_driver.rs
@@ -2,7 +2,8 @@
 
 use crate::reducer::clock::TickClock;
 use stackgw_router::api::{
-    Action, ConnectionPermits, Event, GossipUpdate, MemberId, MemberSnapshot, Settings, Span, Time,
+    Action, ConnectionPermits, Event, GossipUpdate, MemberId, MemberSnapshot, RequestId, Settings,
+    Span, Time,
 };
 use stackgw_router::Router;
 use std::collections::VecDeque;
@@ -41,6 +42,11 @@
         Some(actions)
     }
 
+    /// Returns whether what is known now of a member still lets it serve a request that was sent to it and is not written yet.
+    pub(crate) fn may_write(&self, request: RequestId, member: MemberId) -> bool {
+        self.router.may_write(request, member)
+    }
+
     /// Keeps an empty vector of actions for reuse.
     pub(crate) fn recycle(&mut self, actions: Vec<Action>) {
         self.spare_actions = actions;
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -26,7 +26,7 @@
 enum WriteObstacle {
     /// The member is draining or removed, and the grace is over: its connection is of no further use.
     MemberDrained,
-    /// The request is finished, or it is too late for the attempt.
+    /// The request is finished, it is too late for the attempt, or the member may not serve it any more.
     Obsolete,
 }
 
@@ -202,7 +202,10 @@
         let open = self.requests.get(attempt.request);
         let is_finished = open.is_none_or(|open| open.is_finished);
         let is_late = attempt.write_by.is_some_and(|latest| cx.now > latest);
-        let may_write = !is_finished && !is_late && cx.now < attempt.deadline;
+        let may_write = !is_finished
+            && !is_late
+            && cx.now < attempt.deadline
+            && self.router.may_write(attempt.request, member);
         (!may_write).then_some(WriteObstacle::Obsolete)
     }
 
--- a/crates/stackgw-gateway/tests/late_connections.rs
+++ b/crates/stackgw-gateway/tests/late_connections.rs
@@ -125,6 +125,37 @@
     assert_failed(&effects);
 }
 
+/// A write in flight at the primary, and the new connection that a read of the class `look` waits for.
+fn read_that_waits_for_its_connection(
+    config: Config,
+    claims_role: bool,
+) -> (ReducerHarness, ConnectionId, ConnectionId) {
+    let mut harness = ReducerHarness::with(config);
+    harness.answer_health_checks = false;
+    harness.input(Input::EndpointList(list(
+        1,
+        true,
+        &[entry(1, "ready", "leader")],
+    )));
+    let client = harness.client(1);
+    if claims_role {
+        let mut effects = harness.send(client, write_query(900));
+        effects.extend(harness.advance(20 * MS));
+        let (conn, _) = statements(&effects)[0].clone();
+        answer_as(&mut harness, conn, "leader");
+    }
+    let mut effects = harness.send(client, write_query(900));
+    effects.extend(harness.advance(20 * MS));
+    let (write, _) = statements(&effects)[0].clone();
+    close_other_connections(&mut harness, write);
+    harness.auto_connect = false;
+    let reader = harness.client(2);
+    let mut effects = harness.send(reader, read_query(900));
+    effects.extend(harness.advance(20 * MS));
+    let read = opened(&effects).last().map(|(conn, _)| *conn);
+    (harness, write, read.expect("a new connection"))
+}
+
 /// Answers a statement with a row, this role, and a position of ten seconds ago.
 fn answer_as(harness: &mut ReducerHarness, conn: ConnectionId, role: &str) {
     let position = ((harness.now - 10_000 * MS) / MS).to_string();
@@ -135,3 +166,29 @@
     ];
     harness.reply(conn, [row(b"x"), tail].concat());
 }
+
+/// Regression: a read that waited for its connection to the primary was written although the member had denied the role meanwhile.
+#[test]
+fn a_read_is_not_written_to_a_member_that_denied_the_primary_role_while_its_connection_came_up() {
+    let strong = config_text("null").replacen(r#"["recent","#, r#"["latest","#, 1);
+    let strong = Config::from_text(&strong, |_| None).expect("a valid configuration");
+    for (config, claims_role) in [(strong, true), (config("null"), false)] {
+        let (mut harness, write, read) = read_that_waits_for_its_connection(config, claims_role);
+        answer_as(&mut harness, write, "follower");
+        let effects = establish(&mut harness, read);
+        assert!(
+            statements(&effects).is_empty(),
+            "the read was written to a replica whose data is too old"
+        );
+    }
+}
+
+#[test]
+fn a_read_is_written_to_a_primary_that_still_claims_the_role_when_its_connection_came_up() {
+    let strong = config_text("null").replacen(r#"["recent","#, r#"["latest","#, 1);
+    let strong = Config::from_text(&strong, |_| None).expect("a valid configuration");
+    let (mut harness, write, read) = read_that_waits_for_its_connection(strong, true);
+    answer_as(&mut harness, write, "leader");
+    let effects = establish(&mut harness, read);
+    assert_eq!(statements(&effects).len(), 1);
+}
--- a/crates/stackgw-router/src/router/selection.rs
+++ b/crates/stackgw-router/src/router/selection.rs
@@ -15,7 +15,11 @@
 impl Router {
     /// Selects the member for a request: the preferred one for its consistency, or a fallback.
     pub(super) fn select_member(&self, request: &RequestState) -> Option<Selected> {
-        Selection { router: self, request, primary: self.primary(request.group()) }.select()
+        self.selection(request).select()
+    }
+
+    pub(super) fn selection<'a>(&'a self, request: &'a RequestState) -> Selection<'a> {
+        Selection { router: self, request, primary: self.primary(request.group()) }
     }
 }
 
@@ -33,7 +37,7 @@
 }
 
 /// Selects a member for one request.
-struct Selection<'a> {
+pub(super) struct Selection<'a> {
     router: &'a Router,
     request: &'a RequestState,
     primary: Option<MemberId>,
@@ -91,7 +95,7 @@
 
     /// Whether a read that needs this position may go to the primary: a former one may be a lagging replica.
     /// A session read needs a claim of the role; for others the list is enough until an answer denies it.
-    fn may_fall_back(&self, primary: MemberId, min_position: Time) -> bool {
+    pub(super) fn may_fall_back(&self, primary: MemberId, min_position: Time) -> bool {
         let is_session_read = self.request.consistency() == Consistency::ReadYourWrites;
         let is_trusted = !is_session_read && !self.router.members[primary].denies_primary;
         is_trusted || self.has_applied(primary, min_position)
@@ -157,12 +161,12 @@
 
     /// Whether a member has applied all commits up to this time: it is the primary, or its position tells.
     /// One that is merely listed, or that denied the role to this router, may be a replica.
-    fn has_applied(&self, id: MemberId, time: Time) -> bool {
+    pub(super) fn has_applied(&self, id: MemberId, time: Time) -> bool {
         let member = &self.router.members[id];
         self.has_claimed(id) && !member.denies_primary || member.position >= time
     }
 
-    fn has_claimed(&self, id: MemberId) -> bool {
+    pub(super) fn has_claimed(&self, id: MemberId) -> bool {
         self.router.members.claimed_primary(self.request.group()) == Some(id)
     }
 }
--- a/crates/stackgw-router/tests/decisions/idempotency.rs
+++ b/crates/stackgw-router/tests/decisions/idempotency.rs
@@ -88,3 +88,17 @@
         "{latest} is not between now and the end of the window"
     );
 }
+
+/// Regression: a read was written to a member that had denied the role of primary after the decision.
+#[test]
+fn a_strong_read_may_be_written_only_while_its_member_claims_the_primary_role() {
+    let mut host = TestHost::with_reports(settings(), 3);
+    let (write, _) = host.request(WRITE);
+    host.end_attempt_as(write, 0, Outcome::Served, MS, Some(true), Some(host.now));
+    let (other, _) = host.request(WRITE);
+    let (read, actions) = host.request(STRONG);
+    assert_eq!(sent_to(&actions), [0]);
+    assert!(host.router.may_write(read, MemberId(0)));
+    host.end_attempt_as(other, 0, Outcome::Served, MS, Some(false), Some(host.now - SECOND));
+    assert!(!host.router.may_write(read, MemberId(0)));
+}
