Gateway: no client is closed for responses that the gateway itself holds back

Cause: responses that waited for an earlier one counted as unread bytes of their client, and the client with the most was closed. Nothing was reserved or refused before the statements were taken.

Change: only a client with unread bytes may be closed. A response that would have to wait is kept up to seven eighths of the limit; above that, a request that may be repeated without harm is rejected in its place, with a time to come back. The memory for the response to any other request is reserved before it is sent; without it, it is rejected at once. A response that waits for none replaces held ones, and closes a client only if that has not read for 0.5 s, or nothing else is left. Held responses are kept at their size, not at up to twice that (replies_rejected counts).

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -27,6 +27,9 @@
     answered_served,
     /// Requests rejected; none of them was executed.
     answered_rejected,
+    /// Responses of members replaced by rejections because they would have had to wait for earlier responses of their client and
+    /// too many did.
+    replies_rejected,
     /// Requests answered with a failure; they may have been executed.
     answered_failed,
     /// Requests whose client disconnected before the response.
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -61,8 +61,11 @@
     pub client_bytes: usize,
     /// Size of the partial responses of all members; above it reads pause.
     pub member_bytes: usize,
-    /// Bytes written to all clients that they have not read; above it the client that has not read for longest is disconnected.
+    /// Bytes of responses that clients have not read, or that wait for earlier responses of the same client. Above it, responses
+    /// that wait are replaced by rejections, and the client with the most unread bytes is disconnected.
     pub pending_write_bytes: usize,
+    /// Above `pending_write_bytes`, a client that has not read for this long is disconnected before any response is replaced.
+    pub unread_grace: Span,
     /// Time after a notice that a member is draining or removed until no new request may be sent to it.
     pub drain_grace: Span,
     /// `drain_grace` applies only to notices that a member is draining, not to those that it is removed.
@@ -192,6 +195,7 @@
     client_bytes: 0,
     member_bytes: 0,
     pending_write_bytes: 0,
+    unread_grace: 500 * MS,
     drain_grace: 0,
     removal_is_advisory: false,
     connect_timeout: 0,
@@ -241,6 +245,12 @@
         self.client_bytes - self.client_bytes / RESERVED_DIVISOR
     }
 
+    /// Returns how many bytes of responses may be unread or wait for earlier responses when a further one has to wait. The rest
+    /// of `pending_write_bytes` is for responses that are written at once.
+    pub fn held_reply_bytes(&self) -> usize {
+        self.pending_write_bytes / 8 * 7
+    }
+
     /// Returns how many bytes a client may send ahead without being closed while the bytes sent ahead by all clients exceed
     /// their limit: the largest statement, but at most 1/16 of `client_bytes`.
     pub fn tolerated_read_ahead_bytes(&self) -> usize {
--- a/crates/stackgw-gateway/src/reducer/state/client.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client.rs
@@ -13,6 +13,10 @@
     pub(super) request: Option<RequestId>,
     /// Size of that request's statement.
     pub(super) statement_bytes: usize,
+    /// Bytes reserved for its response.
+    pub(super) reserved_bytes: usize,
+    /// The request is idempotent, so that its response may be replaced by a rejection.
+    pub(super) is_idempotent: bool,
     pub(crate) reply: Vec<u8>,
     /// The connection is closed after this response.
     pub(crate) is_last: bool,
@@ -86,6 +90,17 @@
         }
     }
 
+    /// Bytes of responses that wait for the responses before them.
+    pub(super) fn held_reply_bytes(&self) -> usize {
+        self.pipeline.iter().map(|slot| slot.reply.len()).sum()
+    }
+
+    /// Bytes written to it that are not flushed.
+    pub(super) fn unread_bytes(&self) -> usize {
+        self.pending_write_bytes
+            .saturating_sub(self.held_reply_bytes())
+    }
+
     pub(super) fn is_idle(&self) -> bool {
         self.pipeline.is_empty() && self.queued.is_empty() && self.is_receptive()
     }
--- a/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
@@ -1,11 +1,12 @@
 //! Client buffers: bytes that clients have sent and that are not delivered, and bytes written to clients that are not flushed.
-//! Decides whose next message is accepted, and which client is closed if the buffers of all clients exceed a limit.
+//! Decides whose next message is accepted, which responses are kept until earlier ones are complete, and which client is closed
+//! if the buffers of all clients exceed a limit.
 
-use super::client::PipelineSlot;
-use super::clients::Clients;
+use super::client::{Client, PipelineSlot};
+use super::clients::{Clients, OpenedRequest};
 use crate::limits::Limits;
 use crate::reducer::ids::ClientId;
-use stackgw_router::api::Time;
+use stackgw_router::api::{RequestId, Span, Time};
 use std::cmp::Reverse;
 
 impl Clients {
@@ -137,23 +138,89 @@
         self.pending_write_bytes
     }
 
-    /// Returns the client to close when the unread bytes of all clients exceed their limit: of the clients with unflushed
-    /// writes the one with the most bytes, and at equal bytes the one that has not read for longest. The client that is being
-    /// written to is a candidate only if an earlier write is not flushed. If no candidate has unflushed writes, it is the one
-    /// with the most bytes queued behind an open response.
-    pub(crate) fn largest_unread(&self, now: Time, writing_to: ClientId) -> Option<ClientId> {
+    /// Returns the client to close when the unread bytes of all clients exceed their limit: of the clients that have not read
+    /// for at least `min_unread_time` the one with the most unread bytes, and at equal bytes the one that has not read for
+    /// longest. The client that is being written to is a candidate only if an earlier write is not flushed. A client without
+    /// unread bytes is none: responses that wait for an earlier one are held by the gateway, not by their client.
+    pub(crate) fn largest_unread(
+        &self,
+        now: Time,
+        writing_to: ClientId,
+        min_unread_time: Span,
+    ) -> Option<ClientId> {
         let candidates = self.connected.iter().filter(|(id, client)| {
-            let was_unflushed = client.unflushed_since.is_some_and(|since| since < now);
-            client.pending_write_bytes > 0 && (**id != writing_to || was_unflushed)
+            let unread_since = client.unflushed_since;
+            unread_since.is_some_and(|since| {
+                let is_unread = **id != writing_to || since < now;
+                is_unread && now - since >= min_unread_time && client.unread_bytes() > 0
+            })
         });
         let largest = candidates.max_by_key(|(id, client)| {
             let since = client.unflushed_since;
-            (
-                since.is_some(),
-                client.pending_write_bytes,
-                Reverse((since, **id)),
-            )
+            (client.unread_bytes(), Reverse((since, **id)))
         });
         largest.map(|(id, _)| *id)
     }
+
+    // Responses that wait for earlier ones.
+
+    /// Returns whether a response of this size may be kept for a client until the responses before it are complete. One that
+    /// waits for none needs no capacity.
+    pub(crate) fn may_hold_reply(
+        &self,
+        id: ClientId,
+        request: RequestId,
+        bytes: usize,
+        limits: &Limits,
+    ) -> bool {
+        let client = self.connected.get(&id);
+        let first = client.and_then(|client| client.pipeline.front());
+        let waits = first.is_some_and(|slot| slot.request != Some(request));
+        !waits || self.has_held_capacity(bytes, limits)
+    }
+
+    /// Returns whether a client's next statement may be accepted as far as its response is concerned: the response waits for no
+    /// other, or can be kept.
+    pub(crate) fn may_open_request(
+        &self,
+        id: ClientId,
+        opened: &OpenedRequest,
+        limits: &Limits,
+    ) -> bool {
+        let client = self.connected.get(&id);
+        let waits = client.is_some_and(|client| !client.pipeline.is_empty());
+        !waits || self.has_held_capacity(opened.reply_bytes, limits)
+    }
+
+    fn has_held_capacity(&self, bytes: usize, limits: &Limits) -> bool {
+        let used = self.pending_write_bytes + self.reserved_reply_bytes;
+        used.saturating_add(bytes) <= limits.held_reply_bytes()
+    }
+
+    /// Replaces the last response that may be replaced of the client with the most bytes of such responses. Returns false if
+    /// there is none that is larger than the replacement.
+    pub(crate) fn replace_held_reply(&mut self, replacement: &[u8]) -> bool {
+        let is_replaceable =
+            |slot: &PipelineSlot| slot.is_idempotent && slot.reply.len() > replacement.len();
+        let replaceable_bytes = |client: &Client| -> usize {
+            let slots = client.pipeline.iter().filter(|slot| is_replaceable(slot));
+            slots.map(|slot| slot.reply.len()).sum()
+        };
+        let largest = self
+            .connected
+            .values_mut()
+            .max_by_key(|client| replaceable_bytes(client));
+        let Some(client) = largest else {
+            return false;
+        };
+        let mut slots = client.pipeline.iter_mut().rev();
+        let Some(slot) = slots.find(|slot| is_replaceable(slot)) else {
+            return false;
+        };
+        let freed = slot.reply.len() - replacement.len();
+        slot.reply = replacement.to_vec();
+        client.pending_write_bytes -= freed;
+        self.pending_write_bytes -= freed;
+        true
+    }
 }
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -17,6 +17,8 @@
     pub(super) eviction_order: BTreeSet<EvictionRank>,
     pub(super) read_ahead_bytes: usize,
     pub(super) pending_write_bytes: usize,
+    /// Bytes reserved for responses that are still open.
+    pub(super) reserved_reply_bytes: usize,
     /// A timer for the next eviction is pending.
     pub(super) admission_timer_pending: bool,
     pub(super) is_accepting: bool,
@@ -26,6 +28,15 @@
     cancel_key_seed: u64,
 }
 
+/// What a client's new request needs in its pipeline.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OpenedRequest {
+    pub(crate) statement_bytes: usize,
+    /// Bytes to reserve for its response if that has to wait for earlier ones.
+    pub(crate) reply_bytes: usize,
+    pub(crate) is_idempotent: bool,
+}
+
 /// Returns whether a time is further in the past than a span; false without a time.
 fn has_elapsed(now: Time, since: Option<Time>, span: Span) -> bool {
     since.is_some_and(|since| now - since > span)
@@ -38,6 +49,7 @@
             eviction_order: BTreeSet::new(),
             read_ahead_bytes: 0,
             pending_write_bytes: 0,
+            reserved_reply_bytes: 0,
             admission_timer_pending: false,
             is_accepting: false,
             evicting: None,
@@ -85,6 +97,8 @@
         self.eviction_order.remove(&client.eviction_rank(id));
         self.read_ahead_bytes -= client.read_ahead_bytes;
         self.pending_write_bytes -= client.pending_write_bytes;
+        let reserved = client.pipeline.iter().map(|slot| slot.reserved_bytes);
+        self.reserved_reply_bytes -= reserved.sum::<usize>();
         cx.counters.clients_open -= 1;
         if self.evicting == Some(id) {
             cx.counters.clients_evicted += 1;
@@ -228,34 +242,46 @@
 
     // The pipeline.
 
-    /// Reserves the next slot in a client's pipeline for a request's response.
-    pub(crate) fn push_request(
-        &mut self,
-        id: ClientId,
-        request: RequestId,
-        statement_bytes: usize,
-    ) {
-        if let Some(client) = self.connected.get_mut(&id) {
-            client.pipeline.push_back(PipelineSlot {
-                request: Some(request),
-                statement_bytes,
-                ..PipelineSlot::default()
-            });
-            client.consecutive_malformed = 0;
-        }
+    /// Adds the next slot to a client's pipeline, for a request's response.
+    pub(crate) fn push_request(&mut self, id: ClientId, request: RequestId, opened: OpenedRequest) {
+        let Some(client) = self.connected.get_mut(&id) else {
+            return;
+        };
+        // The first response of a pipeline waits for no other.
+        let waits = !client.pipeline.is_empty();
+        let reserved_bytes = if waits { opened.reply_bytes } else { 0 };
+        self.reserved_reply_bytes += reserved_bytes;
+        client.pipeline.push_back(PipelineSlot {
+            request: Some(request),
+            statement_bytes: opened.statement_bytes,
+            reserved_bytes,
+            is_idempotent: opened.is_idempotent,
+            ..PipelineSlot::default()
+        });
+        client.consecutive_malformed = 0;
     }
 
     /// Puts a request's response into its slot. Returns false if the client does not wait for it.
-    pub(crate) fn fill_slot(&mut self, id: ClientId, request: RequestId, reply: Vec<u8>) -> bool {
+    pub(crate) fn fill_slot(
+        &mut self,
+        id: ClientId,
+        request: RequestId,
+        mut reply: Vec<u8>,
+    ) -> bool {
         let Some(client) = self.connected.get_mut(&id) else {
             return false;
         };
-        let mut slots = client.pipeline.iter_mut();
-        let Some(slot) = slots.find(|slot| slot.request == Some(request)) else {
+        let mut slots = client.pipeline.iter_mut().enumerate();
+        let Some((index, slot)) = slots.find(|(_, slot)| slot.request == Some(request)) else {
             return false;
         };
+        if index > 0 {
+            // It is kept for a while, and only its length counts.
+            reply.shrink_to_fit();
+        }
         client.pending_write_bytes += reply.len();
         self.pending_write_bytes += reply.len();
+        self.reserved_reply_bytes -= std::mem::take(&mut slot.reserved_bytes);
         slot.request = None;
         slot.statement_bytes = 0;
         slot.reply = reply;
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -351,8 +351,11 @@
         if outcome == Outcome::Served && !was_finished {
             let row = std::mem::take(&mut reply.row);
             if let Some(row) = self.await_write_confirmation(cx, request, reply.position, row) {
-                let answered = self.answer(cx, request, FinalResponse::Served(row));
-                cx.counters.answered_served += u64::from(answered);
+                let response = self.response_within_capacity(cx, request, row);
+                let is_served = matches!(response, FinalResponse::Served(_));
+                let answered = self.answer(cx, request, response);
+                cx.counters.answered_served += u64::from(answered && is_served);
+                cx.counters.answered_rejected += u64::from(answered && !is_served);
             }
         }
         self.router.enqueue(Event::AttemptEnded(AttemptResult {
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -3,13 +3,17 @@
 use crate::pg::write;
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
-use crate::reducer::ids::ClientId;
+use crate::reducer::ids::{ClientId, Requester};
 use crate::reducer::input::ReadAhead;
 use crate::reducer::response::{
-    ClientError, LIMIT_EXCEEDED, PROTOCOL_VIOLATION, TOO_MANY_CONNECTIONS,
+    ClientError, FinalResponse, LIMIT_EXCEEDED, PROTOCOL_VIOLATION, TOO_MANY_CONNECTIONS,
 };
 use crate::reducer::state::admission::Capacity;
 use crate::reducer::state::Gateway;
+use stackgw_router::api::{RequestId, Span, MS};
+
+/// Retry-after of a request whose response cannot be kept: on another connection it would not have to wait.
+const RETRY_AFTER_HELD: Span = 50 * MS;
 
 impl Gateway {
     /// Updates a client's read-ahead, the data that it has sent and that is not delivered yet. If the read-ahead of all clients
@@ -126,17 +130,78 @@
         self.limit_pending_writes(cx, id);
     }
 
-    /// Closes the client with the most unread bytes if the unread bytes of all clients exceed the limit.
+    /// Frees memory if the pending bytes of all clients exceed the limit: closes a client that has not read for a while,
+    /// otherwise replaces responses that wait for earlier ones by rejections, otherwise closes the client with the most unread
+    /// bytes.
     ///
     /// Without this, clients that request large values and do not read them could together use up all memory.
     fn limit_pending_writes(&mut self, cx: &mut Context<'_>, writing_to: ClientId) {
-        if self.clients.pending_write_bytes() <= cx.limits.pending_write_bytes {
+        let limit = cx.limits.pending_write_bytes;
+        if self.clients.pending_write_bytes() <= limit {
             return;
         }
-        if let Some(largest) = self.clients.largest_unread(cx.now, writing_to) {
-            count_over_buffer_limit(cx);
-            self.close_client(cx, largest);
+        let grace = cx.limits.unread_grace;
+        if self.close_largest_unread(cx, writing_to, grace) {
+            return;
+        }
+        let rejection = self.reply_rejection().into_messages();
+        while self.clients.pending_write_bytes() > limit
+            && self.clients.replace_held_reply(&rejection)
+        {
+            count_rejected_reply(cx);
+        }
+        if self.clients.pending_write_bytes() > limit {
+            self.close_largest_unread(cx, writing_to, 0);
+        }
+    }
+
+    /// Closes the client with the most unread bytes of those that have not read for this long. Returns false if there is none.
+    fn close_largest_unread(
+        &mut self,
+        cx: &mut Context<'_>,
+        writing_to: ClientId,
+        min_unread_time: Span,
+    ) -> bool {
+        let clients = &self.clients;
+        let Some(largest) = clients.largest_unread(cx.now, writing_to, min_unread_time) else {
+            return false;
+        };
+        count_over_buffer_limit(cx);
+        self.close_client(cx, largest);
+        true
+    }
+
+    /// Returns the final response to a served request: the row, or a rejection if the row would have to wait for earlier
+    /// responses of its client, there is no memory for it, and a retry is safe.
+    pub(super) fn response_within_capacity(
+        &self,
+        cx: &mut Context<'_>,
+        id: RequestId,
+        row: Vec<u8>,
+    ) -> FinalResponse {
+        let open = self.requests.get(id);
+        let client = open.and_then(|open| match open.requester? {
+            Requester::Client(client) => Some(client),
+            Requester::Call(_) => None,
+        });
+        let is_idempotent = open.is_some_and(|open| self.is_idempotent(&open.statement));
+        let may_hold = |client| {
+            let clients = &self.clients;
+            clients.may_hold_reply(client, id, row.len(), cx.limits)
+        };
+        if !is_idempotent || client.is_none_or(may_hold) {
+            return FinalResponse::Served(row);
         }
+        count_rejected_reply(cx);
+        self.reply_rejection()
+    }
+
+    /// Returns the rejection of a request whose response cannot be kept.
+    pub(super) fn reply_rejection(&self) -> FinalResponse {
+        let limits = &self.static_config.settings.router.limits;
+        let wait = RETRY_AFTER_HELD.min(limits.max_retry_after) / MS;
+        let retry_after_ms = Some(wait).filter(|wait| limits.retry_after && *wait > 0);
+        FinalResponse::Rejected("too many responses wait for earlier ones", retry_after_ms)
     }
 
     pub(super) fn write_client_error(
@@ -198,6 +263,14 @@
     }
 }
 
+fn count_rejected_reply(cx: &mut Context<'_>) {
+    cx.counters.replies_rejected += 1;
+    cx.log_rarely(
+        cx.counters.replies_rejected,
+        "responses rejected because too many wait for earlier ones:",
+    );
+}
+
 fn count_over_buffer_limit(cx: &mut Context<'_>) {
     cx.counters.clients_over_buffer_limit += 1;
     cx.log_rarely(
--- a/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
@@ -7,6 +7,7 @@
     ClientError, FinalResponse, FEATURE_NOT_SUPPORTED, QUERY_CANCELED, SYNTAX_ERROR,
 };
 use crate::reducer::state::client::QueuedFrame;
+use crate::reducer::state::clients::OpenedRequest;
 use crate::reducer::state::Gateway;
 
 impl Gateway {
@@ -94,14 +95,15 @@
             .map_err(|malformed| FinalResponse::Malformed(malformed.message()))
             .and_then(|statement| {
                 let requester = Requester::Client(id);
-                self.submit(cx, queued.received_at, requester, statement)
+                let opened = self.opened_request(cx, &statement);
+                self.check_reply_capacity(cx, id, &opened)?;
+                let request = self.submit(cx, queued.received_at, requester, statement)?;
+                Ok((request, opened))
             });
         match submitted {
-            Ok(request) => {
+            Ok((request, opened)) => {
                 self.clients.mark_request_sent(id);
-                let open = self.requests.get(request);
-                let bytes = open.map_or(0, |open| open.statement.size_bytes());
-                self.clients.push_request(id, request, bytes);
+                self.clients.push_request(id, request, opened);
                 self.clients.refresh_idle(cx.now, id);
             }
             Err(FinalResponse::Malformed(text)) => self.reject_malformed(cx, id, text),
@@ -109,6 +111,37 @@
         }
     }
 
+    fn opened_request(&self, cx: &Context<'_>, statement: &Statement) -> OpenedRequest {
+        let statement_bytes = statement.size_bytes();
+        let is_idempotent = self.is_idempotent(statement);
+        let reply_bytes = match (is_idempotent, statement.write) {
+            // Its response may be replaced by a rejection when it arrives.
+            (true, _) => 1,
+            // A write returns the value that it has written.
+            (false, true) => statement_bytes,
+            (false, false) => cx.limits.answer_bytes,
+        };
+        OpenedRequest {
+            statement_bytes,
+            reply_bytes,
+            is_idempotent,
+        }
+    }
+
+    /// Rejects a statement whose response would have to wait for earlier ones and could not be kept.
+    fn check_reply_capacity(
+        &self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        opened: &OpenedRequest,
+    ) -> Result<(), FinalResponse> {
+        if self.clients.may_open_request(id, opened, cx.limits) {
+            return Ok(());
+        }
+        cx.counters.rejected_early += 1;
+        Err(self.reply_rejection())
+    }
+
     /// Rejects a malformed statement with an error. A client that sends too many of them in a row is closed.
     fn reject_malformed(&mut self, cx: &mut Context<'_>, id: ClientId, text: &'static str) {
         cx.counters.malformed += 1;
--- a/crates/stackgw-gateway/src/reducer/steps/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/requests.rs
@@ -7,7 +7,8 @@
 use crate::reducer::response::FinalResponse;
 use crate::reducer::state::Gateway;
 use stackgw_router::api::{
-    Consistency, Event, GroupId, Outcome, Request, RequestId, SessionId, Span, Time, MS,
+    Consistency, Event, GroupId, Idempotency, Outcome, Request, RequestId, SessionId, Span, Time,
+    MS,
 };
 
 pub(super) const SHUTTING_DOWN: &str = "the gateway ends";
@@ -101,6 +102,17 @@
         Ok(id)
     }
 
+    fn class_of(&self, statement: &Statement) -> Option<usize> {
+        let mut classes = self.names.classes.iter();
+        classes.position(|name| *name == statement.class)
+    }
+
+    /// Returns whether a second execution of a statement does no harm; false if its class is unknown.
+    pub(super) fn is_idempotent(&self, statement: &Statement) -> bool {
+        self.class_of(statement)
+            .is_some_and(|class| self.classes[class].idempotency == Idempotency::Idempotent)
+    }
+
     /// Returns the index of a statement's class, or the response that rejects the statement: a shutdown rejects new
     /// requests, no endpoints are known, the statement is invalid, or another open request has its id.
     fn check_statement(
@@ -111,9 +123,8 @@
         if self.shutdown.is_rejecting() {
             return Err(reject_early(cx, FinalResponse::Unavailable(SHUTTING_DOWN)));
         }
-        let mut classes = self.names.classes.iter();
-        let class = classes
-            .position(|name| *name == statement.class)
+        let class = self
+            .class_of(statement)
             .ok_or(FinalResponse::Malformed("the class is unknown"))?;
         if self.members.is_empty() {
             let response = self.no_endpoints_response(cx.now);
