--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -27,9 +27,6 @@
     answered_served,
     /// Requests rejected; none of them was executed.
     answered_rejected,
-    /// Responses of members replaced by rejections because they would have had to wait for earlier responses of their client and
-    /// too many did.
-    replies_rejected,
     /// Requests answered with a failure; they may have been executed.
     answered_failed,
     /// Requests whose client disconnected before the response.
@@ -37,6 +34,9 @@
     /// Requests rejected before they reached the router: too many requests, connections or bytes of statements were open, no
     /// endpoint list was known yet, a write could not have been confirmed, or the gateway was shutting down.
     rejected_early,
+    /// Responses of members replaced by rejections because they would have had to wait for earlier responses of their client and
+    /// too many did.
+    replies_rejected,
     /// Served requests whose response is a stream.
     streams_begun,
     /// Streams that ended before they were complete.
