Gateway: a statement's key is kept once, not three times

Cause: a statement kept its key a second time beside its message and counted it, and the router got a third copy as the session, which it uses only where it tracks sessions itself. The flood's first statements thus took twice the part that is left to newcomers.

Change: the key is a range of the message; the session goes to the router only where it tracks sessions.

--- a/crates/stackgw-gateway/src/pg/statement.rs
+++ b/crates/stackgw-gateway/src/pg/statement.rs
@@ -73,8 +73,8 @@
     timeout_digits: Range<usize>,
     /// The request's id.
     pub id: String,
-    /// The quoted key.
-    pub key: String,
+    /// The range of the quoted key in the bytes.
+    key: Range<usize>,
     /// The class's name.
     pub class: String,
     /// How long the client waits for the response, in milliseconds.
@@ -132,7 +132,7 @@
         let class = fields.class.ok_or(StatementError::NoClass)?;
         Ok(Statement {
             id: id.to_owned(),
-            key: target.key.to_owned(),
+            key: range_within(&frame.bytes, target.key),
             class: class.to_owned(),
             wait_ms,
             cluster: cluster.ok_or(StatementError::InvalidCluster)?,
@@ -146,7 +146,17 @@
 
     /// Returns the memory that the statement takes, including the names that are kept in addition to the message.
     pub fn size_bytes(&self) -> usize {
-        self.bytes.len() + 2 * self.id.len() + self.key.len() + self.class.len()
+        self.bytes.len() + 2 * self.id.len() + self.class.len()
+    }
+
+    /// Returns the quoted key.
+    pub fn key(&self) -> &str {
+        std::str::from_utf8(self.key_bytes()).unwrap_or_default()
+    }
+
+    /// Returns the bytes of the quoted key.
+    pub fn key_bytes(&self) -> &[u8] {
+        &self.bytes[self.key.clone()]
     }
 
     /// Returns the message with `d` set to the time that this attempt may take, and otherwise unchanged.
@@ -162,6 +172,12 @@
     }
 }
 
+/// Returns the range that a part of a message has in it.
+fn range_within(message: &[u8], part: &str) -> Range<usize> {
+    let start = part.as_ptr().addr() - message.as_ptr().addr();
+    start..start + part.len()
+}
+
 /// A value of the comment, and its range in the message.
 struct LocatedValue<'a> {
     text: &'a str,
--- a/crates/stackgw-gateway/src/reducer/state/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/state/requests.rs
@@ -130,7 +130,8 @@
     pub(crate) fn is_independent(&self, id: RequestId, target: &StatementTarget<'_>) -> bool {
         self.get(id).is_none_or(|request| {
             let other = &request.statement;
-            other.key != target.key || !(target.writes || other.write)
+            let is_same_key = other.key_bytes() == target.key.as_bytes();
+            !is_same_key || !(target.writes || other.write)
         })
     }
 
--- a/crates/stackgw-gateway/src/reducer/steps/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/requests.rs
@@ -7,8 +7,8 @@
 use crate::reducer::response::FinalResponse;
 use crate::reducer::state::Gateway;
 use stackgw_router::api::{
-    Consistency, Event, GroupId, Idempotency, Outcome, Request, RequestId, SessionId, Span, Time,
-    MS,
+    Consistency, Event, GroupId, Idempotency, Outcome, Request, RequestId, SessionId,
+    SessionTracking, Span, Time, MS,
 };
 
 pub(super) const SHUTTING_DOWN: &str = "the gateway ends";
@@ -75,12 +75,15 @@
         self.check_capacity(cx, consistency)?;
         let wait = (statement.wait_ms as Span * MS).min(cx.limits.max_request_wait);
         let deadline = received_at + wait;
-        let has_session = matches!(
-            consistency,
-            Consistency::Write | Consistency::ReadYourWrites
-        );
+        // A key may be large, and the router keeps it only where it tracks sessions itself.
+        let tracking = self.static_config.settings.router.session_tracking;
+        let has_session = tracking == SessionTracking::Router
+            && matches!(
+                consistency,
+                Consistency::Write | Consistency::ReadYourWrites
+            );
         let group = GroupId(statement.cluster);
-        let session = has_session.then(|| SessionId(statement.key.as_str().into()));
+        let session = has_session.then(|| SessionId(statement.key().into()));
         let last_write = statement.after_ms.map(|ms| ms * MS);
         let is_retry = statement.repeat;
         let id = self.requests.insert(cx, requester, statement, deadline);
--- a/crates/stackgw-gateway/src/reducer/steps/sessions.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/sessions.rs
@@ -23,7 +23,7 @@
 const MAX_CLOCK_SKEW: Span = 10 * SECOND;
 
 fn session_key(statement: &Statement) -> SessionKey {
-    SessionKey::of(statement.cluster, &statement.key)
+    SessionKey::of(statement.cluster, statement.key())
 }
 
 impl Gateway {
--- a/crates/stackgw-testkit/src/replicated_log.rs
+++ b/crates/stackgw-testkit/src/replicated_log.rs
@@ -225,7 +225,7 @@
             value: value.clone(),
         };
         self.values
-            .entry(statement.key.clone())
+            .entry(statement.key().to_owned())
             .or_default()
             .push(committed);
         StatementOutcome::Value {
@@ -246,7 +246,7 @@
         } else {
             position_ms
         };
-        let values = self.values.get(&statement.key).into_iter().flatten();
+        let values = self.values.get(statement.key()).into_iter().flatten();
         let visible = values
             .rev()
             .find(|committed| committed.commit_ms <= position_ms);
