Gateway: all commands of a segment are answered while clients are being closed

What callers saw: in the last moments after SIGTERM, a client that had several commands in one segment got the answer to the first and a close (read by the review, not tried).

Cause: the flush of the first answer closes a connection that is idle, which went by the bytes that the client's task held before this read; the messages of the read being handed over were not counted.

Change: the bytes that are left are set before each message is handed over, as for members.

--- a/crates/stackgw-cli/tests/ending.rs
+++ b/crates/stackgw-cli/tests/ending.rs
@@ -2,14 +2,16 @@
 
 mod common;
 
-use common::gateway_common::sqlstate;
+use common::gateway_common::{query, sqlstate};
 use common::gateway_process::{start_fixture, GatewayFixture};
-use common::pg_connection::{insert, TIMEOUT};
+use common::pg_connection::{frame_kinds, insert, TIMEOUT};
 use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// The longest deadline of the fixture's classes.
 const LONGEST_DEADLINE_MS: u64 = 2_000;
+/// How long after the longest deadline a gateway that got SIGTERM begins to close clients (`Limits::shutdown_serve`).
+const CLOSE_CLIENTS_AFTER_MS: u64 = 200;
 /// How long after the longest deadline a gateway that got SIGTERM answers all requests that are still open, and rejects all later
 /// ones at once (`Limits::shutdown_reject`).
 const REJECT_REMAINING_AFTER_MS: u64 = 420;
@@ -164,3 +166,26 @@
     drop(release);
     answered
 }
+
+/// Regression: the answer to the first of several commands in one segment closed their connection while clients were being closed,
+/// and the others got no answer.
+#[test]
+fn all_commands_of_a_segment_are_answered_while_clients_are_being_closed() {
+    let GatewayFixture { gateway, .. } = start_fixture("segment");
+    let mut client = gateway.ready_client();
+    let started = Instant::now();
+    let wait_until = |ms| {
+        let at = started + Duration::from_millis(ms);
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+    };
+    gateway.signal("TERM");
+    gateway.wait_for_line("shutting down, ");
+    // The segment arrives while the process is paused, and is read once clients are to be closed.
+    wait_until(LONGEST_DEADLINE_MS - 100);
+    gateway.signal("STOP");
+    client.write(&[query(""), query(""), query("")]);
+    wait_until(LONGEST_DEADLINE_MS + CLOSE_CLIENTS_AFTER_MS + 50);
+    gateway.signal("CONT");
+    let replies: Vec<_> = (0..3).map(|_| frame_kinds(&client.read_reply())).collect();
+    assert_eq!(replies, ["IZ", "IZ", "IZ"]);
+}
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -99,7 +99,12 @@
     }
 
     /// Passes complete messages to the reducer, as long as it accepts them.
-    async fn deliver_messages(self: &Rc<Self>, id: ClientId, frames: &mut FrameDecoder) {
+    async fn deliver_messages(
+        self: &Rc<Self>,
+        id: ClientId,
+        connection: &Connection,
+        frames: &mut FrameDecoder,
+    ) {
         let mut delivered = 0;
         while let Some(bytes) = frames.next_frame_bytes() {
             if !self.accepts_message(id, bytes) {
@@ -112,7 +117,10 @@
                 continue;
             }
             delivered += 1;
-            match frames.next_frame() {
+            let frame = frames.next_frame();
+            // The response may let the reducer close the connection if it is idle, which it is not with messages left.
+            connection.set_pending_bytes(frames.pending_bytes());
+            match frame {
                 Some(Ok(frame)) => self.handle_input(Input::ClientFrame(id, frame)),
                 // The task ends once the reducer's last response to this client is written.
                 Some(Err(_)) => {
@@ -172,7 +180,7 @@
                 return driver.handle_input(Input::ClientClosed(id, CloseReason::Disconnected));
             }
         }
-        driver.deliver_messages(id, &mut frames).await;
+        driver.deliver_messages(id, &connection, &mut frames).await;
         if !driver.clients.contains(id) {
             return;
         }
