Gateway: a statement that finds no room is rejected in time, not left waiting

What callers saw: while a primary was silent, ordinary writes of 64 KiB got no answer within their time, or one that they had not been finished in time although they were wholly sent.

Cause: a complete statement waited for as long as others held the memory, its own time beginning only when it was accepted; waiting statements fill what may be read ahead, and then no more is read.

Change: a statement whose client has nothing else open waits for a quarter of its d, at most 0.25 s if nothing was sent behind it, and is then rejected (Limits::capacity_wait, Input::ClientFrameOverdue). The time that it has waited is taken off its time. Statements behind open ones wait as before.

--- a/crates/stackgw-cli/tests/read_ahead.rs
+++ b/crates/stackgw-cli/tests/read_ahead.rs
@@ -3,18 +3,24 @@
 
 mod common;
 
-use common::gateway_common::{config_text, entry, list_text, new_id, query, startup};
+use common::gateway_common::{config_text, entry, list_text, new_id, query, sqlstate, startup};
 use common::gateway_process::{start_fixture_with_config, GatewayProcess};
-use common::pg_connection::{frame_kinds, PgConnection};
+use common::pg_connection::{frame_kinds, PgConnection, Side};
 use common::scripted_list_service::start_list_service;
 use stackgw_gateway::pg::Frame;
 use std::io::{ErrorKind, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const STATEMENT_BYTES: usize = 60 << 10;
+const BOOKINGS: usize = 300;
+/// 50 bookings a second.
+const BOOKING_INTERVAL: Duration = Duration::from_millis(20);
+const BOOKING_MS: u64 = 2_000;
+/// A final answer counts until this long after its deadline.
+const ANSWER_SLACK_MS: u64 = 500;
 /// The memory limit of the fixture's configuration.
 const MEMORY_KIB: usize = 64 << 10;
 /// Longer than an empty query takes on a busy machine, shorter than the wait of any statement of a flood.
@@ -216,6 +222,69 @@
     assert_eq!(frame_kinds(&client.read_reply()), "TDCZ");
 }
 
+/// A write of a value of 64 KiB, with a deadline of `BOOKING_MS`; the primary does not answer it.
+fn booking() -> Frame {
+    let (id, value) = (new_id(), "9f".repeat(64 << 10));
+    let comment = format!("/* id={id},c=buy,d={BOOKING_MS},cluster=2 */");
+    query(&format!(
+        "INSERT INTO state (uid, val) VALUES ('slow', '\\x{value}') RETURNING val {comment}"
+    ))
+}
+
+/// Sends a booking on a new connection. Returns the error code of its answer, if one came in time.
+fn book(address: SocketAddr) -> Option<String> {
+    let socket = TcpStream::connect(address).expect("a connection");
+    let mut client = PgConnection::new(socket, Side::Client);
+    client.write(&[startup()]);
+    client.read_reply();
+    client.write(&[booking()]);
+    let timeout = Duration::from_millis(BOOKING_MS + ANSWER_SLACK_MS);
+    let timeout = client.socket.set_read_timeout(Some(timeout));
+    timeout.expect("a time-out");
+    sqlstate(&client.read_reply().first()?.bytes)
+}
+
+/// Regression: while a primary was silent, ordinary writes of large values were not read once the statements that waited had filled
+/// a part of the memory: they got no answer in time, or one that they were not finished in time.
+#[test]
+fn large_writes_behind_a_silent_primary_are_answered_in_time() {
+    let config = config_text("null")
+        .replace("\"memory_mb\":64", "\"memory_mb\":32")
+        .replace("\"sockets\":128", "\"sockets\":1024");
+    let fixture = start_fixture_with_config("bookings", &config, |entries| {
+        start_list_service(list_text(1, true, entries))
+    });
+    let gateway = &fixture.gateway;
+    drop(gateway.ready_client());
+    let address = gateway.address;
+    let answers: Vec<Option<String>> = std::thread::scope(|scope| {
+        let book = |_| {
+            std::thread::sleep(BOOKING_INTERVAL);
+            scope.spawn(move || book(address))
+        };
+        let threads: Vec<_> = (0..BOOKINGS).map(book).collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().expect("no panic"))
+            .collect()
+    });
+    let count = |code: Option<&str>| {
+        answers
+            .iter()
+            .filter(|answer| answer.as_deref() == code)
+            .count()
+    };
+    let (rejected, failed) = (count(Some("53300")), count(Some("58000")));
+    eprintln!(
+        "{rejected} rejected, {failed} failed, {} without an answer",
+        count(None)
+    );
+    assert_eq!(rejected + failed, BOOKINGS, "{answers:?}");
+    assert_eq!(gateway.counter("clients_stalled"), 0);
+    let peak = gateway.peak_kib();
+    assert!(peak < 32 << 10, "peak memory {peak} KiB");
+}
+
 /// A client that stalls inside a message gets an error in time, even if the buffers are full.
 #[test]
 fn a_client_that_stalls_inside_a_message_gets_an_error_during_a_flood() {
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -3,12 +3,14 @@
 use super::client_table::{Client, WaitingClient};
 use super::connection::{Connection, ConnectionEvent, ConnectionEvents, ReadLimits, WriteProgress};
 use super::driver::Driver;
-use crate::pg::FrameDecoder;
+use crate::pg::{FrameDecoder, Statement};
 use crate::reducer::{ClientId, CloseReason, Input, ReadAhead};
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
+use stackgw_router::api::MS;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 impl Driver {
     /// Registers an accepted connection and starts its task.
@@ -98,16 +100,19 @@
         self.reducer.borrow().accepts_frame_of(id, bytes)
     }
 
-    /// Passes complete messages to the reducer, as long as it accepts them.
+    /// Passes complete messages to the reducer, as long as it accepts them. One that has waited for too long is passed on to be
+    /// rejected.
     async fn deliver_messages(
         self: &Rc<Self>,
         id: ClientId,
         connection: &Connection,
         frames: &mut FrameDecoder,
+        give_up_at: &mut Option<Instant>,
     ) {
         let mut delivered = 0;
         while let Some(bytes) = frames.next_frame_bytes() {
-            if !self.accepts_message(id, bytes) {
+            let is_accepted = self.accepts_message(id, bytes);
+            if !is_accepted && !self.is_overdue(id, *give_up_at) {
                 break;
             }
             if delivered == self.limits.messages_per_turn {
@@ -117,11 +122,15 @@
                 continue;
             }
             delivered += 1;
+            *give_up_at = None;
             let frame = frames.next_frame();
             // The response may let the reducer close the connection if it is idle, which it is not with messages left.
             connection.set_pending_bytes(frames.pending_bytes());
             match frame {
-                Some(Ok(frame)) => self.handle_input(Input::ClientFrame(id, frame)),
+                Some(Ok(frame)) if is_accepted => {
+                    self.handle_input(Input::ClientFrame(id, frame));
+                }
+                Some(Ok(frame)) => self.handle_input(Input::ClientFrameOverdue(id, frame)),
                 // The task ends once the reducer's last response to this client is written.
                 Some(Err(_)) => {
                     self.handle_input(Input::ClientClosed(id, CloseReason::ProtocolError))
@@ -131,6 +140,24 @@
         }
     }
 
+    /// Returns whether a message has waited for too long to be accepted, and may be rejected.
+    fn is_overdue(&self, id: ClientId, give_up_at: Option<Instant>) -> bool {
+        give_up_at.is_some_and(|at| at <= Instant::now())
+            && self.reducer.borrow().may_reject_frame(id)
+    }
+
+    /// Returns until when the next message waits to be accepted; `None` if there is none.
+    fn wait_limit(&self, frames: &FrameDecoder) -> Option<Instant> {
+        let message = frames.peek_frame()?;
+        let has_more = frames.pending_bytes() > message.len();
+        let wait_ms = Statement::wait_ms_of(message).unwrap_or_default();
+        let wait = i64::try_from(wait_ms)
+            .unwrap_or(i64::MAX)
+            .saturating_mul(MS);
+        let wait = self.limits.capacity_wait(wait, has_more);
+        Some(Instant::now() + Duration::from_nanos(wait.max(0) as u64))
+    }
+
     /// Records which bytes a client's task holds now, and reports them to the reducer if there are any. If the client's next
     /// message is not accepted, the client is added to those that wait.
     fn update_pending_bytes(
@@ -162,6 +189,21 @@
     }
 }
 
+/// Returns the next event of a connection, or [`ConnectionEvent::Woken`] at the given time.
+async fn next_event(
+    events: &mut ConnectionEvents,
+    wake_at: Option<Instant>,
+) -> Option<ConnectionEvent> {
+    let Some(at) = wake_at else {
+        return events.next().await;
+    };
+    let woken = async {
+        Timer::at(at).await;
+        Some(ConnectionEvent::Woken)
+    };
+    future::or(events.next(), woken).await
+}
+
 /// Reads from a client's connection until it ends.
 async fn serve(driver: Rc<Driver>, id: ClientId, connection: Rc<Connection>) {
     let limits = &driver.limits;
@@ -170,7 +212,8 @@
         connection: connection.clone(),
         buffer: driver.read_buffer.clone(),
     };
-    while let Some(event) = events.next().await {
+    let mut give_up_at = None;
+    while let Some(event) = next_event(&mut events, give_up_at).await {
         match event {
             ConnectionEvent::Read(bytes) => frames.feed(&bytes),
             ConnectionEvent::Written => driver.handle_input(Input::ClientFlushed(id)),
@@ -180,13 +223,19 @@
                 return driver.handle_input(Input::ClientClosed(id, CloseReason::Disconnected));
             }
         }
-        driver.deliver_messages(id, &connection, &mut frames).await;
+        driver
+            .deliver_messages(id, &connection, &mut frames, &mut give_up_at)
+            .await;
         if !driver.clients.contains(id) {
             return;
         }
         if connection.is_closing() {
             frames.clear();
         }
+        let has_expired = give_up_at.is_none_or(|at| at <= Instant::now());
+        if has_expired {
+            give_up_at = driver.wait_limit(&frames);
+        }
         driver.update_pending_bytes(id, &connection, &frames);
         // Without this, a client that sends without a pause would block all others.
         future::yield_now().await;
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -59,6 +59,8 @@
     /// Size of the accepted statements of all clients, and separately of the bytes that they have sent beyond these; above it
     /// reads pause.
     pub client_bytes: usize,
+    /// A statement that waits for capacity is rejected after this long if its client has sent nothing after it.
+    pub max_capacity_wait: Span,
     /// Size of the partial responses of all members; above it reads pause.
     pub member_bytes: usize,
     /// Bytes of responses that clients have not read, or that wait for earlier responses of the same client. Above it, responses
@@ -152,6 +154,8 @@
 const OWN_DESCRIPTORS: usize = 32;
 /// One in this many of `client_bytes` is reserved, in equal shares for all clients.
 const RESERVED_DIVISOR: usize = 4;
+/// A statement that waits for capacity is rejected after its `d` divided by this.
+const CAPACITY_WAIT_DIVISOR: Span = 4;
 /// Share of the descriptors beyond `OWN_DESCRIPTORS` for connections to members; clients get the rest.
 const MEMBER_SHARE: f64 = 0.4;
 /// Share of the descriptors beyond `OWN_DESCRIPTORS` for `client_reserve`, each held only until its client is rejected.
@@ -193,6 +197,7 @@
     datagram_bytes: stackgw_settings::MAX_GOSSIP_BYTES,
     read_bytes: 16 << 10,
     client_bytes: 0,
+    max_capacity_wait: 250 * MS,
     member_bytes: 0,
     pending_write_bytes: 0,
     unread_grace: 500 * MS,
@@ -245,6 +250,17 @@
         self.client_bytes - self.client_bytes / RESERVED_DIVISOR
     }
 
+    /// Returns how long a statement waits for capacity until it is rejected: a part of its own time, so that its rejection is
+    /// early, and no longer than `max_capacity_wait` unless its client has sent more behind it.
+    pub fn capacity_wait(&self, wait: Span, has_more: bool) -> Span {
+        let wait = wait.min(self.max_request_wait) / CAPACITY_WAIT_DIVISOR;
+        if has_more {
+            wait
+        } else {
+            wait.min(self.max_capacity_wait)
+        }
+    }
+
     /// Returns how many bytes of responses may be unread or wait for earlier responses when a further one has to wait. The rest
     /// of `pending_write_bytes` is for responses that are written at once.
     pub fn held_reply_bytes(&self) -> usize {
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -236,6 +236,12 @@
         (bytes <= self.pending_bytes()).then_some(bytes)
     }
 
+    /// Returns the bytes of the next message if it is complete and its header is valid.
+    pub fn peek_frame(&self) -> Option<&[u8]> {
+        let bytes = self.next_frame_bytes().filter(|bytes| *bytes > 0)?;
+        self.buffer.get(self.start..self.start + bytes)
+    }
+
     /// Returns the next complete message; `None` until there is one.
     pub fn next_frame(&mut self) -> Option<Result<Frame, FrameError>> {
         let (kind, length) = match self.next_header()? {
--- a/crates/stackgw-gateway/src/pg/statement.rs
+++ b/crates/stackgw-gateway/src/pg/statement.rs
@@ -159,6 +159,15 @@
         &self.bytes[self.key.clone()]
     }
 
+    /// Returns the time that the client of a query message waits for the response, in milliseconds; `None` if the message is
+    /// malformed.
+    pub fn wait_ms_of(message: &[u8]) -> Option<u64> {
+        let text = std::str::from_utf8(message.get(HEADER_BYTES..)?.strip_suffix(b"\0")?).ok()?;
+        let comment_start = text.rfind("/*")?;
+        let fields = CommentFields::parse(&text[comment_start..], HEADER_BYTES + comment_start);
+        parse_timeout(fields.ok()?.timeout?.text).ok()
+    }
+
     /// Returns the message with `d` set to the time that this attempt may take, and otherwise unchanged.
     pub fn with_timeout(&self, wait_ms: u64) -> Vec<u8> {
         let digits = wait_ms.to_string();
--- a/crates/stackgw-gateway/src/reducer/input.rs
+++ b/crates/stackgw-gateway/src/reducer/input.rs
@@ -57,6 +57,9 @@
     ClientConnected(ClientId),
     /// A client's complete message; delivered only if [`accepts_frame`](super::Reducer::accepts_frame) allows it.
     ClientFrame(ClientId, Frame),
+    /// A client's complete message that was not accepted in time; delivered only if
+    /// [`may_reject_frame`](super::Reducer::may_reject_frame) allows it.
+    ClientFrameOverdue(ClientId, Frame),
     /// The data that a client has sent and that has not been delivered yet has changed.
     ClientReadAhead(ClientId, ReadAhead),
     /// Everything that was to be written to a client has been written.
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -132,6 +132,12 @@
             .accepts_frame(client, bytes, &self.counters, &self.limits)
     }
 
+    /// Returns whether a client's next message may be rejected for lack of capacity: nothing else of that client is open, so that
+    /// the time of the message's client runs.
+    pub fn may_reject_frame(&self, client: ClientId) -> bool {
+        self.gateway.may_reject_frame(client)
+    }
+
     /// Returns the current counters.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/stackgw-gateway/src/reducer/state/client.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client.rs
@@ -53,6 +53,8 @@
     pub(super) pending_write_bytes: usize,
     /// Since when a message has been incomplete.
     pub(super) partial_since: Option<Time>,
+    /// Since when a complete message has waited to be accepted while nothing before it was open.
+    pub(super) waiting_since: Option<Time>,
     /// Bytes that it has sent and that are not delivered yet.
     pub(super) read_ahead_bytes: usize,
     /// Malformed statements since its last valid one.
@@ -79,6 +81,7 @@
             unflushed_since: None,
             pending_write_bytes: 0,
             partial_since: None,
+            waiting_since: None,
             read_ahead_bytes: 0,
             consecutive_malformed: 0,
             is_over_capacity,
--- a/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
@@ -32,13 +32,14 @@
     }
 
     /// Sets how many bytes a client has sent that are not delivered. If `is_partial`, the timeout of an incomplete message
-    /// starts now, unless it is running already.
+    /// starts now, unless it is running already; if `is_waiting`, so does the time of a complete one.
     pub(crate) fn set_read_ahead(
         &mut self,
         now: Time,
         id: ClientId,
         bytes: usize,
         is_partial: bool,
+        is_waiting: bool,
     ) {
         let Some(client) = self.connected.get_mut(&id) else {
             return;
@@ -46,6 +47,7 @@
         self.read_ahead_bytes = self.read_ahead_bytes - client.read_ahead_bytes + bytes;
         client.read_ahead_bytes = bytes;
         client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
+        client.waiting_since = is_waiting.then(|| client.waiting_since.unwrap_or(now));
     }
 
     /// Bytes that all clients have sent and that are not delivered.
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -141,7 +141,7 @@
         if let Some(client) = self.connected.get_mut(&id) {
             cx.counters.buffered_bytes += frame.bytes.len() as u64;
             client.queued.push_back(QueuedFrame {
-                received_at: cx.now,
+                received_at: client.waiting_since.take().unwrap_or(cx.now),
                 frame,
             });
         }
@@ -264,6 +264,7 @@
     /// Puts a request's response into its slot. Returns false if the client does not wait for it.
     pub(crate) fn fill_slot(
         &mut self,
+        now: Time,
         id: ClientId,
         request: RequestId,
         mut reply: Vec<u8>,
@@ -285,6 +286,8 @@
         slot.request = None;
         slot.statement_bytes = 0;
         slot.reply = reply;
+        // The time of a message behind this response begins now.
+        client.waiting_since = client.waiting_since.map(|_| now);
         true
     }
 
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -12,8 +12,10 @@
 use crate::reducer::state::Gateway;
 use stackgw_router::api::{RequestId, Span, MS};
 
-/// Retry-after of a request whose response cannot be kept: on another connection it would not have to wait.
-const RETRY_AFTER_HELD: Span = 50 * MS;
+/// Retry-after of a request that is rejected for lack of memory.
+const CAPACITY_RETRY_AFTER: Span = 50 * MS;
+/// The rejection of a request whose response cannot be kept.
+pub(super) const RESPONSES_WAIT: &str = "too many responses wait for earlier ones";
 
 impl Gateway {
     /// Updates a client's read-ahead, the data that it has sent and that is not delivered yet. If the read-ahead of all clients
@@ -31,8 +33,9 @@
         }
         // The timeout of a partial message runs only while a message of this client would be accepted.
         let is_partial = read_ahead.is_partial && self.accepts_frame(id, 0, cx.counters, cx.limits);
+        let is_waiting = read_ahead.bytes > 0 && !read_ahead.is_partial;
         self.clients
-            .set_read_ahead(cx.now, id, read_ahead.bytes, is_partial);
+            .set_read_ahead(cx.now, id, read_ahead.bytes, is_partial, is_waiting);
         if self.clients.read_ahead_bytes() <= cx.limits.client_bytes / 4 * 3 {
             return;
         }
@@ -144,7 +147,7 @@
         if self.close_largest_unread(cx, writing_to, grace) {
             return;
         }
-        let rejection = self.reply_rejection().into_messages();
+        let rejection = self.capacity_rejection(RESPONSES_WAIT).into_messages();
         while self.clients.pending_write_bytes() > limit
             && self.clients.replace_held_reply(&rejection)
         {
@@ -193,15 +196,15 @@
             return FinalResponse::Served(row);
         }
         count_rejected_reply(cx);
-        self.reply_rejection()
+        self.capacity_rejection(RESPONSES_WAIT)
     }
 
-    /// Returns the rejection of a request whose response cannot be kept.
-    pub(super) fn reply_rejection(&self) -> FinalResponse {
+    /// Returns the rejection of a request for lack of memory, with a time to come back where the settings allow one.
+    pub(super) fn capacity_rejection(&self, text: &'static str) -> FinalResponse {
         let limits = &self.static_config.settings.router.limits;
-        let wait = RETRY_AFTER_HELD.min(limits.max_retry_after) / MS;
+        let wait = CAPACITY_RETRY_AFTER.min(limits.max_retry_after) / MS;
         let retry_after_ms = Some(wait).filter(|wait| limits.retry_after && *wait > 0);
-        FinalResponse::Rejected("too many responses wait for earlier ones", retry_after_ms)
+        FinalResponse::Rejected(text, retry_after_ms)
     }
 
     pub(super) fn write_client_error(
--- a/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
@@ -9,6 +9,7 @@
 use crate::reducer::state::client::QueuedFrame;
 use crate::reducer::state::clients::OpenedRequest;
 use crate::reducer::state::Gateway;
+use crate::reducer::steps::client_connections::RESPONSES_WAIT;
 
 impl Gateway {
     /// Handles a client's complete message.
@@ -23,6 +24,32 @@
         }
     }
 
+    /// Returns whether a client's next message may be rejected for lack of capacity.
+    pub(crate) fn may_reject_frame(&self, id: ClientId) -> bool {
+        self.clients.is_idle(id)
+    }
+
+    /// Handles a client's complete message that was not accepted in time: a statement is rejected, any other message is handled.
+    pub(super) fn handle_overdue_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        frame: Frame,
+    ) {
+        if frame.kind != b'Q' || Statement::is_empty(&frame) || self.clients.is_skipping(id) {
+            return self.handle_client_frame(cx, id, frame);
+        }
+        let Some(true) = self.clients.receive_frame(id) else {
+            return;
+        };
+        cx.counters.taken += 1;
+        cx.counters.rejected_early += 1;
+        self.clients.mark_request_sent(id);
+        let rejection = self.capacity_rejection("too many bytes of statements are open");
+        self.write_to_client(cx, id, rejection.into_messages(), false);
+        self.clients.refresh_idle(cx.now, id);
+    }
+
     /// Dispatches a client's queued messages that may run now.
     pub(super) fn dispatch_queued_frames(&mut self, cx: &mut Context<'_>, id: ClientId) {
         while let Some(queued) = self.clients.dequeue_runnable(cx, id, &self.requests) {
@@ -139,7 +166,7 @@
             return Ok(());
         }
         cx.counters.rejected_early += 1;
-        Err(self.reply_rejection())
+        Err(self.capacity_rejection(RESPONSES_WAIT))
     }
 
     /// Rejects a malformed statement with an error. A client that sends too many of them in a row is closed.
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -30,6 +30,7 @@
         match input {
             Input::ClientConnected(id) => self.clients.connect(cx, id),
             Input::ClientFrame(id, frame) => self.handle_client_frame(cx, id, frame),
+            Input::ClientFrameOverdue(id, frame) => self.handle_overdue_frame(cx, id, frame),
             Input::ClientReadAhead(id, read_ahead) => self.handle_read_ahead(cx, id, read_ahead),
             Input::ClientFlushed(id) => self.handle_client_flushed(cx, id),
             Input::ClientClosed(id, CloseReason::ProtocolError) => {
--- a/crates/stackgw-gateway/src/reducer/steps/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/requests.rs
@@ -221,7 +221,7 @@
         request: RequestId,
         reply: Vec<u8>,
     ) {
-        if !self.clients.fill_slot(client, request, reply) {
+        if !self.clients.fill_slot(cx.now, client, request, reply) {
             return;
         }
         while let Some(slot) = self.clients.pop_completed(client) {
--- a/crates/stackgw-gateway/tests/read_ahead.rs
+++ b/crates/stackgw-gateway/tests/read_ahead.rs
@@ -126,3 +126,55 @@
     let effects = harness.advance(3 * SECOND);
     assert!(!is_closed_with_error(&effects, client));
 }
+
+/// Regression: a statement that found no capacity waited for as long as others held it, beyond its client's time.
+#[test]
+fn a_statement_that_has_waited_for_capacity_too_long_is_rejected() {
+    let mut harness = flooded_harness();
+    let statement = large_read(8_000);
+    let bytes = statement.bytes.len();
+    // Others use up what the flood leaves to clients with nothing open.
+    let mut clients = (FLOODING..100).map(ClientId);
+    let client = clients.find(|client| {
+        harness.client(client.0);
+        let is_accepted = harness.reducer.accepts_frame_of(*client, bytes);
+        if is_accepted {
+            harness.send(*client, large_read(8_000));
+        }
+        !is_accepted
+    });
+    let client = client.expect("a client whose statement is not accepted");
+    assert!(harness.reducer.may_reject_frame(client));
+    let effects = harness.input(Input::ClientFrameOverdue(client, statement));
+    let code = sqlstate(&client_replies(&effects)[0]);
+    assert_eq!(code.as_deref(), Some("53300"));
+    assert!(statements(&effects).is_empty());
+    assert!(
+        !harness.reducer.may_reject_frame(ClientId(0)),
+        "the time of a statement behind open ones does not run yet"
+    );
+}
+
+/// Regression: the time for which a statement had waited for capacity was added to its client's time.
+#[test]
+fn a_statement_that_has_waited_for_capacity_has_the_less_time_left() {
+    let mut harness = ReducerHarness::new(&three_members());
+    let client = harness.client(1);
+    harness.input(Input::ClientReadAhead(client, ReadAhead::waiting(100)));
+    harness.advance(200 * MS);
+    let effects = harness.send(client, large_read(10));
+    let (_, text) = &statements(&effects)[0];
+    assert!(text.contains(",d=700,"), "{text}");
+}
+
+#[test]
+fn the_wait_for_capacity_is_a_part_of_the_statements_time() {
+    let limits = config("null").limits;
+    assert_eq!(limits.capacity_wait(400 * MS, false), 100 * MS);
+    assert_eq!(limits.capacity_wait(60 * SECOND, false), 250 * MS);
+    assert_eq!(
+        limits.capacity_wait(i64::MAX, true),
+        limits.max_request_wait / 4,
+        "a client that has sent more behind the statement waits longer"
+    );
+}
