Gateway: after a pause of the process, what arrived meanwhile is read before anything is sent

Cause: a notice counted from when it was read, and statements were sent before the list, or the close, that had arrived beside them was read.

Change: a pause shows by a timer that was due for more than 0.15 s. For 5 ms after it nothing is sent to members; lists go first; a notice read within 0.1 s counts from the beginning of the pause (Router::set_list_delay). Counters stalls, longest_stall_ms.

Two tests that jump over time (clock, abandoned_requests) look 5 ms later, with the same expectations: nothing is decided right after a pause.

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -145,6 +145,10 @@
     watches,
     /// Watches that ended, broke or timed out.
     watches_lost,
+    /// Pauses of the whole process.
+    stalls,
+    /// The longest pause of the whole process, in milliseconds.
+    longest_stall_ms,
     /// Gossip datagrams sent.
     gossip_sent,
     /// Gossip datagrams received from other gateways of the tier.
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -134,6 +134,12 @@
     pub watch_min_backoff: Span,
     /// Longest backoff before another request to the list service.
     pub watch_max_backoff: Span,
+    /// If nothing was handled for longer than this although a timer was due, the process was paused.
+    pub stall_threshold: Span,
+    /// After a pause nothing is sent to members for this long, so that what arrived meanwhile is read before.
+    pub stall_hold: Span,
+    /// A notice that is read within this time after a pause may have arrived at its beginning.
+    pub stall_catch_up: Span,
     /// Pause after an error of the listener or of a datagram socket.
     pub error_backoff: Span,
     /// After SIGTERM new connections are accepted for this long.
@@ -229,6 +235,9 @@
     watch_idle_timeout: 4 * SECOND,
     watch_min_backoff: 100 * MS,
     watch_max_backoff: SECOND,
+    stall_threshold: 150 * MS,
+    stall_hold: 5 * MS,
+    stall_catch_up: 100 * MS,
     error_backoff: 5 * MS,
     shutdown_accept: 500 * MS,
     shutdown_serve: 0,
--- a/crates/stackgw-gateway/src/reducer/state/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/state/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) mod router_driver;
 pub(crate) mod sessions;
 pub(crate) mod shutdown;
+pub(crate) mod stall;
 pub(crate) mod static_config;
 pub(crate) mod watch;
 
@@ -40,6 +41,7 @@
 use shutdown::Shutdown;
 use stackgw_router::api::{Class, SessionTracking};
 use stackgw_settings::NameTable;
+use stall::StallDetector;
 use static_config::StaticConfig;
 use watch::EndpointWatch;
 use xxhash_rust::xxh3::xxh3_64;
@@ -60,6 +62,7 @@
     pub(crate) watch: EndpointWatch,
     pub(crate) gossip: Gossip,
     pub(crate) shutdown: Shutdown,
+    pub(crate) stalls: StallDetector,
     /// Sessions across instances, if the operator's file enables them.
     pub(crate) sessions: Option<Box<SessionCoordination>>,
     /// Membership of the cluster, if the operator's file configures one.
@@ -115,6 +118,7 @@
                 settings.instance_index as usize,
             ),
             shutdown: Shutdown::default(),
+            stalls: StallDetector::default(),
             sessions: None,
             cluster: None,
             bootstrap: None,
--- a/crates/stackgw-gateway/src/reducer/state/router_driver.rs
+++ b/crates/stackgw-gateway/src/reducer/state/router_driver.rs
@@ -32,6 +32,14 @@
         self.events.push_back(event);
     }
 
+    /// Queues an endpoint list before all other events. Its notices may have arrived `delay` ago.
+    pub(crate) fn enqueue_list(&mut self, event: Event, delay: Span) {
+        self.router.set_list_delay(delay);
+        let is_list = |event: &&Event| matches!(event, Event::EndpointList { .. });
+        let lists = self.events.iter().take_while(is_list).count();
+        self.events.insert(lists, event);
+    }
+
     /// Delivers the next event and returns the router's actions, or `None` if no event is queued. Return the emptied vector by
     /// [`recycle`](Self::recycle).
     pub(crate) fn deliver_next(&mut self, now: Time) -> Option<Vec<Action>> {
--- a/crates/stackgw-gateway/src/reducer/steps/attempts.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/attempts.rs
@@ -204,6 +204,7 @@
         let is_late = attempt.write_by.is_some_and(|latest| cx.now > latest);
         let may_write = !is_finished
             && !is_late
+            && !self.stalls.is_holding(cx.now, cx.limits)
             && cx.now < attempt.deadline
             && self.router.may_write(attempt.request, member);
         (!may_write).then_some(WriteObstacle::Obsolete)
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -7,11 +7,12 @@
 use crate::reducer::input::{CloseReason, Input};
 use crate::reducer::state::Gateway;
 use crate::reducer::timers::Timer;
-use stackgw_router::api::{Event, ListScope};
+use stackgw_router::api::{Event, ListScope, MS};
 
 impl Gateway {
     /// Handles one input, then delivers the events that it queued to the router and updates timers and admission.
     pub(crate) fn handle(&mut self, cx: &mut Context<'_>, input: Input) {
+        self.detect_stall(cx);
         self.handle_input(cx, input);
         self.run_router(cx);
         self.schedule_sessions(cx);
@@ -26,6 +27,18 @@
         }
     }
 
+    fn detect_stall(&mut self, cx: &mut Context<'_>) {
+        let next_due = cx.timers.next_due();
+        let Some(length) = self.stalls.record_input(cx.now, next_due, cx.limits) else {
+            return;
+        };
+        let length_ms = (length / MS) as u64;
+        cx.counters.stalls += 1;
+        cx.counters.longest_stall_ms = cx.counters.longest_stall_ms.max(length_ms);
+        cx.log_rarely(cx.counters.stalls, "pauses of this process:");
+        cx.set_timer_after(cx.limits.stall_hold, Timer::StallHold);
+    }
+
     fn handle_input(&mut self, cx: &mut Context<'_>, input: Input) {
         match input {
             Input::ClientConnected(id) => self.clients.connect(cx, id),
@@ -105,6 +118,8 @@
                 }
             }
             Timer::WatchTimeout => self.handle_watch_timeout(cx),
+            // The router's events are delivered after each timer.
+            Timer::StallHold => {}
             Timer::Admission => self.clients.clear_admission_timer(),
             Timer::Sessions => self.handle_sessions_timeout(cx),
             Timer::Cluster => self.handle_cluster_timeout(cx),
--- a/crates/stackgw-gateway/src/reducer/steps/endpoints.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/endpoints.rs
@@ -90,6 +90,7 @@
         entries: &[ListEntry],
     ) {
         cx.counters.lists += 1;
+        let notified_at = self.stalls.earliest_arrival(cx.now, cx.limits);
         let members: Vec<_> = entries
             .iter()
             .filter_map(|entry| self.apply_list_entry(cx, entry))
@@ -97,9 +98,10 @@
         self.update_bootstrap_members(cx, entries);
         if scope == ListScope::Full && !cx.limits.removal_is_advisory {
             let listed: BTreeSet<_> = members.iter().map(|member| member.id).collect();
-            self.members.drain_unlisted(cx.now, &listed);
+            self.members.drain_unlisted(notified_at, &listed);
         }
-        self.router.enqueue(Event::EndpointList { scope, members });
+        let event = Event::EndpointList { scope, members };
+        self.router.enqueue_list(event, cx.now - notified_at);
         self.answer_awaiting_ready(cx);
     }
 
@@ -130,8 +132,9 @@
             StartTime::Unknown => Some(cx.now),
         };
         let removal_is_advisory = cx.limits.removal_is_advisory;
+        let notified_at = self.stalls.earliest_arrival(cx.now, cx.limits);
         self.members
-            .update(cx.now, id, entry, started_at, removal_is_advisory);
+            .update(notified_at, id, entry, started_at, removal_is_advisory);
         let mut zones = self.names.zones.iter();
         let zone = zones.position(|zone| *zone == entry.locality);
         Some(Member {
--- a/crates/stackgw-gateway/src/reducer/steps/router_actions.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/router_actions.rs
@@ -9,8 +9,12 @@
 use stackgw_router::api::{Action, GossipUpdate, Outcome, RequestId, Span, MS};
 
 impl Gateway {
-    /// Delivers queued events to the router and applies its actions until the queue is empty.
+    /// Delivers queued events to the router and applies its actions until the queue is empty. Right after a pause of the
+    /// process the events wait.
     pub(super) fn run_router(&mut self, cx: &mut Context<'_>) {
+        if self.stalls.is_holding(cx.now, cx.limits) {
+            return;
+        }
         loop {
             self.update_connection_permits(cx);
             let Some(mut actions) = self.router.deliver_next(cx.now) else {
--- a/crates/stackgw-gateway/src/reducer/timers.rs
+++ b/crates/stackgw-gateway/src/reducer/timers.rs
@@ -27,6 +27,8 @@
     Bootstrap,
     /// The time limit for the session owners' confirmation of a served write.
     WriteConfirmation(RequestId),
+    /// The end of the time after a pause of the process in which nothing is sent to members.
+    StallHold,
     /// Shutdown: stop accepting connections.
     StopListening,
     /// Shutdown: close idle clients.
--- a/crates/stackgw-gateway/tests/abandoned_requests.rs
+++ b/crates/stackgw-gateway/tests/abandoned_requests.rs
@@ -82,6 +82,8 @@
     harness.now += 201 * MS;
     let mut effects = harness.reply(conn, greeting());
     effects.extend(harness.input(Input::TimerDue));
+    // Right after the pause, what arrived meanwhile is read before requests are decided.
+    effects.extend(harness.advance(5 * MS));
     assert!(statements(&effects).is_empty());
     assert_eq!(
         sqlstate(&client_replies(&effects)[0]).as_deref(),
--- a/crates/stackgw-gateway/tests/clock.rs
+++ b/crates/stackgw-gateway/tests/clock.rs
@@ -43,6 +43,10 @@
                 pending.extend(statements(
                     &harness.reply(conn, [row(b"x"), primary_status()].concat()),
                 ));
+                if pending.is_empty() {
+                    // Nothing is sent right after the pause.
+                    pending.extend(statements(&harness.advance(10 * MS)));
+                }
             }
             harness.advance(2 * SECOND);
         }
--- a/crates/stackgw-router/src/router/membership.rs
+++ b/crates/stackgw-router/src/router/membership.rs
@@ -17,10 +17,11 @@
         if scope == ListScope::Failed {
             return;
         }
+        let notified_at = self.now - self.list_delay;
         if scope != ListScope::Changes {
             self.health_check_budget = endpoints.len() as f64 / self.fleet_divisor;
             for missing in self.members.missing_from_mut(endpoints) {
-                missing.apply_lifecycle(self.now, Lifecycle::Removed, &self.settings.obligations);
+                missing.apply_lifecycle(notified_at, Lifecycle::Removed, &self.settings.obligations);
             }
         }
         endpoints.iter().for_each(|endpoint| self.apply_endpoint(scope, endpoint));
@@ -40,7 +41,7 @@
         if endpoint.started_at.is_none() && scope != ListScope::Cached {
             member.started_at = None; // Its start is no longer recent; a cached list may be outdated.
         }
-        member.apply_lifecycle(self.now, endpoint.lifecycle, &self.settings.obligations);
+        member.apply_lifecycle(self.now - self.list_delay, endpoint.lifecycle, &self.settings.obligations);
         member.weight = endpoint.weight;
         member.listed_primary = endpoint.listed_primary;
     }
--- a/crates/stackgw-router/src/router/mod.rs
+++ b/crates/stackgw-router/src/router/mod.rs
@@ -35,6 +35,8 @@
     now: Time,
     /// At least how far the members' clock is ahead of the host's; `None`: not known yet.
     clock_offset: Option<Span>,
+    /// How long ago the lists that are handled now may have arrived at the host.
+    list_delay: Span,
     /// How long this router was stalled before that event; 0 if it was not.
     stall: Span,
     /// Actions that result from that event.
@@ -94,6 +96,12 @@
         self.clock_offset = offset;
     }
 
+    /// Sets how long ago the endpoint lists that are handled from now on may have arrived at the host, which reads
+    /// them late after a pause. Drain graces count from then.
+    pub fn set_list_delay(&mut self, delay: Span) {
+        self.list_delay = delay;
+    }
+
     /// Takes the updates collected since the last call, for a host that carries gossip to other routers.
     pub fn take_gossip(&mut self) -> Vec<GossipUpdate> {
         self.gossip.take()
