Gateway: one that polls the list and starts without a cached one opens the watch

Cause: the router asks for the watch at a cached list or a failed one; without `known` it got neither.

Change: a start without a list is reported to the router as a list that could not be had.

Evidence: a_gateway_that_polls_and_knows_no_list_opens_the_watch failed before and passes.

--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -79,16 +79,21 @@
     }
 
     fn start(&mut self, cx: &mut Context<'_>) {
-        if let Some(list) = self.watch.take_initial() {
+        let initial = self.watch.take_initial();
+        // A router that polls the list does so at a list that may be outdated, and at one that could not be had.
+        let scope = match initial {
+            Some(_) => ListScope::Cached,
+            None => ListScope::Failed,
+        };
+        let mut members = Vec::new();
+        if let Some(list) = initial {
             self.watch.set_revision(list.revision);
             let entries = list.members.iter();
-            let members = entries.filter_map(|entry| self.apply_list_entry(cx, entry));
-            let event = Event::EndpointList {
-                scope: ListScope::Cached,
-                members: members.collect(),
-            };
-            self.router.enqueue(event);
+            members = entries
+                .filter_map(|entry| self.apply_list_entry(cx, entry))
+                .collect();
         }
+        self.router.enqueue(Event::EndpointList { scope, members });
         cx.set_timer_after(cx.limits.sweep_interval, Timer::Sweep);
         if self.watch.is_subscribed() && self.bootstrap.is_none() {
             self.watch.open(cx);
--- a/crates/stackgw-gateway/tests/watch.rs
+++ b/crates/stackgw-gateway/tests/watch.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::*;
+use stackgw_gateway::config::Config;
 use stackgw_gateway::discovery::{WatchEvent, WatchParser};
 use stackgw_gateway::reducer::{Effect, Input};
 use stackgw_router::api::{Span, Time, MS, SECOND};
@@ -351,3 +352,17 @@
     let peak = peak_polls(harnesses.map(|harness| first_poll_after_outage(harness, 6 * SECOND)));
     assert!(peak <= FLEET_SIZE * 15 / 100, "{peak}");
 }
+
+/// Regression: a gateway that polls the list and starts without a cached one never asked for it, and was never ready.
+#[test]
+fn a_gateway_that_polls_and_knows_no_list_opens_the_watch() {
+    let text = config_text("null").replace("\"automatic\"", "\"subscribe\"");
+    let config = Config::from_text(&text, |_| None).expect("a valid configuration");
+    let harness = ReducerHarness::with(config);
+    let opens_watch = |effect: &Effect| matches!(effect, Effect::OpenWatch(..));
+    assert!(
+        harness.effects.iter().any(opens_watch),
+        "{:?}",
+        harness.effects
+    );
+}
