Router: a request that waits wakes the router even when no member is known

What callers saw: where all members had been removed for 30 s, a request that still waited got no answer until some other event came (read by the review, not tried).

Cause: no timer was set without a member. Change: it is set while a request is open.

Evidence: a_request_that_waits_gets_its_answer_when_all_members_have_been_forgotten failed before (no timer, no answer) and passes.

--- a/crates/stackgw-router/src/router/events.rs
+++ b/crates/stackgw-router/src/router/events.rs
@@ -59,7 +59,8 @@
     }
 
     fn keep_timer_set(&mut self) {
-        if !self.timer_set && !self.members.is_empty() {
+        let is_idle = self.members.is_empty() && self.requests.is_empty();
+        if !self.timer_set && !is_idle {
             self.timer_set = true;
             self.actions.push(Action::SetTimer { after: self.timer_interval(), token: 0 });
         }
--- a/crates/stackgw-router/src/state/request.rs
+++ b/crates/stackgw-router/src/state/request.rs
@@ -128,6 +128,10 @@
 pub(crate) struct RequestTable(BTreeMap<RequestId, RequestState>);
 
 impl RequestTable {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     pub(crate) fn insert(&mut self, request: RequestState) {
         self.0.insert(request.id(), request);
     }
--- a/crates/stackgw-router/tests/decisions/final_answers.rs
+++ b/crates/stackgw-router/tests/decisions/final_answers.rs
@@ -113,3 +113,16 @@
     }
     panic!("the write got no final answer before its deadline");
 }
+
+/// Regression: without any member no timer was set, and a request that waited got no answer until the next event.
+#[test]
+fn a_request_that_waits_gets_its_answer_when_all_members_have_been_forgotten() {
+    let mut host = TestHost::new(settings(), 1);
+    host.send_event(Event::EndpointList { scope: ListScope::Full, members: vec![] });
+    host.advance(40 * SECOND);
+    let (_, actions) = host.request(WRITE);
+    let wakes_or_answers = |action: &Action| {
+        matches!(action, Action::SetTimer { .. } | Action::Reject { .. } | Action::Fail(_))
+    };
+    assert!(actions.iter().any(wakes_or_answers), "{actions:?}");
+}
