Gateway: a client that left while it waited to be accepted is not served

Cause: a client's statement is read before the end of its connection.

Change: at the first read of a connection the kernel is asked whether the client has closed it. A cancel request counts all the same.

--- a/crates/stackgw-cli/tests/leaving.rs
+++ b/crates/stackgw-cli/tests/leaving.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::gateway_common::{list_text, message, query, sqlstate, startup};
-use common::gateway_process::{start_fixture_with, GatewayFixture, GatewayProcess};
-use common::pg_connection::{frame_kinds, insert, PgConnection};
+use common::gateway_process::{start_fixture, start_fixture_with, GatewayFixture, GatewayProcess};
+use common::pg_connection::{frame_kinds, insert, select, PgConnection};
 use common::scripted_list_service::start_updating_list_service;
 use std::io::Write;
 use std::net::Shutdown;
@@ -274,3 +274,44 @@
         "statements of a client that had left were forwarded"
     );
 }
+
+/// Regression: a client that had waited to be accepted, and had left meanwhile, was served: its statement is read before the end of
+/// its connection.
+#[test]
+fn no_request_is_forwarded_when_its_client_has_left_while_it_waited_to_be_accepted() {
+    let GatewayFixture {
+        gateway,
+        statements,
+        release: _unreleased,
+        ..
+    } = start_fixture("accept-queue");
+    // 128 descriptors leave room for 52 clients and a reserve of 6. All of them have statements that no member answers.
+    let busy = |key| {
+        let mut client = gateway.ready_client();
+        client.write(&[insert(key)]);
+        client
+    };
+    let mut clients: Vec<_> = (0..52).map(|_| busy("slow")).collect();
+    // Clients that have sent a part of a message are not closed for others.
+    let part = &insert("part").bytes[..10];
+    let stalled = |_| {
+        let mut client = gateway.connect();
+        client.write(&[startup()]);
+        client.socket.write_all(part).expect("written");
+        client
+    };
+    let reserve: Vec<_> = (0..6).map(stalled).collect();
+    gateway.wait_for_counter("clients_open", |open| open == 58);
+    let mut leaving = gateway.connect();
+    leaving.write(&[startup(), select("gone")]);
+    drop(leaving);
+    std::thread::sleep(Duration::from_millis(200));
+    clients.truncate(40);
+    drop(reserve);
+    // A client that connects later is accepted later.
+    let mut last = gateway.ready_client();
+    last.write(&[select("last")]);
+    assert_eq!(frame_kinds(&last.read_reply()), "TDCZ");
+    let forwarded = statements.try_iter().filter(|text| text.contains("'gone'"));
+    assert_eq!(forwarded.count(), 0, "the statement was forwarded");
+}
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -3,7 +3,7 @@
 use super::client_table::{Client, WaitingClient};
 use super::connection::{Connection, ConnectionEvent, ConnectionEvents, ReadLimits, WriteProgress};
 use super::driver::Driver;
-use crate::pg::{FrameDecoder, Statement};
+use crate::pg::{code, FrameDecoder, Statement};
 use crate::reducer::{ClientId, CloseReason, Input, ReadAhead};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
@@ -12,6 +12,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// The range of the code in a startup packet.
+const STARTUP_CODE: std::ops::Range<usize> = 4..8;
+
 impl Driver {
     /// Registers an accepted connection and starts its task.
     pub(super) fn open_client(self: &Rc<Self>, socket: Async<TcpStream>) {
@@ -204,6 +207,16 @@
     future::or(events.next(), woken).await
 }
 
+/// Returns whether a client has closed its connection before its first bytes were read, and left no cancel request: it may have
+/// waited long to be accepted, and its statements would be executed for nobody.
+fn has_left_before(connection: &Connection, frames: &FrameDecoder) -> bool {
+    let code = frames
+        .peek_frame()
+        .and_then(|message| message.get(STARTUP_CODE));
+    let is_cancel_request = code == Some(&code::CANCEL.to_be_bytes());
+    !is_cancel_request && connection.has_peer_closed()
+}
+
 /// Reads from a client's connection until it ends.
 async fn serve(driver: Rc<Driver>, id: ClientId, connection: Rc<Connection>) {
     let limits = &driver.limits;
@@ -213,15 +226,22 @@
         buffer: driver.read_buffer.clone(),
     };
     let mut give_up_at = None;
+    let mut is_first_read = true;
     while let Some(event) = next_event(&mut events, give_up_at).await {
+        let mut is_closed = false;
         match event {
-            ConnectionEvent::Read(bytes) => frames.feed(&bytes),
+            ConnectionEvent::Read(bytes) => {
+                frames.feed(&bytes);
+                let is_first = std::mem::take(&mut is_first_read);
+                is_closed = is_first && has_left_before(&connection, &frames);
+            }
             ConnectionEvent::Written => driver.handle_input(Input::ClientFlushed(id)),
             ConnectionEvent::Woken => {}
-            ConnectionEvent::Closed => {
-                driver.remove_client(id);
-                return driver.handle_input(Input::ClientClosed(id, CloseReason::Disconnected));
-            }
+            ConnectionEvent::Closed => is_closed = true,
+        }
+        if is_closed {
+            driver.remove_client(id);
+            return driver.handle_input(Input::ClientClosed(id, CloseReason::Disconnected));
         }
         driver
             .deliver_messages(id, &connection, &mut frames, &mut give_up_at)
--- a/crates/stackgw-gateway/src/io/connection/mod.rs
+++ b/crates/stackgw-gateway/src/io/connection/mod.rs
@@ -12,7 +12,7 @@
 use crate::reducer::CloseReason;
 use async_io::Async;
 use read_budget::ConnectionKey;
-use rustix::event::{PollFd, PollFlags};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -22,6 +22,12 @@
 /// Size of one read of the bytes that are dropped before the process exits.
 const DISCARD_BUFFER_BYTES: usize = 4096;
 
+/// Timeout of a poll that does not wait.
+pub(super) const NO_WAIT: Timespec = Timespec {
+    tv_sec: 0,
+    tv_nsec: 0,
+};
+
 /// The progress of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WriteProgress {
@@ -211,6 +217,13 @@
         PollFd::new(self.socket.get_ref(), PollFlags::RDHUP)
     }
 
+    /// Returns whether the peer has closed or broken the connection, even if bytes before that are unread.
+    pub(super) fn has_peer_closed(&self) -> bool {
+        let mut polls = [self.disconnect_poll_fd()];
+        let polled = poll(&mut polls, Some(&NO_WAIT));
+        polled.is_ok() && !polls[0].revents().is_empty()
+    }
+
     /// Closes the connection unless bytes have arrived that were not passed on; returns whether it was closed. Bytes that
     /// arrive between the check and the close are lost, so the connection is shut down here and not later when its task is
     /// dropped.
--- a/crates/stackgw-gateway/src/io/disconnects.rs
+++ b/crates/stackgw-gateway/src/io/disconnects.rs
@@ -3,21 +3,15 @@
 //! The end of a connection is read only after its last byte. Without this check, statements that wait for capacity, for earlier
 //! statements or for the rest of a message would be executed long after their client has disconnected.
 
-use super::connection::Connection;
+use super::connection::{Connection, NO_WAIT};
 use super::driver::Driver;
 use crate::reducer::{ClientId, CloseReason, Input};
 use async_io::Timer;
 use futures_lite::future;
-use rustix::event::{poll, PollFd, Timespec};
+use rustix::event::{poll, PollFd};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Timeout of a poll that does not wait.
-const NO_WAIT: Timespec = Timespec {
-    tv_sec: 0,
-    tv_nsec: 0,
-};
-
 /// Reports disconnected clients to the reducer.
 pub(super) async fn run(driver: Rc<Driver>) {
     let interval = Duration::from_nanos(driver.limits.disconnect_poll_interval as u64);
--- a/crates/stackgw-router/tests/decisions/final_answers.rs
+++ b/crates/stackgw-router/tests/decisions/final_answers.rs
@@ -121,8 +121,7 @@
     host.send_event(Event::EndpointList { scope: ListScope::Full, members: vec![] });
     host.advance(40 * SECOND);
     let (_, actions) = host.request(WRITE);
-    let wakes_or_answers = |action: &Action| {
-        matches!(action, Action::SetTimer { .. } | Action::Reject { .. } | Action::Fail(_))
-    };
+    let wakes_or_answers =
+        |action: &Action| matches!(action, Action::SetTimer { .. } | Action::Reject { .. } | Action::Fail(_));
     assert!(actions.iter().any(wakes_or_answers), "{actions:?}");
 }
