Soak: answers without end and connections that come up late are drawn

From random numbers of their own, so that a seed's other faults stay as they are. SOAK_PROGRAM plays another build.

--- a/crates/stackgw-cli/tests/soak.rs
+++ b/crates/stackgw-cli/tests/soak.rs
@@ -1,11 +1,13 @@
 //! Seeded soak test with real processes: each seed determines a schedule of faults, and the records of clients, members and the
 //! list service are checked against the rules of the service.
 //!
-//! To run it with other seeds: `SOAK_SEEDS=1-50 cargo test --release -p stackgw-cli --test soak -- --ignored --nocapture`
+//! To run it with other seeds: `SOAK_SEEDS=1-50 cargo test --release -p stackgw-cli --test soak -- --ignored --nocapture`; with
+//! `SOAK_PROGRAM` it plays another build of the gateway.
 
 use stackgw_testkit::soak::{judge, run_soak, RequestEnd, SoakPlan, SoakRecord, Violation};
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 /// How long clients send requests in a soak in CI, and in a manual one.
@@ -14,10 +16,16 @@
 /// Number of manual soaks that run concurrently.
 const CONCURRENT_SOAKS: usize = 5;
 
+/// The gateway's program: that of this build, or another one, to see whether the soak notices a fault of it.
+fn program() -> PathBuf {
+    let other = std::env::var_os("SOAK_PROGRAM");
+    other.map_or(env!("CARGO_BIN_EXE_stackgw").into(), PathBuf::from)
+}
+
 fn run(seed: u64, duration: Duration) -> (SoakPlan, SoakRecord, Vec<Violation>) {
     let plan = SoakPlan::draw(seed, duration);
     let folder = std::env::temp_dir().join(format!("stackgw-soak-{}-{seed}", std::process::id()));
-    let record = run_soak(&plan, env!("CARGO_BIN_EXE_stackgw").into(), folder);
+    let record = run_soak(&plan, program(), folder);
     let record = record.unwrap_or_else(|error| panic!("seed {seed}: {error}"));
     let violations = judge(&record);
     (plan, record, violations)
--- a/crates/stackgw-testkit/src/member.rs
+++ b/crates/stackgw-testkit/src/member.rs
@@ -17,6 +17,11 @@
     pub delay_ms: AtomicU64,
     /// Whether the member accepts connections and requests but never answers requests, not even after this is unset.
     pub unresponsive: AtomicBool,
+    /// Whether answers never end: the member runs each request and then sends its load report again and again, as long as this is
+    /// set and the connection lasts. Members that speak Flight SQL ignore it.
+    pub answers_without_end: AtomicBool,
+    /// How long the startup of a new connection takes, in milliseconds. Members that speak Flight SQL ignore it.
+    pub startup_delay_ms: AtomicU64,
     /// Whether the member runs each write and then, instead of answering, breaks the write's connection, or all its
     /// connections if it speaks Flight SQL.
     pub drops_write_replies: AtomicBool,
@@ -57,6 +62,8 @@
             lag_ms: lag_ms.into(),
             delay_ms: AtomicU64::default(),
             unresponsive: AtomicBool::default(),
+            answers_without_end: AtomicBool::default(),
+            startup_delay_ms: AtomicU64::default(),
             drops_write_replies: AtomicBool::default(),
             stall_after_batches: AtomicU64::default(),
             change_schema_after_batches: AtomicU64::default(),
@@ -114,6 +121,14 @@
         (delay_ms > 0).then(|| Duration::from_millis(delay_ms))
     }
 
+    pub(crate) fn answers_without_end(&self) -> bool {
+        self.answers_without_end.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn startup_delay(&self) -> Duration {
+        Duration::from_millis(self.startup_delay_ms.load(Ordering::Relaxed))
+    }
+
     pub(crate) fn is_unresponsive(&self) -> bool {
         self.unresponsive.load(Ordering::Relaxed)
     }
--- a/crates/stackgw-testkit/src/postgres_member.rs
+++ b/crates/stackgw-testkit/src/postgres_member.rs
@@ -13,6 +13,9 @@
 const MAX_STARTUP_BYTES: usize = 1 << 16;
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// Load reports in one write of an answer that never ends.
+const REPORTS_PER_WRITE: usize = 2048;
+
 /// How often a member that does not answer checks whether its client is still connected.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -79,6 +82,11 @@
         if let WorkOutcome::DoneAfter(time) = outcome {
             std::thread::sleep(time);
         }
+        if is_startup {
+            std::thread::sleep(member.startup_delay());
+        } else if member.answers_without_end() {
+            return self.answer_without_end(socket);
+        }
         if let Some(delay) = member.delay() {
             wait_while_connected(socket, delay).then_some(())?;
         }
@@ -89,6 +97,17 @@
         socket.write_all(&reply.bytes).ok()
     }
 
+    /// Sends the load report until the connection ends or the fault is over; the connection is of no use after that.
+    fn answer_without_end(&self, socket: &mut TcpStream) -> Option<()> {
+        let mut report = Vec::new();
+        write::status(&mut report, "server_load", "x0=1,x1=0");
+        let reports = report.repeat(REPORTS_PER_WRITE);
+        while self.member.answers_without_end() {
+            socket.write_all(&reports).ok()?;
+        }
+        None
+    }
+
     /// The reply to a message; `None` if a member does not accept messages of this kind.
     fn reply(&self, frame: Frame) -> Option<Reply> {
         let mut bytes = Vec::new();
--- a/crates/stackgw-testkit/src/soak/plan.rs
+++ b/crates/stackgw-testkit/src/soak/plan.rs
@@ -16,6 +16,11 @@
 const CRASHES_PER_SECOND: f64 = 0.15;
 /// Separates the random numbers of these crashes from those of the other faults.
 const CRASH_SEED_MASK: u64 = 0xc4a5;
+/// The average rate, and the separate random numbers, of answers that never end and of connections that come up late.
+const RESPONSE_FAULTS_PER_SECOND: f64 = 0.25;
+const RESPONSE_FAULT_SEED_MASK: u64 = 0xe4d1;
+/// The longest time that a connection takes to come up, in milliseconds.
+const MAX_STARTUP_DELAY_MS: u64 = 1_500;
 /// How long a gateway's process may be paused at any time.
 const GATEWAY_PAUSE_TIME: Duration = Duration::from_millis(150);
 /// No fault begins within this time before the soak's end, so that the effects of the last faults are part of the record.
@@ -32,6 +37,10 @@
     MemberHangs(usize, Duration),
     /// A member's answers are delayed by this many milliseconds.
     MemberSlows(usize, u64, Duration),
+    /// A member's answers never end.
+    MemberNeverEnds(usize, Duration),
+    /// A member's new connections take this many milliseconds to come up.
+    ConnectionsLate(usize, u64, Duration),
     /// A member breaks connections instead of answering writes.
     MemberDropsWriteReplies(usize, Duration),
     /// A replica's lag grows to this many milliseconds.
@@ -65,6 +74,8 @@
             SoakFault::ListService(..) => "list cut off",
             SoakFault::MemberHangs(..) => "member hangs",
             SoakFault::MemberSlows(..) => "member slow",
+            SoakFault::MemberNeverEnds(..) => "answers without end",
+            SoakFault::ConnectionsLate(..) => "connections late",
             SoakFault::MemberDropsWriteReplies(..) => "write replies lost",
             SoakFault::ReplicaLags(..) => "replica lags",
             SoakFault::MemberLeaves(..) => "member drains or goes",
@@ -121,6 +132,25 @@
     crashes.collect()
 }
 
+/// Draws answers that never end and late connections, from random numbers of their own.
+fn draw_response_faults(seed: u64, replicas: usize, last_start: f64) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESPONSE_FAULT_SEED_MASK);
+    let count = (last_start * RESPONSE_FAULTS_PER_SECOND).ceil() as usize;
+    let faults = (0..count).map(|_| {
+        let member = rng.random_range(0..=replicas);
+        let time = Duration::from_millis(rng.random_range(200..4_000));
+        let delay_ms = rng.random_range(20..MAX_STARTUP_DELAY_MS);
+        let fault = if rng.random_bool(0.5) {
+            SoakFault::MemberNeverEnds(member, time)
+        } else {
+            SoakFault::ConnectionsLate(member, delay_ms, time)
+        };
+        let at = Duration::from_secs_f64(rng.random_range(0.5..last_start.max(0.6)));
+        PlannedFault { at, fault }
+    });
+    faults.collect()
+}
+
 impl SoakPlan {
     /// Draws the schedule for a seed.
     pub fn draw(seed: u64, duration: Duration) -> Self {
@@ -147,6 +177,7 @@
             })
             .collect();
         faults.extend(draw_primary_crashes(seed, last));
+        faults.extend(draw_response_faults(seed, plan.replicas, last));
         faults.sort_by_key(|planned| planned.at);
         plan.faults = faults;
         plan
--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -159,6 +159,18 @@
                 std::thread::sleep(time);
                 delay.store(0, Ordering::Relaxed);
             }
+            SoakFault::MemberNeverEnds(member, time) => {
+                let flag = &self.group.members[member].answers_without_end;
+                flag.store(true, Ordering::Relaxed);
+                std::thread::sleep(time);
+                flag.store(false, Ordering::Relaxed);
+            }
+            SoakFault::ConnectionsLate(member, ms, time) => {
+                let delay = &self.group.members[member].startup_delay_ms;
+                delay.store(ms, Ordering::Relaxed);
+                std::thread::sleep(time);
+                delay.store(0, Ordering::Relaxed);
+            }
             SoakFault::MemberDropsWriteReplies(member, time) => {
                 let flag = &self.group.members[member].drops_write_replies;
                 flag.store(true, Ordering::Relaxed);
