Gateway: a statement after a rejected one has all of its time

Cause: the time at which a message began to wait was taken only where a message is queued. It is taken at each delivery now.

Evidence: a_statement_after_a_rejected_one_has_all_of_its_time failed before (d=150 of 900) and passes.

--- a/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
@@ -9,6 +9,15 @@
 use stackgw_router::api::{RequestId, Span, Time};
 use std::cmp::Reverse;
 
+/// A message that was delivered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReceivedFrame {
+    /// The client's startup is done.
+    pub(crate) is_started: bool,
+    /// Since when it was complete and nothing before it was open.
+    pub(crate) received_at: Time,
+}
+
 impl Clients {
     // Data from clients.
 
@@ -75,13 +84,15 @@
         largest.map(|(id, _)| *id)
     }
 
-    /// Clears a client's read-ahead after the delivery of a message. Returns whether its startup is done, or `None` if the
-    /// client is not connected.
-    pub(crate) fn receive_frame(&mut self, id: ClientId) -> Option<bool> {
+    /// Clears a client's read-ahead after the delivery of a message. Returns `None` if the client is not connected.
+    pub(crate) fn receive_frame(&mut self, now: Time, id: ClientId) -> Option<ReceivedFrame> {
         let client = self.connected.get_mut(&id)?;
         client.partial_since = None;
         self.read_ahead_bytes -= std::mem::take(&mut client.read_ahead_bytes);
-        Some(client.cancel_key.is_some())
+        Some(ReceivedFrame {
+            is_started: client.cancel_key.is_some(),
+            received_at: client.waiting_since.take().unwrap_or(now),
+        })
     }
 
     // Writes to clients.
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -137,13 +137,15 @@
 
     // Messages.
 
-    pub(crate) fn enqueue_frame(&mut self, cx: &mut Context<'_>, id: ClientId, frame: Frame) {
+    pub(crate) fn enqueue_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        queued: QueuedFrame,
+    ) {
         if let Some(client) = self.connected.get_mut(&id) {
-            cx.counters.buffered_bytes += frame.bytes.len() as u64;
-            client.queued.push_back(QueuedFrame {
-                received_at: client.waiting_since.take().unwrap_or(cx.now),
-                frame,
-            });
+            cx.counters.buffered_bytes += queued.frame.bytes.len() as u64;
+            client.queued.push_back(queued);
         }
     }
 
--- a/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
@@ -14,14 +14,18 @@
 impl Gateway {
     /// Handles a client's complete message.
     pub(super) fn handle_client_frame(&mut self, cx: &mut Context<'_>, id: ClientId, frame: Frame) {
-        match self.clients.receive_frame(id) {
-            None => {}
-            Some(false) => self.handle_startup(cx, id, &frame),
-            Some(true) => {
-                self.clients.enqueue_frame(cx, id, frame);
-                self.dispatch_queued_frames(cx, id);
-            }
+        let Some(received) = self.clients.receive_frame(cx.now, id) else {
+            return;
+        };
+        if !received.is_started {
+            return self.handle_startup(cx, id, &frame);
         }
+        let queued = QueuedFrame {
+            received_at: received.received_at,
+            frame,
+        };
+        self.clients.enqueue_frame(cx, id, queued);
+        self.dispatch_queued_frames(cx, id);
     }
 
     /// Returns whether a client's next message may be rejected for lack of capacity.
@@ -39,9 +43,9 @@
         if frame.kind != b'Q' || Statement::is_empty(&frame) || self.clients.is_skipping(id) {
             return self.handle_client_frame(cx, id, frame);
         }
-        let Some(true) = self.clients.receive_frame(id) else {
+        if self.clients.receive_frame(cx.now, id).is_none() {
             return;
-        };
+        }
         cx.counters.taken += 1;
         cx.counters.rejected_early += 1;
         self.clients.mark_request_sent(id);
--- a/crates/stackgw-gateway/tests/read_ahead.rs
+++ b/crates/stackgw-gateway/tests/read_ahead.rs
@@ -155,6 +155,20 @@
     );
 }
 
+/// Regression: the time at which a rejected statement had begun to wait was taken for that of its client's next statement.
+#[test]
+fn a_statement_after_a_rejected_one_has_all_of_its_time() {
+    let mut harness = ReducerHarness::new(&three_members());
+    let client = harness.client(1);
+    harness.input(Input::ClientReadAhead(client, ReadAhead::waiting(100)));
+    harness.advance(250 * MS);
+    harness.input(Input::ClientFrameOverdue(client, large_read(10)));
+    harness.advance(500 * MS);
+    let effects = harness.send(client, large_read(10));
+    let (_, text) = &statements(&effects)[0];
+    assert!(text.contains(",d=900,"), "{text}");
+}
+
 /// Regression: the time for which a statement had waited for capacity was added to its client's time.
 #[test]
 fn a_statement_that_has_waited_for_capacity_has_the_less_time_left() {
