--- a/crates/stackgw-flight/tests/statements_and_tickets.rs
+++ b/crates/stackgw-flight/tests/statements_and_tickets.rs
@@ -122,7 +122,7 @@
     assert_eq!(bound.unbound_parameters(), 0);
     let text = bound.render("i", 9);
     assert!(text.contains("('a?b', '\\x01ff')"), "{text}");
-    assert_eq!(parse_rendered(&text).key, "a?b");
+    assert_eq!(parse_rendered(&text).key(), "a?b");
     assert!(template
         .bind(&[ParameterValue::Text("a".to_owned())])
         .is_err());
--- a/crates/stackgw-testkit/src/soak/run.rs
+++ b/crates/stackgw-testkit/src/soak/run.rs
@@ -15,7 +15,7 @@
 use crate::replica_group::{GroupConfig, ReplicaGroup};
 use crate::sync::lock;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -93,6 +93,20 @@
     arrivals.collect()
 }
 
+/// Sets a member's flag for this time.
+fn set_for(flag: &AtomicBool, time: Duration) {
+    flag.store(true, Ordering::Relaxed);
+    std::thread::sleep(time);
+    flag.store(false, Ordering::Relaxed);
+}
+
+/// Sets a member's value for this time; it is 0 otherwise.
+fn set_to(value: &AtomicU64, new: u64, time: Duration) {
+    value.store(new, Ordering::Relaxed);
+    std::thread::sleep(time);
+    value.store(0, Ordering::Relaxed);
+}
+
 struct Soak<'a> {
     plan: &'a SoakPlan,
     group: &'a ReplicaGroup,
@@ -148,34 +162,19 @@
         match fault {
             SoakFault::ListService(service, time) => self.break_list_service(service, time),
             SoakFault::MemberHangs(member, time) => {
-                let flag = &self.group.members[member].unresponsive;
-                flag.store(true, Ordering::Relaxed);
-                std::thread::sleep(time);
-                flag.store(false, Ordering::Relaxed);
+                set_for(&self.group.members[member].unresponsive, time);
             }
             SoakFault::MemberSlows(member, ms, time) => {
-                let delay = &self.group.members[member].delay_ms;
-                delay.store(ms, Ordering::Relaxed);
-                std::thread::sleep(time);
-                delay.store(0, Ordering::Relaxed);
+                set_to(&self.group.members[member].delay_ms, ms, time);
             }
             SoakFault::MemberNeverEnds(member, time) => {
-                let flag = &self.group.members[member].answers_without_end;
-                flag.store(true, Ordering::Relaxed);
-                std::thread::sleep(time);
-                flag.store(false, Ordering::Relaxed);
+                set_for(&self.group.members[member].answers_without_end, time);
             }
             SoakFault::ConnectionsLate(member, ms, time) => {
-                let delay = &self.group.members[member].startup_delay_ms;
-                delay.store(ms, Ordering::Relaxed);
-                std::thread::sleep(time);
-                delay.store(0, Ordering::Relaxed);
+                set_to(&self.group.members[member].startup_delay_ms, ms, time);
             }
             SoakFault::MemberDropsWriteReplies(member, time) => {
-                let flag = &self.group.members[member].drops_write_replies;
-                flag.store(true, Ordering::Relaxed);
-                std::thread::sleep(time);
-                flag.store(false, Ordering::Relaxed);
+                set_for(&self.group.members[member].drops_write_replies, time);
             }
             SoakFault::ReplicaLags(member, ms, time) => {
                 self.apply_lag(member, ms, time);
