--- a/crates/stackgw-testkit/tests/soak_judge.rs
+++ b/crates/stackgw-testkit/tests/soak_judge.rs
@@ -340,7 +340,7 @@
     // Fifty seeds together draw every fault.
     let faults = (1..=50).flat_map(|seed| draw(seed).faults);
     let drawn: std::collections::BTreeSet<_> = faults.map(|planned| planned.fault.name()).collect();
-    assert_eq!(drawn.len(), 15, "{drawn:?}");
+    assert_eq!(drawn.len(), 17, "{drawn:?}");
     let all = (1..=50).flat_map(|seed| draw(seed).faults);
     let restarts = all.filter(|planned| matches!(planned.fault, SoakFault::GatewayRestarts(..)));
     assert!(
