Add review case: half-sent requests hold all places, new clients get no answer

Cause: a client with part of a message keeps its place for 2 s; with places and reserve held nothing is accepted. 200 such clients come once at 256 descriptors.

--- a/review/6/drain.rs
+++ b/review/6/drain.rs
@@ -77,6 +77,7 @@
         behind: "reject", wait_ms: 0, role_listed: "initial", marks: "client", commit_waits: false, report: "pull",
         membership: "automatic", max_attempts: 8, second_copies: true, retry_after: false, idle_ms: 30_000, grace_ms: 250,
         only_draining: true, start_capacity: 0.22, warm_ms: 12_000, fall_multiple: 3.0, fall_ms: 2000, gateways: 1,
+        memory_mb: 192, sockets: 1024,
     }
 }
 
--- a/review/common-2/standins.rs
+++ b/review/common-2/standins.rs
@@ -420,6 +420,10 @@
         false
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", child.id())]).status();
@@ -462,6 +466,52 @@
     None,
 }
 
+fn error_answer(code: String) -> Answer {
+    match code.as_str() {
+        "53300" | "57P03" => Answer::Refused(code),
+        _ => Answer::Failed(code),
+    }
+}
+
+/// The startup message of a client.
+pub fn startup() -> Vec<u8> {
+    let body = b"user\0client\0database\0core\0\0";
+    let mut startup = (body.len() as u32 + 8).to_be_bytes().to_vec();
+    startup.extend([0, 3, 0, 0]);
+    startup.extend(body);
+    startup
+}
+
+/// The message of a statement.
+pub fn query(statement: &str) -> Vec<u8> {
+    let mut body = statement.as_bytes().to_vec();
+    body.push(0);
+    message(b'Q', &body)
+}
+
+/// A bad client: connects, sends these bytes and stays. It reads what it is sent and leaves when the gateway ends the
+/// connection. Returns after how many milliseconds that was; `None`: not within `stay` milliseconds.
+pub fn stall(address: SocketAddr, bytes: &[u8], stay: f64) -> Option<f64> {
+    let began = ms();
+    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(3)).ok()?;
+    let _ = socket.set_write_timeout(Some(Duration::from_millis(200)));
+    let _ = socket.write_all(bytes);
+    let mut buffer = [0; 4096];
+    loop {
+        let left = began + stay - ms();
+        if left <= 0.0 {
+            return None;
+        }
+        let _ = socket.set_read_timeout(Some(Duration::from_secs_f64(left.max(1.0) / 1e3)));
+        match socket.read(&mut buffer) {
+            Ok(0) => return Some(ms() - began),
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(_) => return Some(ms() - began),
+        }
+    }
+}
+
 pub struct Client {
     pub socket: TcpStream,
 }
@@ -470,11 +520,7 @@
     pub fn connect(address: SocketAddr) -> Option<Self> {
         let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
         let _ = socket.set_nodelay(true);
-        let body = b"user\0client\0database\0core\0\0";
-        let mut startup = (body.len() as u32 + 8).to_be_bytes().to_vec();
-        startup.extend([0, 3, 0, 0]);
-        startup.extend(body);
-        socket.write_all(&startup).ok()?;
+        socket.write_all(&startup()).ok()?;
         let _ = socket.set_read_timeout(Some(Duration::from_secs(2)));
         loop {
             if read_message(&mut socket)?.0 == b'Z' {
@@ -493,9 +539,7 @@
     }
 
     pub fn send(&mut self, statement: &str) -> Option<()> {
-        let mut body = statement.as_bytes().to_vec();
-        body.push(0);
-        self.socket.write_all(&message(b'Q', &body)).ok()
+        self.socket.write_all(&query(statement)).ok()
     }
 
     /// Waits for one answer, `wait` milliseconds at most.
@@ -506,7 +550,12 @@
         let until = ms() + wait;
         loop {
             let Some((kind, body, _)) = read_message(&mut self.socket) else {
-                return if ms() >= until - 5.0 { Answer::None } else { Answer::Ended };
+                return match failure {
+                    // A fatal error does not need ReadyForQuery.
+                    Some(code) => error_answer(code),
+                    None if ms() >= until - 5.0 => Answer::None,
+                    None => Answer::Ended,
+                };
             };
             match kind {
                 b'D' => value = body.get(6..).map(<[u8]>::to_vec),
@@ -517,8 +566,7 @@
                 }
                 b'Z' => {
                     return match (failure, value) {
-                        (Some(code), _) if code == "53300" || code == "57P03" => Answer::Refused(code),
-                        (Some(code), _) => Answer::Failed(code),
+                        (Some(code), _) => error_answer(code),
                         (None, Some(value)) => Answer::Served(value),
                         (None, None) => Answer::Failed("no row".into()),
                     }
@@ -573,6 +621,9 @@
     pub fall_multiple: f64,
     pub fall_ms: u64,
     pub gateways: usize,
+    /// The limits on memory (MiB) and descriptors.
+    pub memory_mb: usize,
+    pub sockets: usize,
 }
 
 const MS_NS: u64 = 1_000_000;
@@ -639,13 +690,33 @@
         )
     }
 
+    /// The settings of midlands-depots, with this many gateways.
+    pub fn midlands(gateways: usize) -> Self {
+        let class = |name, effect, need, bound_ms, aim_ms, deadline_ms, late_worth, worth| Class {
+            name, effect, need, bound_ms, aim_ms, deadline_ms, window_ms: 0, late_worth, worth,
+        };
+        Site {
+            classes: vec![
+                class("stock-check", "retryable", "recent", 500, 300, 750, 0.0, 1.0),
+                class("my-order-view", "retryable", "own_writes", 0, 200, 800, 0.0, 1.0),
+                class("place-order", "fragile", "update", 0, 500, 3000, 0.7, 3.0),
+            ],
+            behind: "silent", wait_ms: 0, role_listed: "delayed", marks: "client", commit_waits: true,
+            report: "piggyback", membership: "automatic", max_attempts: 10, second_copies: false, retry_after: true,
+            idle_ms: 30_000, grace_ms: 1000, only_draining: false, start_capacity: 0.25, warm_ms: 16_000,
+            fall_multiple: 4.0, fall_ms: 1500, gateways, memory_mb: 192, sockets: 1024,
+        }
+    }
+
     /// The fields of a gateway's document after `name` and `listen`.
     pub fn document(&self, me: usize, list: &ListService, known: Option<String>) -> String {
         format!(
-            "\"discovery\":\"{}\",\"seed\":\"{:x}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+            "\"discovery\":\"{}\",\"seed\":\"{:x}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\
              \"known\":{},\"settings\":{}",
             list.address,
             0x8c1f30d27a5be964u64 ^ unix_ms() ^ me as u64,
+            self.memory_mb,
+            self.sockets,
             known.unwrap_or_else(|| "null".into()),
             self.settings(me)
         )
