Let the Flight shutdown case use kept connections

New connections come for 0.4 s after SIGTERM at most, so the clients keep theirs: HTTP/2 and gRPC by hand.

--- a/review/9/flight.rs
+++ b/review/9/flight.rs
@@ -1,17 +1,20 @@
 //! A gateway that also speaks Arrow Flight SQL is told to end while Flight clients ask.
+#[path = "../common-2/flight_client.rs"]
+mod flight_client;
 #[path = "../common-2/standins.rs"]
 mod standins;
+use flight_client::{FlightClient, Reply};
 use standins::*;
-use std::io::Read;
-use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Command, ExitCode, Stdio};
+use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 
 const CLIENTS: usize = 16;
+/// Between an answer and the next query of a client: all together ask less than 960 times a second (LATER.md).
+const PAUSE_MS: f64 = 10.0;
 /// How many restarts are played at most; the first that breaks the rule is the last.
-const ROUNDS: usize = 8;
+const ROUNDS: usize = 12;
 /// The operator's file gives a request this long where its client sets no time.
 const WAIT_MS: f64 = 3_000.0;
 /// After its time a request is lost half a second later; the protocol page adds 50 ms to each limit.
@@ -19,37 +22,6 @@
 /// When the platform kills what has not ended: no sooner than the longest deadline and 0.7 s after SIGTERM.
 const KILL_AFTER_MS: f64 = 5_000.0;
 
-enum End {
-    Answered(String),
-    Lost,
-}
-
-/// One query by the project's own client. It waits as long as the request may take, and half a second more.
-fn ask(flight: SocketAddr, key: &str) -> End {
-    let began = ms();
-    let child = Command::new(root().join("target/release/stackgw"))
-        .args(["query", &flight.to_string(), "--class", "stock-check", "--group", "0", "--key", key])
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn();
-    let Ok(mut child) = child else { return End::Answered("the client did not start".into()) };
-    loop {
-        if let Ok(Some(_)) = child.try_wait() {
-            let mut text = String::new();
-            let _ = child.stdout.take().map(|mut out| out.read_to_string(&mut text));
-            let _ = child.stderr.take().map(|mut out| out.read_to_string(&mut text));
-            return End::Answered(text.trim().replace('\n', " "));
-        }
-        if ms() - began > LOST_AFTER_MS {
-            let _ = child.kill();
-            let _ = child.wait();
-            return End::Lost;
-        }
-        sleep_ms(2.0);
-    }
-}
-
 /// Plays one restart. Returns whether the rule was broken; `None` if the round could not be played.
 fn round(number: usize, record: &Record) -> Option<bool> {
     let folder = Folder::new();
@@ -72,8 +44,8 @@
     std::fs::write(&file, yaml).expect("the operator's file");
     let arguments = format!("run --file {}", file.display());
     let mut gateway = Gateway::new(&folder.0, "n0", &Site::midlands(1).document(0, &list, None), &arguments);
-    let first = gateway.start().then(|| ask(flight, "k"));
-    if !matches!(&first, Some(End::Answered(text)) if text.contains("0707")) {
+    let first = gateway.start().then(|| FlightClient::connect(flight)?.read("stock-check", "0", "k", WAIT_MS).into());
+    if !matches!(first.flatten(), Some((Reply::Data(_), true))) {
         record.add(format!("the gateway was not ready: {}", gateway.log_text()));
         return None;
     }
@@ -84,15 +56,25 @@
         .map(|n| {
             let (stop, ends) = (stop.clone(), ends.clone());
             std::thread::spawn(move || {
+                // One connection, kept as long as it stays open.
+                let mut client = FlightClient::connect(flight)?;
+                let mut lost = 0;
                 while !stop.load(SeqCst) {
                     let sent = ms();
-                    let end = ask(flight, &format!("k{n}"));
-                    let is_quiet = matches!(&end, End::Answered(text) if text.contains("refused"));
-                    lock(&ends).push((n, sent, ms(), end));
-                    if is_quiet {
-                        sleep_ms(20.0);
+                    let (reply, is_sent) = client.read("stock-check", "0", &format!("k{n}"), LOST_AFTER_MS);
+                    let is_over = matches!(reply, Reply::Ended | Reply::None);
+                    lost += usize::from(reply == Reply::None);
+                    // After a refusal a client tries again at once.
+                    let pause = if matches!(reply, Reply::Data(_)) { PAUSE_MS } else { 0.0 };
+                    lock(&ends).push((n, sent, ms(), reply, is_sent));
+                    if is_over {
+                        break;
                     }
+                    sleep_ms(pause);
                 }
+                // It stays a while, so that the gateway can still answer.
+                sleep_ms(if lost > 0 { 2_000.0 } else { 0.0 });
+                Some(())
             })
         })
         .collect();
@@ -125,19 +107,23 @@
     gateway.kill();
     let ends = lock(&ends);
     let mut lost = 0;
-    for (n, sent, at, end) in ends.iter() {
+    for (n, sent, at, reply, is_sent) in ends.iter() {
         let took = at - sent;
-        let (text, is_lost) = match end {
-            End::Lost => ("no answer".to_owned(), true),
-            End::Answered(text) => (text.clone(), took > LOST_AFTER_MS),
-        };
+        let is_lost = *reply == Reply::None || took > LOST_AFTER_MS;
         lost += usize::from(is_lost);
         if is_lost || took > 300.0 {
             let note = if is_lost { ": LOST" } else { "" };
-            record.at(*sent, format!("client {n} asks, {:.0} ms after SIGTERM: {text} after {took:.0} ms{note}", sent - told));
+            let what = if *is_sent { "DoGet" } else { "GetFlightInfo" };
+            let text = match reply {
+                Reply::Data(_) => "data",
+                Reply::Status => "a status",
+                Reply::Ended => "the connection ended",
+                Reply::None => "nothing",
+            };
+            record.at(*sent, format!("client {n} asks, {:.0} ms after SIGTERM; {what} brings {text} in {took:.0} ms{note}", sent - told));
         }
     }
-    let answered = ends.iter().filter(|end| matches!(&end.3, End::Answered(text) if text.contains("0707"))).count();
+    let answered = ends.iter().filter(|end| matches!(end.3, Reply::Data(_))).count();
     record.add(format!("{} queries, {answered} served", ends.len()));
     record.add(format!("the gateway's log:\n{}", gateway.log_text()));
     let hangs = trouble() && ended.is_none();
