Gateway: clients that stop in the middle of a message give up their places

What callers saw: 256 descriptors, 200 clients that send half of a request and stay: 20 of 80 usual requests got nothing, with gateway and member idle.

Cause: at the client limit only idle clients made room. One with part of a message was chosen as idle, refused the close since it had sent something, and kept its place until the timeout of 2 s; whoever came waited in the backlog, where a request counts as taken.

Change: one order of reasons to lose a place: got the last error, idle without a request, idle, stalled within a message, response unread. A client whose complete request is not answered is not in it. Before a client is ended as stalled, its socket is asked whether the rest lies there unread. The timeout of a message is checked when it is due. A newcomer's first complete request takes a stalled client's place too.

Three tests of the reducer.

--- a/crates/stackgw-gateway/src/counters.rs
+++ b/crates/stackgw-gateway/src/counters.rs
@@ -97,6 +97,8 @@
     clients_bad,
     /// Client connections closed because they stalled inside a message or a response.
     clients_stalled,
+    /// Client connections closed because they stalled inside a message while other clients needed their places.
+    clients_stalled_at_limit,
     /// Client connections closed because they sent no request in time.
     clients_without_request,
     /// Client connections rejected while no endpoint list was known, because clients waiting for the list took all places.
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -4,7 +4,7 @@
 use super::connection::{Connection, ConnectionEvent, ConnectionEvents, ReadLimits, WriteProgress};
 use super::driver::Driver;
 use crate::pg::{code, FrameDecoder, Statement};
-use crate::reducer::{ClientId, CloseReason, Input, ReadAhead};
+use crate::reducer::{ClientId, CloseReason, Input, ReadAhead, StallReason};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
 use stackgw_router::api::MS;
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Reports a client that has not sent the rest of its message.
+    pub(super) fn check_stalled(&self, id: ClientId, reason: StallReason) {
+        let connection = self.clients.connection(id);
+        let mut buffer = self.read_buffer.borrow_mut();
+        if connection.is_some_and(|connection| connection.awaits_peer(&mut buffer)) {
+            self.queue_input(Input::ClientStalled(id, reason));
+        }
+    }
+
     /// Closes a client's connection. Returns the client if it was connected.
     pub(super) fn remove_client(&self, id: ClientId) -> Option<Client> {
         let client = self.clients.connections.borrow_mut().remove(&id);
@@ -172,6 +181,7 @@
         let pending_bytes = frames.pending_bytes();
         let next_frame_bytes = frames.next_frame_bytes();
         connection.set_awaiting_acceptance(next_frame_bytes.is_some());
+        connection.set_missing_bytes(frames.missing_bytes());
         connection.set_pending_bytes(pending_bytes);
         if pending_bytes == 0 {
             self.clients.with_pending_bytes.borrow_mut().remove(&id);
--- a/crates/stackgw-gateway/src/io/connection/mod.rs
+++ b/crates/stackgw-gateway/src/io/connection/mod.rs
@@ -62,6 +62,8 @@
     pending_bytes: Cell<usize>,
     /// The pending bytes begin with a complete message that is not accepted yet, so that no further bytes are needed for it.
     awaits_acceptance: Cell<bool>,
+    /// Bytes that the pending bytes lack to a complete message, as far as that is known.
+    missing_bytes: Cell<usize>,
     limits: ReadLimits,
     budget: Rc<ReadBudget>,
 }
@@ -90,6 +92,7 @@
             discarded: Cell::new(None),
             pending_bytes: Cell::new(0),
             awaits_acceptance: Cell::new(false),
+            missing_bytes: Cell::new(0),
             limits,
             budget: budget.clone(),
         })
@@ -106,6 +109,23 @@
         self.awaits_acceptance.set(awaits_acceptance);
     }
 
+    /// Sets how many bytes the pending bytes lack to a complete message.
+    pub(super) fn set_missing_bytes(&self, bytes: usize) {
+        self.missing_bytes.set(bytes);
+    }
+
+    /// Returns whether the peer must send more before its message can be complete. If it has sent the rest, or as much as the
+    /// buffer takes, the gateway is behind with reading instead.
+    pub(super) fn awaits_peer(&self, buffer: &mut [u8]) -> bool {
+        let needed_bytes = self.missing_bytes.get().min(buffer.len());
+        match self.peek_into(&mut buffer[..needed_bytes]) {
+            // Its end is about to be read.
+            Ok(0) => false,
+            Ok(unread_bytes) => unread_bytes < needed_bytes,
+            Err(error) => error.kind() == ErrorKind::WouldBlock,
+        }
+    }
+
     fn key(&self) -> ConnectionKey {
         ConnectionKey(std::ptr::from_ref(self).addr())
     }
@@ -201,11 +221,16 @@
         }
     }
 
-    /// Peeks at one unread byte. An interrupted call is repeated: if it were taken for a socket without unread bytes, such
-    /// bytes would be lost when the connection is closed.
+    /// Peeks at one unread byte.
     fn peek(&self) -> std::io::Result<usize> {
+        self.peek_into(&mut [0])
+    }
+
+    /// Peeks at unread bytes. An interrupted call is repeated: if it were taken for a socket without unread bytes, such bytes
+    /// would be lost when the connection is closed.
+    fn peek_into(&self, buffer: &mut [u8]) -> std::io::Result<usize> {
         loop {
-            match self.socket.get_ref().peek(&mut [0]) {
+            match self.socket.get_ref().peek(buffer) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 peeked => return peeked,
             }
--- a/crates/stackgw-gateway/src/io/driver.rs
+++ b/crates/stackgw-gateway/src/io/driver.rs
@@ -111,6 +111,7 @@
             } => self.write_to_client(client, bytes, close),
             Effect::ClientClose(client) => drop(self.remove_client(client)),
             Effect::ClientCloseIfIdle(client) => self.close_client_if_idle(client),
+            Effect::ClientCheckStalled(client, reason) => self.check_stalled(client, reason),
             Effect::StopListening => self.clients.stops_listening.set(true),
             Effect::MemberConnect(id, address) => self.open_member_connection(id, address),
             Effect::MemberWrite(id, bytes) => self.write_to_member(id, bytes),
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -29,10 +29,11 @@
     pub client_soft_limit: usize,
     /// Idle time after which a client connection is closed above `client_soft_limit`.
     pub soft_limit_idle: Span,
-    /// At the limit of clients, a connection that has been idle for this long may be closed to make room for a new one.
+    /// At the limit of clients, a connection that has been idle, or has stopped in the middle of a message, for this long may be
+    /// closed to make room for a new one.
     pub eviction_idle: Span,
     /// A connection without a request so far is evicted before all others, but not within this time of its start: its first
-    /// request may be in transit.
+    /// request may be in transit. Nor is one that ends within this time of its last error.
     pub eviction_grace: Span,
     /// Requests in flight or queued at once.
     pub requests: usize,
--- a/crates/stackgw-gateway/src/pg/frame.rs
+++ b/crates/stackgw-gateway/src/pg/frame.rs
@@ -236,6 +236,18 @@
         (bytes <= self.pending_bytes()).then_some(bytes)
     }
 
+    /// Returns how many bytes are missing until the next message is complete, as far as its received bytes show that; 0 if it is
+    /// complete or its header is malformed.
+    pub fn missing_bytes(&self) -> usize {
+        let header_bytes = self.type_bytes() + STARTUP_HEADER_BYTES;
+        let message_bytes = match self.next_header() {
+            Some(Ok((_, length))) => self.type_bytes() + length as usize,
+            Some(Err(_)) => 0,
+            None => header_bytes,
+        };
+        message_bytes.saturating_sub(self.pending_bytes())
+    }
+
     /// Returns the bytes of the next message if it is complete and its header is valid.
     pub fn peek_frame(&self) -> Option<&[u8]> {
         let bytes = self.next_frame_bytes().filter(|bytes| *bytes > 0)?;
--- a/crates/stackgw-gateway/src/reducer/effect.rs
+++ b/crates/stackgw-gateway/src/reducer/effect.rs
@@ -2,6 +2,7 @@
 
 use super::backend::BackendRequest;
 use super::ids::{CallId, ClientId, ConnectionId};
+use super::input::StallReason;
 use super::response::FinalResponse;
 use crate::counters::Counters;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
     ClientClose(ClientId),
     /// Close a client's connection unless it has sent something that is not delivered yet; that is then reported instead.
     ClientCloseIfIdle(ClientId),
+    /// Report [`ClientStalled`](super::Input::ClientStalled) if a client has not sent the rest of its message.
+    ClientCheckStalled(ClientId, StallReason),
     /// Connect to a member.
     MemberConnect(ConnectionId, SocketAddr),
     /// Connect to a member that speaks another frontend's protocol.
--- a/crates/stackgw-gateway/src/reducer/input.rs
+++ b/crates/stackgw-gateway/src/reducer/input.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Why a client is checked for whether it has stopped in the middle of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StallReason {
+    /// The message was not complete in time.
+    Timeout,
+    /// Another client needs the place.
+    PlaceNeeded,
+}
+
 /// An event outside the reducer.
 #[derive(Debug)]
 pub enum Input {
@@ -62,6 +71,8 @@
     ClientFrameOverdue(ClientId, Frame),
     /// The data that a client has sent and that has not been delivered yet has changed.
     ClientReadAhead(ClientId, ReadAhead),
+    /// A client that was checked has not sent the rest of its message: what is unread neither completes it nor fills a read.
+    ClientStalled(ClientId, StallReason),
     /// Everything that was to be written to a client has been written.
     ClientFlushed(ClientId),
     /// A client's connection has ended.
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -26,7 +26,7 @@
 pub use clock::TickClock;
 pub use effect::Effect;
 pub use ids::{CallId, ClientId, ConnectionId, Requester};
-pub use input::{CloseReason, Input, ReadAhead, StatusQuery};
+pub use input::{CloseReason, Input, ReadAhead, StallReason, StatusQuery};
 pub use response::FinalResponse;
 pub use state::sessions::Incarnation;
 pub use status::MemberStatus;
--- a/crates/stackgw-gateway/src/reducer/state/client.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client.rs
@@ -3,7 +3,7 @@
 use crate::limits::Limits;
 use crate::pg::Frame;
 use crate::reducer::ids::ClientId;
-use stackgw_router::api::{RequestId, Time};
+use stackgw_router::api::{RequestId, Span, Time, MS};
 use std::collections::VecDeque;
 
 /// The slot of one response in a client's pipeline.
@@ -30,14 +30,44 @@
     pub(crate) frame: Frame,
 }
 
-/// A client's rank in the eviction order: clients that have sent no request are first, then those that have been idle longest.
+/// A message of which only a part has arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PartialMessage {
+    /// When its first bytes were read.
+    pub(super) started_at: Time,
+    /// When its last bytes were read, or when it was last found that the gateway is behind with reading it.
+    pub(super) progressed_at: Time,
+    /// Start of the time in which it must be complete; `None` while the message would not be accepted.
+    pub(super) timeout_from: Option<Time>,
+}
+
+/// Why a client may lose its place, in the order in which places are taken. A client with a complete request that is not answered
+/// has no such reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum EvictionReason {
+    /// It has got the error that ends its connection.
+    Closing,
+    /// It is idle and has sent no request.
+    NoRequest,
+    /// It is idle after its last request.
+    Idle,
+    /// It has nothing open and has stopped, or is slow, in the middle of a message.
+    StalledMessage,
+    /// It does not read its last response.
+    UnreadResponse,
+}
+
+/// A client's rank in the eviction order: by reason, then the client that has been in that state longest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct EvictionRank {
-    pub(super) has_sent_request: bool,
-    pub(super) idle_since: Time,
+    pub(super) reason: EvictionReason,
+    pub(super) since: Time,
     pub(super) client: ClientId,
 }
 
+/// A message that is not complete this long after its start counts as stalled even if bytes of it keep arriving.
+const SLOW_MESSAGE: Span = 200 * MS;
+
 /// A client's connection.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -51,8 +81,8 @@
     pub(super) unflushed_since: Option<Time>,
     /// Bytes that are written to it or queued in its pipeline, and are not flushed.
     pub(super) pending_write_bytes: usize,
-    /// Since when a message has been incomplete.
-    pub(super) partial_since: Option<Time>,
+    /// The incomplete message that its last bytes belong to, if nothing complete waits before that.
+    pub(super) partial: Option<PartialMessage>,
     /// Since when a complete message has waited to be accepted while nothing before it was open.
     pub(super) waiting_since: Option<Time>,
     /// Bytes that it has sent and that are not delivered yet.
@@ -69,6 +99,8 @@
     pub(super) closing_since: Option<Time>,
     pub(super) has_sent_request: bool,
     pub(super) idle_since: Time,
+    /// Its current rank in the eviction order.
+    pub(super) rank: Option<EvictionRank>,
 }
 
 impl Client {
@@ -80,7 +112,7 @@
             queued: VecDeque::new(),
             unflushed_since: None,
             pending_write_bytes: 0,
-            partial_since: None,
+            partial: None,
             waiting_since: None,
             read_ahead_bytes: 0,
             consecutive_malformed: 0,
@@ -90,6 +122,7 @@
             closing_since: None,
             has_sent_request: false,
             idle_since: now,
+            rank: None,
         }
     }
 
@@ -145,11 +178,40 @@
         self.unflushed_since.is_none() && !self.awaits_ready && self.closing_since.is_none()
     }
 
-    pub(super) fn eviction_rank(&self, client: ClientId) -> EvictionRank {
-        EvictionRank {
-            has_sent_request: self.has_sent_request,
-            idle_since: self.idle_since,
+    /// Returns the client's rank in the eviction order; `None` if it keeps its place.
+    pub(super) fn eviction_rank(&self, client: ClientId) -> Option<EvictionRank> {
+        let (reason, since) = self.eviction_reason()?;
+        Some(EvictionRank {
+            reason,
+            since,
             client,
+        })
+    }
+
+    /// Returns why the client may lose its place, and since when.
+    fn eviction_reason(&self) -> Option<(EvictionReason, Time)> {
+        if !self.pipeline.is_empty() || !self.queued.is_empty() || self.awaits_ready {
+            return None;
+        }
+        if let Some(since) = self.closing_since {
+            let is_flushed = self.unflushed_since.is_none();
+            return is_flushed.then_some((EvictionReason::Closing, since));
+        }
+        if let Some(since) = self.unflushed_since {
+            return Some((EvictionReason::UnreadResponse, since));
+        }
+        if let Some(partial) = self.partial {
+            let slow_since = partial.started_at + SLOW_MESSAGE;
+            let since = partial.progressed_at.min(slow_since);
+            return Some((EvictionReason::StalledMessage, since));
+        }
+        if self.read_ahead_bytes > 0 {
+            return None;
         }
+        let reason = match self.has_sent_request {
+            true => EvictionReason::Idle,
+            false => EvictionReason::NoRequest,
+        };
+        Some((reason, self.idle_since))
     }
 }
--- a/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
@@ -2,10 +2,11 @@
 //! Decides whose next message is accepted, which responses are kept until earlier ones are complete, and which client is closed
 //! if the buffers of all clients exceed a limit.
 
-use super::client::{Client, PipelineSlot};
+use super::client::{Client, PartialMessage, PipelineSlot};
 use super::clients::{Clients, OpenedRequest};
 use crate::limits::Limits;
 use crate::reducer::ids::ClientId;
+use crate::reducer::input::ReadAhead;
 use stackgw_router::api::{RequestId, Span, Time};
 use std::cmp::Reverse;
 
@@ -40,23 +41,36 @@
         })
     }
 
-    /// Sets how many bytes a client has sent that are not delivered. If `is_partial`, the timeout of an incomplete message
-    /// starts now, unless it is running already; if `is_waiting`, so does the time of a complete one.
+    /// Sets what a client has sent that is not delivered. The times of an incomplete message, or of a complete one that waits,
+    /// start now unless they are running already. The timeout of an incomplete message runs only while `accepts` says that a
+    /// message of this client would be accepted.
     pub(crate) fn set_read_ahead(
         &mut self,
         now: Time,
         id: ClientId,
-        bytes: usize,
-        is_partial: bool,
-        is_waiting: bool,
+        read_ahead: ReadAhead,
+        accepts: bool,
     ) {
         let Some(client) = self.connected.get_mut(&id) else {
             return;
         };
-        self.read_ahead_bytes = self.read_ahead_bytes - client.read_ahead_bytes + bytes;
-        client.read_ahead_bytes = bytes;
-        client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
+        let before = std::mem::replace(&mut client.read_ahead_bytes, read_ahead.bytes);
+        self.read_ahead_bytes = self.read_ahead_bytes - before + read_ahead.bytes;
+        client.partial = read_ahead.is_partial.then(|| {
+            let mut partial = client.partial.unwrap_or(PartialMessage {
+                started_at: now,
+                progressed_at: now,
+                timeout_from: None,
+            });
+            if read_ahead.bytes != before {
+                partial.progressed_at = now;
+            }
+            partial.timeout_from = accepts.then(|| partial.timeout_from.unwrap_or(now));
+            partial
+        });
+        let is_waiting = read_ahead.bytes > 0 && !read_ahead.is_partial;
         client.waiting_since = is_waiting.then(|| client.waiting_since.unwrap_or(now));
+        self.refresh_rank(id);
     }
 
     /// Bytes that all clients have sent and that are not delivered.
@@ -75,9 +89,7 @@
         let equal_share = self.read_ahead_bytes / senders.clone().count().max(1);
         let lower_bound = equal_share.max(tolerated_bytes);
         let candidates = senders.filter(|(_, client)| {
-            client.read_ahead_bytes > lower_bound
-                && client.partial_since.is_some()
-                && client.is_idle()
+            client.read_ahead_bytes > lower_bound && client.partial.is_some() && client.is_idle()
         });
         let largest = candidates
             .max_by_key(|(_, client)| (!client.has_sent_request, client.read_ahead_bytes));
@@ -87,12 +99,14 @@
     /// Clears a client's read-ahead after the delivery of a message. Returns `None` if the client is not connected.
     pub(crate) fn receive_frame(&mut self, now: Time, id: ClientId) -> Option<ReceivedFrame> {
         let client = self.connected.get_mut(&id)?;
-        client.partial_since = None;
+        client.partial = None;
         self.read_ahead_bytes -= std::mem::take(&mut client.read_ahead_bytes);
-        Some(ReceivedFrame {
+        let received = ReceivedFrame {
             is_started: client.cancel_key.is_some(),
             received_at: client.waiting_since.take().unwrap_or(now),
-        })
+        };
+        self.refresh_rank(id);
+        Some(received)
     }
 
     // Writes to clients.
@@ -116,6 +130,7 @@
             is_last: close,
             ..PipelineSlot::default()
         });
+        self.refresh_rank(id);
         None
     }
 
@@ -126,6 +141,7 @@
         };
         client.unflushed_since = client.unflushed_since.or(Some(now));
         if close {
+            self.closing += usize::from(client.closing_since.is_none());
             client.closing_since.get_or_insert(now);
             self.read_ahead_bytes -= std::mem::take(&mut client.read_ahead_bytes);
         }
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -6,21 +6,24 @@
 use crate::pg::{Frame, Statement};
 use crate::reducer::context::Context;
 use crate::reducer::ids::ClientId;
+use crate::reducer::timers::TimerKey;
 use stackgw_router::api::{RequestId, Span, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// All clients.
 ///
-/// Invariants: the eviction order holds exactly the idle clients; the byte totals are the sums over all clients.
+/// Invariants: the eviction order holds exactly the ranks of all clients that have one; the totals are those of all clients.
 pub(crate) struct Clients {
     pub(super) connected: BTreeMap<ClientId, Client>,
     pub(super) eviction_order: BTreeSet<EvictionRank>,
+    /// Clients whose connections end after an error.
+    pub(super) closing: usize,
     pub(super) read_ahead_bytes: usize,
     pub(super) pending_write_bytes: usize,
     /// Bytes reserved for responses that are still open.
     pub(super) reserved_reply_bytes: usize,
-    /// A timer for the next eviction is pending.
-    pub(super) admission_timer_pending: bool,
+    /// The timer for the next eviction.
+    pub(super) admission_timer: Option<TimerKey>,
     pub(super) is_accepting: bool,
     /// The client that was last chosen for eviction.
     pub(super) evicting: Option<ClientId>,
@@ -47,10 +50,11 @@
         Clients {
             connected: BTreeMap::new(),
             eviction_order: BTreeSet::new(),
+            closing: 0,
             read_ahead_bytes: 0,
             pending_write_bytes: 0,
             reserved_reply_bytes: 0,
-            admission_timer_pending: false,
+            admission_timer: None,
             is_accepting: false,
             evicting: None,
             cancel_key_seed: seed,
@@ -87,14 +91,17 @@
         cx.counters.clients_opened += 1;
         cx.counters.clients_open += 1;
         let client = Client::new(cx.now, self.connected.len() >= cx.limits.clients);
-        self.eviction_order.insert(client.eviction_rank(id));
         self.connected.insert(id, client);
+        self.refresh_rank(id);
     }
 
     /// Removes a client. Returns its open requests, or `None` if it was not connected.
     pub(crate) fn remove(&mut self, cx: &mut Context<'_>, id: ClientId) -> Option<Vec<RequestId>> {
         let client = self.connected.remove(&id)?;
-        self.eviction_order.remove(&client.eviction_rank(id));
+        if let Some(rank) = &client.rank {
+            self.eviction_order.remove(rank);
+        }
+        self.closing -= usize::from(client.closing_since.is_some());
         self.read_ahead_bytes -= client.read_ahead_bytes;
         self.pending_write_bytes -= client.pending_write_bytes;
         let reserved = client.pipeline.iter().map(|slot| slot.reserved_bytes);
@@ -111,28 +118,40 @@
         Some(slots.filter_map(|slot| slot.request).collect())
     }
 
-    /// Updates the eviction order after a client may have become idle or busy.
+    /// Updates the eviction order after a client may have become idle or busy. The idle time of an idle client starts now.
     pub(crate) fn refresh_idle(&mut self, now: Time, id: ClientId) {
+        if let Some(client) = self
+            .connected
+            .get_mut(&id)
+            .filter(|client| client.is_idle())
+        {
+            client.idle_since = now;
+        }
+        self.refresh_rank(id);
+    }
+
+    /// Updates a client's rank in the eviction order after its state has changed.
+    pub(super) fn refresh_rank(&mut self, id: ClientId) {
         let Some(client) = self.connected.get_mut(&id) else {
             return;
         };
-        self.eviction_order.remove(&client.eviction_rank(id));
-        if client.is_idle() {
-            client.idle_since = now;
-            self.eviction_order.insert(client.eviction_rank(id));
+        let rank = client.eviction_rank(id);
+        let before = std::mem::replace(&mut client.rank, rank);
+        if before == rank {
+            return;
+        }
+        if let Some(before) = before {
+            self.eviction_order.remove(&before);
         }
+        self.eviction_order.extend(rank);
     }
 
     /// Marks that a client has sent a request.
     pub(crate) fn mark_request_sent(&mut self, id: ClientId) {
-        let Some(client) = self.connected.get_mut(&id) else {
-            return;
-        };
-        self.eviction_order.remove(&client.eviction_rank(id));
-        client.has_sent_request = true;
-        if client.is_idle() {
-            self.eviction_order.insert(client.eviction_rank(id));
+        if let Some(client) = self.connected.get_mut(&id) {
+            client.has_sent_request = true;
         }
+        self.refresh_rank(id);
     }
 
     // Messages.
@@ -147,6 +166,7 @@
             cx.counters.buffered_bytes += queued.frame.bytes.len() as u64;
             client.queued.push_back(queued);
         }
+        self.refresh_rank(id);
     }
 
     /// Takes a client's next message if it may run now: everything before it is answered, or the open statements concern other
@@ -175,13 +195,27 @@
             |queued: &mut QueuedFrame| pipeline.is_empty() || may_run_concurrently(&queued.frame);
         let queued = client.queued.pop_front_if(is_runnable)?;
         cx.counters.buffered_bytes -= queued.frame.bytes.len() as u64;
+        self.refresh_rank(id);
         Some(queued)
     }
 
-    /// Clears the timeout of an incomplete message. Returns whether there was one.
+    /// Forgets that a client's message is incomplete. Returns whether one was.
     pub(crate) fn take_partial(&mut self, id: ClientId) -> bool {
         let client = self.connected.get_mut(&id);
-        client.is_some_and(|client| client.partial_since.take().is_some())
+        let was_partial = client.is_some_and(|client| client.partial.take().is_some());
+        self.refresh_rank(id);
+        was_partial
+    }
+
+    /// Starts the times of a client's incomplete message anew: it waits for the gateway, or is about to be checked.
+    pub(crate) fn restart_partial(&mut self, now: Time, id: ClientId) {
+        let client = self.connected.get_mut(&id);
+        if let Some(partial) = client.and_then(|client| client.partial.as_mut()) {
+            partial.started_at = now;
+            partial.progressed_at = now;
+            partial.timeout_from = partial.timeout_from.map(|_| now);
+        }
+        self.refresh_rank(id);
     }
 
     pub(crate) fn is_skipping(&self, id: ClientId) -> bool {
@@ -230,6 +264,7 @@
         if let Some(client) = self.connected.get_mut(&id) {
             client.awaits_ready = true;
         }
+        self.refresh_rank(id);
     }
 
     pub(crate) fn awaiting_ready(&self) -> Vec<ClientId> {
@@ -240,6 +275,7 @@
         if let Some(client) = self.connected.get_mut(&id) {
             client.awaits_ready = false;
         }
+        self.refresh_rank(id);
     }
 
     // The pipeline.
@@ -261,6 +297,7 @@
             ..PipelineSlot::default()
         });
         client.consecutive_malformed = 0;
+        self.refresh_rank(id);
     }
 
     /// Puts a request's response into its slot. Returns false if the client does not wait for it.
@@ -297,7 +334,9 @@
     pub(crate) fn pop_completed(&mut self, id: ClientId) -> Option<PipelineSlot> {
         let client = self.connected.get_mut(&id)?;
         let is_completed = |slot: &mut PipelineSlot| slot.request.is_none();
-        client.pipeline.pop_front_if(is_completed)
+        let slot = client.pipeline.pop_front_if(is_completed);
+        self.refresh_rank(id);
+        slot
     }
 
     // Clients to close.
@@ -315,16 +354,32 @@
         })
     }
 
-    /// Clients that have not finished a message, or have sent no request, in time.
-    pub(crate) fn inactive(&self, now: Time, limits: &Limits) -> Vec<ClientId> {
+    /// Clients that have not finished a message in time.
+    pub(crate) fn unfinished(&self, now: Time, limits: &Limits) -> Vec<ClientId> {
+        self.select(|client| {
+            let timeout_from = client.partial.and_then(|partial| partial.timeout_from);
+            client.closing_since.is_none()
+                && has_elapsed(now, timeout_from, limits.partial_message_timeout)
+        })
+    }
+
+    /// Returns the first time at which [`unfinished`](Self::unfinished) returns a client if none finishes its message.
+    pub(crate) fn next_unfinished_at(&self, limits: &Limits) -> Option<Time> {
+        let clients = self.connected.values();
+        let open = clients.filter(|client| client.closing_since.is_none());
+        let timeouts = open.filter_map(|client| client.partial?.timeout_from);
+        let first = timeouts.min()?;
+        Some(first + limits.partial_message_timeout + 1)
+    }
+
+    /// Clients that have sent no request in time.
+    pub(crate) fn unused(&self, now: Time, limits: &Limits) -> Vec<ClientId> {
         self.select(|client| {
-            let is_partial = has_elapsed(now, client.partial_since, limits.partial_message_timeout);
             // A client whose complete messages wait for capacity has sent something.
-            let is_unused = !client.has_sent_request
+            !client.has_sent_request
                 && client.is_idle()
                 && client.read_ahead_bytes == 0
-                && now - client.connected_at > limits.first_request_timeout;
-            client.closing_since.is_none() && (is_partial || is_unused)
+                && now - client.connected_at > limits.first_request_timeout
         })
     }
 
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -4,11 +4,11 @@
 use crate::reducer::context::Context;
 use crate::reducer::effect::Effect;
 use crate::reducer::ids::{ClientId, Requester};
-use crate::reducer::input::ReadAhead;
+use crate::reducer::input::{ReadAhead, StallReason};
 use crate::reducer::response::{
     ClientError, FinalResponse, LIMIT_EXCEEDED, PROTOCOL_VIOLATION, TOO_MANY_CONNECTIONS,
 };
-use crate::reducer::state::admission::Capacity;
+use crate::reducer::state::admission::{Capacity, Eviction};
 use crate::reducer::state::Gateway;
 use stackgw_router::api::{RequestId, Span, MS};
 
@@ -31,11 +31,8 @@
         if !self.clients.contains(id) {
             return;
         }
-        // The timeout of a partial message runs only while a message of this client would be accepted.
-        let is_partial = read_ahead.is_partial && self.accepts_frame(id, 0, cx.counters, cx.limits);
-        let is_waiting = read_ahead.bytes > 0 && !read_ahead.is_partial;
-        self.clients
-            .set_read_ahead(cx.now, id, read_ahead.bytes, is_partial, is_waiting);
+        let accepts = self.accepts_frame(id, 0, cx.counters, cx.limits);
+        self.clients.set_read_ahead(cx.now, id, read_ahead, accepts);
         if self.clients.read_ahead_bytes() <= cx.limits.client_bytes / 4 * 3 {
             return;
         }
@@ -68,18 +65,52 @@
         self.write_client_error(cx, id, ClientError::fatal(PROTOCOL_VIOLATION, text));
     }
 
-    /// Closes a client that has not finished a message, or has sent no request, in time. The first gets an error. The second
-    /// gets none: its first request may be in transit, and the client would take the error for its response.
-    pub(super) fn close_inactive_client(&mut self, cx: &mut Context<'_>, id: ClientId) {
-        if self.clients.take_partial(id) {
-            cx.counters.clients_stalled += 1;
-            cx.log_rarely(
-                cx.counters.clients_stalled,
-                "clients that stalled within a message:",
-            );
-            let text = "the message was not finished in time";
-            return self.write_client_error(cx, id, ClientError::fatal(PROTOCOL_VIOLATION, text));
+    /// Checks a client that has not finished a message in time. Its times start anew, as the gateway may be behind with reading.
+    pub(super) fn check_stalled(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        reason: StallReason,
+    ) {
+        self.clients.restart_partial(cx.now, id);
+        cx.emit(Effect::ClientCheckStalled(id, reason));
+    }
+
+    /// Ends a client that has not sent the rest of its message, with an error behind the responses that it still waits for.
+    pub(super) fn handle_client_stalled(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: ClientId,
+        reason: StallReason,
+    ) {
+        if !self.clients.take_partial(id) {
+            return;
+        }
+        match reason {
+            StallReason::Timeout => count_stalled(cx),
+            StallReason::PlaceNeeded => count_place_taken(cx),
+        }
+        self.write_client_error(cx, id, stall_error(reason));
+    }
+
+    /// Takes a client's place.
+    pub(super) fn evict(&mut self, cx: &mut Context<'_>, eviction: Eviction) {
+        match eviction {
+            Eviction::Idle(client) => cx.emit(Effect::ClientCloseIfIdle(client)),
+            Eviction::Stalled(client) => {
+                self.check_stalled(cx, client, StallReason::PlaceNeeded);
+            }
+            Eviction::Unresponsive(client) => {
+                let was_closing = self.clients.is_closing(client);
+                cx.counters.clients_stalled += u64::from(!was_closing);
+                self.close_client(cx, client);
+            }
         }
+    }
+
+    /// Closes a client that has sent no request in time. It gets no error: its first request may be in transit, and the client
+    /// would take the error for its response.
+    pub(super) fn close_unused_client(&mut self, cx: &mut Context<'_>, id: ClientId) {
         cx.counters.clients_without_request += 1;
         cx.log_rarely(
             cx.counters.clients_without_request,
@@ -217,12 +248,13 @@
     }
 
     /// Rejects the first request of a client that connected when the client limit was reached, unless there is capacity now or
-    /// an idle client that has sent no request can be closed for it. Returns whether the client is rejected.
+    /// a client that has sent no request, or has stopped in the middle of a message, can lose its place for it. Returns whether
+    /// the client is rejected.
     pub(super) fn reject_over_capacity(&mut self, cx: &mut Context<'_>, id: ClientId) -> bool {
-        match self.clients.claim_capacity(id, cx.limits.clients) {
+        match self.clients.claim_capacity(cx.now, id, cx.limits) {
             Capacity::Available => false,
-            Capacity::AfterEvicting(unused) => {
-                cx.emit(Effect::ClientCloseIfIdle(unused));
+            Capacity::AfterEvicting(eviction) => {
+                self.evict(cx, eviction);
                 false
             }
             Capacity::Exhausted => {
@@ -274,6 +306,36 @@
     );
 }
 
+fn count_stalled(cx: &mut Context<'_>) {
+    cx.counters.clients_stalled += 1;
+    cx.log_rarely(
+        cx.counters.clients_stalled,
+        "clients that stalled within a message:",
+    );
+}
+
+fn count_place_taken(cx: &mut Context<'_>) {
+    cx.counters.clients_stalled_at_limit += 1;
+    cx.log_rarely(
+        cx.counters.clients_stalled_at_limit,
+        "clients that stalled within a message while others needed their places:",
+    );
+}
+
+/// Returns the error of a client that has not sent the rest of its message.
+fn stall_error(reason: StallReason) -> ClientError {
+    match reason {
+        StallReason::Timeout => {
+            ClientError::fatal(PROTOCOL_VIOLATION, "the message was not finished in time")
+        }
+        // Nothing of the request has run, so a retry is safe.
+        StallReason::PlaceNeeded => {
+            let text = "the message was not finished while other clients needed connections";
+            ClientError::fatal(TOO_MANY_CONNECTIONS, text)
+        }
+    }
+}
+
 fn count_over_buffer_limit(cx: &mut Context<'_>) {
     cx.counters.clients_over_buffer_limit += 1;
     cx.log_rarely(
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -19,7 +19,9 @@
         self.schedule_cluster(cx);
         self.schedule_bootstrap(cx);
         let is_listening = !self.shutdown.listener_closed();
-        self.clients.admit(cx, is_listening);
+        if let Some(eviction) = self.clients.admit(cx, is_listening) {
+            self.evict(cx, eviction);
+        }
         cx.counters.read_ahead_bytes = self.clients.read_ahead_bytes() as u64;
         cx.counters.raise_peaks();
         if !is_listening && self.clients.is_empty() && !self.requests.has_calls() {
@@ -45,6 +47,7 @@
             Input::ClientFrame(id, frame) => self.handle_client_frame(cx, id, frame),
             Input::ClientFrameOverdue(id, frame) => self.handle_overdue_frame(cx, id, frame),
             Input::ClientReadAhead(id, read_ahead) => self.handle_read_ahead(cx, id, read_ahead),
+            Input::ClientStalled(id, reason) => self.handle_client_stalled(cx, id, reason),
             Input::ClientFlushed(id) => self.handle_client_flushed(cx, id),
             Input::ClientClosed(id, CloseReason::ProtocolError) => {
                 self.handle_client_protocol_error(cx, id)
@@ -113,10 +116,7 @@
         match timer {
             Timer::Router(token) => self.router.enqueue(Event::Timer(token)),
             Timer::Connection(id) => self.handle_connection_timeout(cx, id),
-            Timer::Sweep => {
-                self.sweep(cx);
-                cx.set_timer_after(cx.limits.sweep_interval, Timer::Sweep);
-            }
+            Timer::Sweep => self.sweep(cx),
             Timer::WatchReconnect => {
                 if self.watch.is_subscribed() && !self.watch.is_open() {
                     self.watch.open(cx);
--- a/crates/stackgw-gateway/src/reducer/steps/sweep.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/sweep.rs
@@ -1,7 +1,9 @@
 //! The periodic check for idle and stalled connections.
 
 use crate::reducer::context::Context;
+use crate::reducer::input::StallReason;
 use crate::reducer::state::Gateway;
+use crate::reducer::timers::Timer;
 
 impl Gateway {
     pub(super) fn sweep(&mut self, cx: &mut Context<'_>) {
@@ -11,6 +13,11 @@
         }
         self.sweep_connections(cx);
         self.sweep_clients(cx);
+        // Exactly at the next timeout of a message: clients that waited in the backlog have less time left for their error.
+        let timeout = self.clients.next_unfinished_at(cx.limits);
+        let next = cx.now + cx.limits.sweep_interval;
+        cx.timers
+            .set(timeout.map_or(next, |at| at.min(next)), Timer::Sweep);
     }
 
     fn sweep_connections(&mut self, cx: &mut Context<'_>) {
@@ -27,14 +34,18 @@
 
     fn sweep_clients(&mut self, cx: &mut Context<'_>) {
         let stalled = self.clients.stalled(cx.now, cx.limits);
-        let inactive = self.clients.inactive(cx.now, cx.limits);
+        let unfinished = self.clients.unfinished(cx.now, cx.limits);
+        let unused = self.clients.unused(cx.now, cx.limits);
         for client in stalled {
             let was_closing = self.clients.is_closing(client);
             cx.counters.clients_stalled += u64::from(!was_closing);
             self.close_client(cx, client);
         }
-        for client in inactive {
-            self.close_inactive_client(cx, client);
+        for client in unfinished {
+            self.check_stalled(cx, client, StallReason::Timeout);
+        }
+        for client in unused {
+            self.close_unused_client(cx, client);
         }
     }
 }
--- a/crates/stackgw-gateway/tests/client_connections.rs
+++ b/crates/stackgw-gateway/tests/client_connections.rs
@@ -393,3 +393,63 @@
     harness.input(Input::ListenerClosed);
     assert!(closed_if_idle(&harness.advance(SECOND)).is_empty());
 }
+
+fn ends_with_error(effects: &[Effect], id: ClientId) -> bool {
+    let is_last_error = |effect: &Effect| matches!(effect, Effect::ClientWrite { client, close: true, bytes } if *client == id && bytes[0] == b'E');
+    effects.iter().any(is_last_error)
+}
+
+/// Regression: clients that stopped in the middle of a message kept all places until a timeout of 2 s.
+#[test]
+fn the_client_that_has_stalled_longest_loses_its_place_when_all_are_taken() {
+    let mut config = config(&three_members());
+    (config.limits.clients, config.limits.client_reserve) = (3, 1);
+    let mut harness = ReducerHarness::with(config);
+    let busy = harness.client(1);
+    harness.send(busy, write_query(1900));
+    harness.input(Input::ClientReadAhead(busy, ReadAhead::partial(7)));
+    let (first, second) = (harness.client(2), harness.client(3));
+    harness.input(Input::ClientReadAhead(first, ReadAhead::partial(7)));
+    harness.advance(20 * MS);
+    harness.input(Input::ClientReadAhead(second, ReadAhead::partial(7)));
+    assert!(!ends_with_error(&harness.advance(70 * MS), first));
+    let effects = harness.advance(60 * MS);
+    assert!(
+        ends_with_error(&effects, first),
+        "it has stalled for 100 ms"
+    );
+    assert!(!ends_with_error(&effects, second), "one place is enough");
+    assert!(
+        !ends_with_error(&harness.advance(500 * MS), busy),
+        "a client with an open request keeps its place"
+    );
+    assert_eq!(harness.reducer.counters().clients_stalled_at_limit, 1);
+}
+
+/// A client whose place is needed is not ended if the gateway has not read the rest of its message yet.
+#[test]
+fn a_client_keeps_its_place_while_the_gateway_is_behind_with_reading() {
+    let mut config = config(&three_members());
+    (config.limits.clients, config.limits.client_reserve) = (1, 1);
+    let mut harness = ReducerHarness::with(config);
+    harness.is_behind_with_reading = true;
+    let client = harness.client(1);
+    harness.input(Input::ClientReadAhead(client, ReadAhead::partial(7)));
+    assert!(!ends_with_error(&harness.advance(4 * SECOND), client));
+    harness.is_behind_with_reading = false;
+    assert!(ends_with_error(&harness.advance(200 * MS), client));
+}
+
+/// Regression: clients that did not read their responses kept all places for 5 s.
+#[test]
+fn clients_that_do_not_read_lose_their_places_when_no_connection_is_accepted() {
+    let mut config = config(&three_members());
+    (config.limits.clients, config.limits.client_reserve) = (1, 1);
+    let mut harness = ReducerHarness::with(config);
+    harness.client_writes_blocked = true;
+    let slow = harness.client(1);
+    assert!(!harness.advance(SECOND).contains(&Effect::ClientClose(slow)));
+    harness.input(Input::ClientConnected(ClientId(2)));
+    assert!(harness.effects.contains(&Effect::AcceptClients(false)));
+    assert!(harness.effects.contains(&Effect::ClientClose(slow)));
+}
--- a/crates/stackgw-gateway/tests/common/mod.rs
+++ b/crates/stackgw-gateway/tests/common/mod.rs
@@ -178,6 +178,8 @@
     pub effects: Vec<Effect>,
     /// Writes to clients do not complete.
     pub client_writes_blocked: bool,
+    /// Clients that are checked have sent the rest of their messages.
+    pub is_behind_with_reading: bool,
     /// Writes to members do not complete.
     pub member_writes_blocked: bool,
     /// Connections to members are established at once.
@@ -208,6 +210,7 @@
             now: START,
             effects: Vec::new(),
             client_writes_blocked: false,
+            is_behind_with_reading: false,
             member_writes_blocked: false,
             auto_connect: true,
             answer_health_checks: true,
@@ -243,6 +246,9 @@
                     Effect::ClientWrite { client, .. } if !self.client_writes_blocked => {
                         inputs.push_back(Input::ClientFlushed(*client))
                     }
+                    Effect::ClientCheckStalled(client, reason) if !self.is_behind_with_reading => {
+                        inputs.push_back(Input::ClientStalled(*client, *reason))
+                    }
                     Effect::MemberConnect(conn, _) if self.auto_connect => {
                         inputs.push_back(Input::MemberConnected(*conn));
                         inputs.push_back(Input::MemberFlushed(*conn));
--- a/crates/stackgw-gateway/tests/digest/simulation.rs
+++ b/crates/stackgw-gateway/tests/digest/simulation.rs
@@ -219,6 +219,13 @@
                     self.schedule(index, 0, Scheduled::ClientClosed(client));
                 }
             }
+            Effect::ClientCheckStalled(client, reason) => {
+                let clients = &self.gateways[index].clients;
+                if clients.get(&client).is_some_and(|c| c.partial_bytes > 0) {
+                    let input = Input::ClientStalled(client, reason);
+                    self.schedule(index, 0, Scheduled::Other(input));
+                }
+            }
             Effect::MemberConnect(conn, address) | Effect::BackendConnect(conn, address) => {
                 let is_backend = matches!(effect, Effect::BackendConnect(..));
                 self.connect_member(index, conn, u32::from(address.port()) % 100 - 1, is_backend);
