Gateway: a large message is read only once all of its memory is reserved

Cause: parts of many messages fill the budget for what is sent ahead. Each then waits for the others, one at a time may read on, and whoever stalls has that exemption for 0.1 s.

Change: beyond its reserve a message is read once its whole size is reserved, in the order of waiting, so what has begun can be completed. The I/O side reports each 25 ms that clients wait for memory, and the reducer then ends clients that have stalled within a message.

--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -213,6 +213,16 @@
     }
 }
 
+/// Reports to the reducer, again and again, that clients wait for memory to send the rest of their messages.
+pub(super) async fn report_exhausted_budget(driver: Rc<Driver>) {
+    let interval = Duration::from_nanos(driver.limits.exhausted_report_interval as u64);
+    loop {
+        driver.clients.budget.wait_until_exhausted().await;
+        driver.handle_input(Input::ReadAheadExhausted);
+        Timer::after(interval).await;
+    }
+}
+
 /// Returns the next event of a connection, or [`ConnectionEvent::Woken`] at the given time.
 async fn next_event(
     events: &mut ConnectionEvents,
@@ -242,6 +252,7 @@
 async fn serve(driver: Rc<Driver>, id: ClientId, connection: Rc<Connection>) {
     let limits = &driver.limits;
     let mut frames = FrameDecoder::client(limits.startup_bytes, limits.statement_bytes);
+    connection.set_missing_bytes(frames.missing_bytes());
     let mut events = ConnectionEvents {
         connection: connection.clone(),
         buffer: driver.read_buffer.clone(),
--- a/crates/stackgw-gateway/src/io/connection/mod.rs
+++ b/crates/stackgw-gateway/src/io/connection/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::reducer::CloseReason;
 use async_io::Async;
-use read_budget::ConnectionKey;
+use read_budget::{ConnectionKey, Holding, ReadPermit};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Write};
@@ -64,7 +64,9 @@
     /// The pending bytes begin with a complete message that is not accepted yet, so that no further bytes are needed for it.
     awaits_acceptance: Cell<bool>,
     /// Bytes that the pending bytes lack to a complete message, as far as that is known.
-    missing_bytes: Cell<usize>,
+    missing_bytes: Cell<Option<usize>>,
+    /// Size of the incomplete message whose memory is reserved; 0 without a reservation.
+    reserved_message_bytes: Cell<usize>,
     limits: ReadLimits,
     budget: Rc<ReadBudget>,
 }
@@ -94,7 +96,8 @@
             discarded: Cell::new(None),
             pending_bytes: Cell::new(0),
             awaits_acceptance: Cell::new(false),
-            missing_bytes: Cell::new(0),
+            missing_bytes: Cell::new(None),
+            reserved_message_bytes: Cell::new(0),
             limits,
             budget: budget.clone(),
         })
@@ -102,8 +105,24 @@
 
     /// Sets the number of bytes that the connection's task has read and not passed on yet.
     pub(super) fn set_pending_bytes(&self, bytes: usize) {
-        let before = self.pending_bytes.replace(bytes);
-        self.budget.update(self.key(), before, bytes);
+        let before = self.charged_bytes();
+        if self.pending_bytes.replace(bytes) > bytes {
+            self.reserved_message_bytes.set(0);
+        }
+        self.budget.update(self.key(), before, self.charged_bytes());
+    }
+
+    /// Returns how many bytes it takes of the budget.
+    fn charged_bytes(&self) -> usize {
+        let reserved_bytes = self.reserved_message_bytes.get();
+        self.pending_bytes.get().max(reserved_bytes)
+    }
+
+    /// Reserves the memory of its incomplete message.
+    fn reserve_message(&self, bytes: usize) {
+        let before = self.charged_bytes();
+        self.reserved_message_bytes.set(bytes);
+        self.budget.update(self.key(), before, self.charged_bytes());
     }
 
     /// Sets whether a complete message waits to be accepted.
@@ -113,13 +132,14 @@
 
     /// Sets how many bytes the pending bytes lack to a complete message.
     pub(super) fn set_missing_bytes(&self, bytes: usize) {
-        self.missing_bytes.set(bytes);
+        self.missing_bytes.set(Some(bytes));
     }
 
     /// Returns whether the peer must send more before its message can be complete. If it has sent the rest, or as much as the
     /// buffer takes, the gateway is behind with reading instead.
     pub(super) fn awaits_peer(&self, buffer: &mut [u8]) -> bool {
-        let needed_bytes = self.missing_bytes.get().min(buffer.len());
+        let missing_bytes = self.missing_bytes.get().unwrap_or_default();
+        let needed_bytes = missing_bytes.min(buffer.len());
         match self.peek_into(&mut buffer[..needed_bytes]) {
             // Its end is about to be read.
             Ok(0) => false,
@@ -139,9 +159,26 @@
         if pending_bytes > self.limits.max_pending_bytes || self.drops_input() {
             return 0;
         }
-        let needs_more = !self.awaits_acceptance.get();
-        self.budget
-            .readable_bytes(self.key(), pending_bytes, needs_more, waker)
+        let message_bytes = self
+            .missing_bytes
+            .get()
+            .map(|missing| pending_bytes + missing);
+        let holding = Holding {
+            connection: self.key(),
+            pending_bytes,
+            charged_bytes: self.charged_bytes(),
+            needs_more: !self.awaits_acceptance.get(),
+            message_bytes,
+        };
+        match self.budget.permit(holding, waker) {
+            ReadPermit::Unlimited => usize::MAX,
+            ReadPermit::Message => {
+                self.reserve_message(message_bytes.unwrap_or_default());
+                usize::MAX
+            }
+            ReadPermit::Bytes(bytes) => bytes,
+            ReadPermit::Wait => 0,
+        }
     }
 
     /// Wakes the connection's task to check the bytes that it holds.
@@ -201,6 +238,7 @@
     /// dropped.
     pub(super) fn mark_closing(&self) {
         self.closes_when_written.set(true);
+        self.budget.forget(self.key());
     }
 
     /// Returns whether the connection is to be closed and its input dropped.
@@ -211,6 +249,7 @@
     /// Stops reading from the connection, and wakes its task to drop what it holds.
     pub(super) fn drop_input(&self) {
         self.drops_input.set(true);
+        self.budget.forget(self.key());
         self.wake();
     }
 
--- a/crates/stackgw-gateway/src/io/startup.rs
+++ b/crates/stackgw-gateway/src/io/startup.rs
@@ -11,7 +11,8 @@
 use super::member_table::Members;
 use super::request_handle::{FrontendMessage, OpenRequests, RequestHandle};
 use super::{
-    backends, control, datagrams, disconnects, frontends, listener, signals, storage, timers,
+    backends, clients, control, datagrams, disconnects, frontends, listener, signals, storage,
+    timers,
 };
 use crate::config::{Config, ConfigReloader};
 use crate::error::GatewayError;
@@ -343,6 +344,7 @@
             driver.spawn(backends::run(driver.clone(), frontend.events));
         }
         driver.spawn(disconnects::run(driver.clone()));
+        driver.spawn(clients::report_exhausted_budget(driver.clone()));
         driver.spawn(listener::run(driver.clone(), self.listener));
     }
 }
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -113,6 +113,8 @@
     /// Interval at which clients whose bytes wait are checked for a disconnect. No work may begin for a client later than
     /// 100 ms after it disconnects; the interval is a third of that.
     pub disconnect_poll_interval: Span,
+    /// Interval at which it is looked for clients to end while others wait for memory to send the rest of their messages.
+    pub exhausted_report_interval: Span,
     /// Clients that are checked for a disconnect before other tasks run.
     pub disconnect_poll_batch: usize,
     /// New connections that are accepted before other tasks run.
@@ -227,6 +229,7 @@
     max_pipelined_statements: 64,
     messages_per_turn: 4,
     disconnect_poll_interval: 30 * MS,
+    exhausted_report_interval: 25 * MS,
     disconnect_poll_batch: 512,
     accept_batch: 8,
     backlog: 4096,
--- a/crates/stackgw-gateway/src/reducer/input.rs
+++ b/crates/stackgw-gateway/src/reducer/input.rs
@@ -73,6 +73,8 @@
     ClientFrameOverdue(ClientId, Frame),
     /// The data that a client has sent and that has not been delivered yet has changed.
     ClientReadAhead(ClientId, ReadAhead),
+    /// Clients wait for memory to send the rest of their messages; reported again while they do.
+    ReadAheadExhausted,
     /// A client that was checked has not sent the rest of its message: what is unread neither completes it nor fills a read.
     ClientStalled(ClientId, StallReason),
     /// Everything that was to be written to a client has been written.
--- a/crates/stackgw-gateway/src/reducer/state/client.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client.rs
@@ -194,6 +194,14 @@
         Some(partial.progressed_at.min(partial.started_at + SLOW_MESSAGE))
     }
 
+    /// Returns whether it holds more than its reserve for an incomplete message that has stalled.
+    pub(super) fn holds_stalled_message(&self, now: Time, limits: &Limits) -> bool {
+        let has_stalled =
+            |since: Time| now >= since + limits.eviction_idle && self.closing_since.is_none();
+        self.read_ahead_bytes >= limits.reserved_client_bytes()
+            && self.stalled_since().is_some_and(has_stalled)
+    }
+
     /// Returns why the client may lose its place, and since when.
     fn eviction_reason(&self) -> Option<(EvictionReason, Time)> {
         if !self.pipeline.is_empty() || !self.queued.is_empty() || self.awaits_ready {
--- a/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
+++ b/crates/stackgw-gateway/src/reducer/state/client_buffers.rs
@@ -5,10 +5,8 @@
 use super::client::{Client, PartialMessage, PipelineSlot};
 use super::clients::{Clients, OpenedRequest};
 use crate::limits::Limits;
-use crate::reducer::context::Context;
 use crate::reducer::ids::ClientId;
 use crate::reducer::input::ReadAhead;
-use crate::reducer::timers::Timer;
 use stackgw_router::api::{RequestId, Span, Time};
 use std::cmp::Reverse;
 
@@ -98,51 +96,23 @@
         largest.map(|(id, _)| *id)
     }
 
-    /// Returns the clients that may lose the memory of what they have sent, if what all clients have sent ahead uses up its limit:
-    /// the largest of those that have stalled within a message, until half of the limit would be free. If none has stalled for
-    /// long enough, sets the timer for the time at which one has.
-    pub(crate) fn stalled_holders(&mut self, cx: &mut Context<'_>) -> Vec<ClientId> {
-        let limit = cx.limits.shared_client_bytes();
-        if self.read_ahead_bytes < limit {
-            return Vec::new();
-        }
-        let mut stalled = Vec::new();
-        let mut next_at = None;
-        for (id, client) in &self.connected {
-            let held_bytes = client.read_ahead_bytes;
-            let Some(since) = client.stalled_since() else {
-                continue;
-            };
-            let at = since + cx.limits.eviction_idle;
-            if client.closing_since.is_some() || held_bytes <= cx.limits.reserved_client_bytes() {
-                continue;
-            }
-            if at <= cx.now {
-                stalled.push((held_bytes, *id));
-            } else {
-                next_at = Some(next_at.map_or(at, |next: Time| next.min(at)));
-            }
-        }
-        if let Some(at) = next_at.filter(|_| stalled.is_empty()) {
-            let timer = self.read_ahead_timer;
-            self.read_ahead_timer = Some(cx.timers.reschedule(timer, at, Timer::ReadAhead));
-        }
-        stalled.sort_unstable_by_key(|(held_bytes, id)| (Reverse(*held_bytes), *id));
-        let mut remaining = self.read_ahead_bytes;
-        let mut holders = Vec::new();
-        for (held_bytes, id) in stalled {
-            if remaining <= limit / 2 {
-                break;
-            }
-            remaining -= held_bytes;
-            holders.push(id);
-        }
-        holders
-    }
-
-    /// Records that the timer for clients that hold memory has fired.
-    pub(crate) fn clear_read_ahead_timer(&mut self) {
-        self.read_ahead_timer = None;
+    /// Returns the clients that may lose the memory of what they have sent while others wait for it: the largest of those that
+    /// have stalled within a message, as many as it takes to free half of the limit.
+    pub(crate) fn stalled_holders(&self, now: Time, limits: &Limits) -> Vec<ClientId> {
+        let mut stalled: Vec<_> = self
+            .connected
+            .iter()
+            .filter(|(_, client)| client.holds_stalled_message(now, limits))
+            .map(|(id, client)| (Reverse(client.read_ahead_bytes), *id))
+            .collect();
+        stalled.sort_unstable();
+        let mut freed_bytes = 0;
+        let holders = stalled.into_iter().map_while(|(Reverse(bytes), id)| {
+            let is_enough = freed_bytes >= limits.shared_client_bytes() / 2;
+            freed_bytes += bytes;
+            (!is_enough).then_some(id)
+        });
+        holders.collect()
     }
 
     /// Forgets what a client has sent ahead, which is dropped.
--- a/crates/stackgw-gateway/src/reducer/state/clients.rs
+++ b/crates/stackgw-gateway/src/reducer/state/clients.rs
@@ -24,8 +24,6 @@
     pub(super) reserved_reply_bytes: usize,
     /// The timer for the next eviction.
     pub(super) admission_timer: Option<TimerKey>,
-    /// The timer for the next client that may lose the memory of what it has sent.
-    pub(super) read_ahead_timer: Option<TimerKey>,
     pub(super) is_accepting: bool,
     /// The client that was last chosen for eviction.
     pub(super) evicting: Option<ClientId>,
@@ -57,7 +55,6 @@
             pending_write_bytes: 0,
             reserved_reply_bytes: 0,
             admission_timer: None,
-            read_ahead_timer: None,
             is_accepting: false,
             evicting: None,
             cancel_key_seed: seed,
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -99,11 +99,11 @@
         self.write_client_error(cx, id, stall_error(reason));
     }
 
-    /// Frees memory once what all clients have sent ahead uses up its limit: ends clients that have stopped within a message.
+    /// Frees memory for clients that wait to send the rest of their messages: ends those that have stopped within one.
     ///
     /// Without this, half-sent messages would keep all of it until their timeouts, and complete messages would not be read.
     pub(super) fn free_read_ahead(&mut self, cx: &mut Context<'_>) {
-        for client in self.clients.stalled_holders(cx) {
+        for client in self.clients.stalled_holders(cx.now, cx.limits) {
             self.check_stalled(cx, client, StallReason::MemoryNeeded);
         }
     }
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -22,7 +22,6 @@
         if let Some(eviction) = self.clients.admit(cx, is_listening) {
             self.evict(cx, eviction);
         }
-        self.free_read_ahead(cx);
         cx.counters.read_ahead_bytes = self.clients.read_ahead_bytes() as u64;
         cx.counters.raise_peaks();
         if !is_listening && self.clients.is_empty() && !self.requests.has_calls() {
@@ -48,6 +47,7 @@
             Input::ClientFrame(id, frame) => self.handle_client_frame(cx, id, frame),
             Input::ClientFrameOverdue(id, frame) => self.handle_overdue_frame(cx, id, frame),
             Input::ClientReadAhead(id, read_ahead) => self.handle_read_ahead(cx, id, read_ahead),
+            Input::ReadAheadExhausted => self.free_read_ahead(cx),
             Input::ClientStalled(id, reason) => self.handle_client_stalled(cx, id, reason),
             Input::ClientFlushed(id) => self.handle_client_flushed(cx, id),
             Input::ClientClosed(id, CloseReason::ProtocolError) => {
@@ -127,7 +127,6 @@
             // The router's events are delivered after each timer.
             Timer::StallHold => {}
             Timer::Admission => self.clients.clear_admission_timer(),
-            Timer::ReadAhead => self.clients.clear_read_ahead_timer(),
             Timer::Sessions => self.handle_sessions_timeout(cx),
             Timer::Cluster => self.handle_cluster_timeout(cx),
             Timer::Bootstrap => self.handle_bootstrap_timeout(cx),
--- a/crates/stackgw-gateway/src/reducer/timers.rs
+++ b/crates/stackgw-gateway/src/reducer/timers.rs
@@ -19,8 +19,6 @@
     WatchTimeout,
     /// The time at which an idle client may be closed for another.
     Admission,
-    /// The time at which a client that stalls within a message may lose the memory of what it has sent.
-    ReadAhead,
     /// The timer of session coordination.
     Sessions,
     /// The timer of cluster membership.
--- a/crates/stackgw-gateway/tests/unit/connection.rs
+++ b/crates/stackgw-gateway/tests/unit/connection.rs
@@ -133,3 +133,32 @@
         "a connection whose task holds bytes must not be closed"
     );
 }
+
+/// Regression: parts of many large messages filled the budget, and each waited for the memory that the others held.
+#[test]
+fn a_large_message_is_read_only_once_all_of_its_memory_is_reserved() {
+    let budget = ReadBudget::new(1000, 10);
+    let waker = Waker::noop();
+    let connections = [(); 3].map(|()| connection_pair_within(&budget).0);
+    let start_message = |connection: &Connection| {
+        connection.set_pending_bytes(10);
+        connection.set_missing_bytes(390);
+        connection.readable_bytes(waker)
+    };
+    for connection in &connections[..2] {
+        assert_eq!(start_message(connection), usize::MAX, "its memory is free");
+    }
+    let late = &connections[2];
+    budget.exempt.set(Some(connections[0].key()));
+    assert_eq!(start_message(late), 0, "only 200 bytes are free");
+    connections[1].set_pending_bytes(0);
+    assert_eq!(late.readable_bytes(waker), usize::MAX);
+    connections[0].set_pending_bytes(0);
+    connections[0].set_missing_bytes(395);
+    connections[0].set_pending_bytes(4);
+    assert_eq!(
+        connections[0].readable_bytes(waker),
+        6,
+        "a connection that has not used up its reserve holds no more than that"
+    );
+}
