Gateway: what is queued at a shutdown is rejected earlier, and many at a time

Cause: what clients send behind the 64 statements served at once waits in their sockets; it was rejected only in the last 0.16 s, one statement and one write at a time. Requests were queued until then, though nothing taken before the signal could still run after the longest deadline.

Change: clients are closed from the longest deadline on (0.2 s earlier), nothing is queued from then on, the rest is rejected 0.2 s after it (0.42 before), unparsed and up to 64 in one step with one write. The responses that result from one input leave in one write.

--- a/crates/stackgw-gateway/src/io/client_table.rs
+++ b/crates/stackgw-gateway/src/io/client_table.rs
@@ -30,6 +30,8 @@
     /// Clients whose next messages are not accepted yet, in the order in which they began to wait. A client whose message is
     /// accepted is removed; if its next message must wait, it is added at the end.
     pub(super) waiting: RefCell<VecDeque<WaitingClient>>,
+    /// Clients for which bytes are queued that were not written to their sockets yet.
+    pub(super) with_queued_writes: RefCell<Vec<ClientId>>,
     /// Clients whose tasks hold bytes that the reducer has not accepted; reads from them may be paused.
     pub(super) with_pending_bytes: RefCell<BTreeSet<ClientId>>,
     /// Set when a client is added to `with_pending_bytes`; reset by the check for disconnects if that set is empty.
@@ -48,6 +50,7 @@
             connections: RefCell::default(),
             next_id: Cell::new(0),
             waiting: RefCell::default(),
+            with_queued_writes: RefCell::default(),
             with_pending_bytes: RefCell::default(),
             any_pending_bytes: Flag::default(),
             budget: ReadBudget::new(limits.shared_client_bytes(), limits.reserved_client_bytes()),
--- a/crates/stackgw-gateway/src/io/clients.rs
+++ b/crates/stackgw-gateway/src/io/clients.rs
@@ -36,7 +36,8 @@
         self.handle_input(Input::ClientConnected(id));
     }
 
-    /// Writes to a client; if `close` is set, its connection is closed after the write.
+    /// Queues bytes for a client, which [`flush_clients`](Self::flush_clients) writes; if `close` is set, its connection is closed
+    /// after the write.
     pub(super) fn write_to_client(&self, id: ClientId, bytes: Vec<u8>, close: bool) {
         let Some(connection) = self.clients.connection(id) else {
             return;
@@ -45,15 +46,28 @@
             connection.mark_closing();
             connection.wake();
         }
-        match connection.write(bytes) {
-            WriteProgress::Complete => self.queue_input(Input::ClientFlushed(id)),
-            WriteProgress::Partial => {}
-            WriteProgress::Broken => self.disconnect_client(id),
+        if connection.queue_write(bytes) {
+            self.clients.with_queued_writes.borrow_mut().push(id);
+        }
+    }
+
+    /// Writes what is queued for clients to their sockets: all responses to one client in one call.
+    pub(super) fn flush_clients(&self) {
+        for id in self.clients.with_queued_writes.take() {
+            let Some(connection) = self.clients.connection(id) else {
+                continue;
+            };
+            match connection.write_queued() {
+                WriteProgress::Complete => self.queue_input(Input::ClientFlushed(id)),
+                WriteProgress::Partial => {}
+                WriteProgress::Broken => self.disconnect_client(id),
+            }
         }
     }
 
     /// Closes a client's connection unless it has received bytes that were not passed to the reducer yet.
     pub(super) fn close_client_if_idle(&self, id: ClientId) {
+        self.flush_clients();
         let closed = self
             .clients
             .connection(id)
@@ -134,6 +148,12 @@
             if !is_accepted && !self.is_overdue(id, *give_up_at) {
                 break;
             }
+            if is_accepted && self.reducer.borrow().rejects_requests() {
+                *give_up_at = None;
+                self.deliver_batch(id, connection, frames);
+                future::yield_now().await;
+                continue;
+            }
             if delivered == self.limits.messages_per_turn {
                 // Without this, a client that sends hundreds of messages at once would block all others.
                 delivered = 0;
@@ -159,6 +179,35 @@
         }
     }
 
+    /// Passes the next complete messages to the reducer, at most as many as one client may have open. While all requests are
+    /// rejected, the responses to all of them are then written together. Shortly before the process exits, any number of
+    /// statements may still have to be answered.
+    fn deliver_batch(
+        self: &Rc<Self>,
+        id: ClientId,
+        connection: &Connection,
+        frames: &mut FrameDecoder,
+    ) {
+        let next = std::iter::from_fn(|| frames.next_frame());
+        let next = next.take(self.limits.max_pipelined_statements);
+        let (mut batch, mut is_malformed) = (Vec::new(), false);
+        for frame in next {
+            match frame {
+                Ok(frame) => batch.push(frame),
+                Err(_) => {
+                    is_malformed = true;
+                    break;
+                }
+            }
+        }
+        connection.set_pending_bytes(frames.pending_bytes());
+        self.queue_input(Input::ClientFrames(id, batch));
+        if is_malformed {
+            self.queue_input(Input::ClientClosed(id, CloseReason::ProtocolError));
+        }
+        self.handle_queued_inputs();
+    }
+
     /// Returns whether a message has waited for too long to be accepted, and may be rejected.
     fn is_overdue(&self, id: ClientId, give_up_at: Option<Instant>) -> bool {
         give_up_at.is_some_and(|at| at <= Instant::now())
--- a/crates/stackgw-gateway/src/io/connection/mod.rs
+++ b/crates/stackgw-gateway/src/io/connection/mod.rs
@@ -191,13 +191,27 @@
 
     /// Writes as much as the socket accepts now; the task writes the rest.
     pub(super) fn write(&self, bytes: Vec<u8>) -> WriteProgress {
+        match self.queue_write(bytes) {
+            true => self.write_queued(),
+            false => WriteProgress::Partial,
+        }
+    }
+
+    /// Queues bytes behind those that are not written yet. Returns whether there were none: then the caller calls
+    /// [`write_queued`](Self::write_queued).
+    pub(super) fn queue_write(&self, bytes: Vec<u8>) -> bool {
         let mut unwritten = self.unwritten.borrow_mut();
-        if !unwritten.is_empty() {
+        let is_first = unwritten.is_empty();
+        if is_first {
+            *unwritten = bytes;
+        } else {
             unwritten.extend(bytes);
-            return WriteProgress::Partial;
         }
-        *unwritten = bytes;
-        drop(unwritten);
+        is_first
+    }
+
+    /// Writes as much of the queued bytes as the socket accepts now; the task writes the rest.
+    pub(super) fn write_queued(&self) -> WriteProgress {
         let progress = self.write_unwritten();
         if progress == WriteProgress::Partial {
             self.wake();
--- a/crates/stackgw-gateway/src/io/driver.rs
+++ b/crates/stackgw-gateway/src/io/driver.rs
@@ -66,18 +66,20 @@
 }
 
 impl Driver {
-    /// Queues an input, then passes the queued inputs to the reducer and carries out their effects until no input is left. A
-    /// call while inputs are being handled only queues its input.
+    /// Queues an input, then handles the queued inputs.
     pub(super) fn handle_input(self: &Rc<Self>, input: Input) {
         self.queue_input(input);
+        self.handle_queued_inputs();
+    }
+
+    /// Passes the queued inputs to the reducer and carries out their effects until no input is left. Does nothing while inputs
+    /// are being handled.
+    pub(super) fn handle_queued_inputs(self: &Rc<Self>) {
         if self.is_handling.replace(true) {
             return;
         }
         let mut effects = Vec::new();
-        loop {
-            let Some(input) = self.inputs.borrow_mut().pop_front() else {
-                break;
-            };
+        while let Some(input) = self.next_input() {
             self.reducer
                 .borrow_mut()
                 .handle(self.clock.now(), input, &mut effects);
@@ -90,6 +92,15 @@
         self.alarm.set(self.reducer.borrow().next_due());
     }
 
+    /// Takes the next queued input. Before the last one is followed by none, what was written to clients goes to their sockets,
+    /// which may queue further inputs.
+    fn next_input(&self) -> Option<Input> {
+        if self.inputs.borrow().is_empty() {
+            self.flush_clients();
+        }
+        self.inputs.borrow_mut().pop_front()
+    }
+
     /// Queues an input. It is handled by the call of `handle_input` that is running, or else by the next one.
     pub(super) fn queue_input(&self, input: Input) {
         self.inputs.borrow_mut().push_back(input);
@@ -109,7 +120,10 @@
                 bytes,
                 close,
             } => self.write_to_client(client, bytes, close),
-            Effect::ClientClose(client) => drop(self.remove_client(client)),
+            Effect::ClientClose(client) => {
+                self.flush_clients();
+                drop(self.remove_client(client));
+            }
             Effect::ClientCloseIfIdle(client) => self.close_client_if_idle(client),
             Effect::ClientCheckStalled(client, reason) => self.check_stalled(client, reason),
             Effect::ClientDropInput(client) => self.drop_client_input(client),
@@ -149,6 +163,7 @@
 
     /// Ends the output to all clients and sets the flag that makes the gateway exit.
     fn request_exit(&self) {
+        self.flush_clients();
         self.finish_writing_to_clients();
         self.exits.set(true);
     }
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -147,7 +147,7 @@
     pub error_backoff: Span,
     /// After SIGTERM new connections are accepted for this long.
     pub shutdown_accept: Span,
-    /// After SIGTERM clients keep their open connections, and are served, for this long.
+    /// After SIGTERM clients keep their open connections, and are served, for this long. Then they are closed between requests.
     pub shutdown_serve: Span,
     /// Interval at which client connections are checked after `shutdown_serve`, and closed if they are between requests.
     pub shutdown_sweep_interval: Span,
@@ -183,8 +183,19 @@
 const LATE_CONNECT_FACTOR: Span = 4;
 /// Idle time after which members close connections, if the settings do not name it.
 const DEFAULT_MEMBER_IDLE: Span = 30 * SECOND;
-/// Longest time for which requests are served after SIGTERM, even if their deadlines are later. `shutdown_serve` adds 200 ms.
+/// Longest time for which requests are served after SIGTERM, even if their deadlines are later.
 const MAX_SHUTDOWN_SERVE: Span = 3 * SECOND;
+/// From the longest deadline after SIGTERM, open requests have this long to finish. What remains until the exit is for the answers
+/// to all statements that wait, and for a pause of the process of 150 ms.
+const SHUTDOWN_FINISH: Span = 200 * MS;
+/// The exit is this long after the longest deadline: SIGKILL comes 700 ms after it at the earliest.
+const SHUTDOWN_EXIT: Span = 580 * MS;
+/// Where deadlines are shorter than `shutdown_accept`, clients are served for at most this long after the longest one.
+const SHORT_DEADLINE_SERVE: Span = 200 * MS;
+/// In that case, the remaining requests are rejected this long after the listener is closed, and not later after the longest
+/// deadline than `LATEST_REJECT`.
+const ACCEPT_TO_REJECT: Span = 20 * MS;
+const LATEST_REJECT: Span = 420 * MS;
 
 /// The limits that depend neither on the platform nor on the settings; all others are 0 here.
 const FIXED: Limits = Limits {
@@ -343,11 +354,14 @@
 
     fn with_longest_deadline(self, longest: Span) -> Self {
         let serve = longest.min(MAX_SHUTDOWN_SERVE);
+        // With short deadlines, clients that come while the listener is open are served too, as far as the end allows that.
+        let accept = self.shutdown_accept;
+        let reject = accept + ACCEPT_TO_REJECT;
         Limits {
             max_request_wait: longest.max(30 * SECOND),
-            shutdown_serve: serve + 200 * MS,
-            shutdown_reject: serve + 420 * MS,
-            shutdown_deadline: serve + 580 * MS,
+            shutdown_serve: serve.max(accept.min(serve + SHORT_DEADLINE_SERVE)),
+            shutdown_reject: (serve + SHUTDOWN_FINISH).max(reject.min(serve + LATEST_REJECT)),
+            shutdown_deadline: serve + SHUTDOWN_EXIT,
             ..self
         }
     }
--- a/crates/stackgw-gateway/src/reducer/input.rs
+++ b/crates/stackgw-gateway/src/reducer/input.rs
@@ -68,6 +68,9 @@
     ClientConnected(ClientId),
     /// A client's complete message; delivered only if [`accepts_frame`](super::Reducer::accepts_frame) allows it.
     ClientFrame(ClientId, Frame),
+    /// Consecutive messages of a client; delivered only while [`rejects_requests`](super::Reducer::rejects_requests) holds and the
+    /// first of them is accepted.
+    ClientFrames(ClientId, Vec<Frame>),
     /// A client's complete message that was not accepted in time; delivered only if
     /// [`may_reject_frame`](super::Reducer::may_reject_frame) allows it.
     ClientFrameOverdue(ClientId, Frame),
--- a/crates/stackgw-gateway/src/reducer/mod.rs
+++ b/crates/stackgw-gateway/src/reducer/mod.rs
@@ -138,6 +138,11 @@
         self.gateway.may_reject_frame(client)
     }
 
+    /// Returns whether the gateway is about to exit and rejects all requests at once.
+    pub fn rejects_requests(&self) -> bool {
+        self.gateway.rejects_requests()
+    }
+
     /// Returns the current counters.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_messages.rs
@@ -118,6 +118,12 @@
 
     fn handle_query(&mut self, cx: &mut Context<'_>, id: ClientId, queued: QueuedFrame) {
         cx.counters.taken += 1;
+        if let Some(rejection) = self.shutdown.rejection() {
+            // Not parsed: tens of thousands of statements may have to be answered before the exit.
+            let rejection = rejection.to_vec();
+            cx.counters.rejected_early += 1;
+            return self.write_to_client(cx, id, rejection, false);
+        }
         if self.reject_over_capacity(cx, id) {
             cx.counters.rejected_early += 1;
             return;
--- a/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/dispatch.rs
@@ -15,6 +15,7 @@
         self.detect_stall(cx);
         self.handle_input(cx, input);
         self.run_router(cx);
+        self.reject_queued(cx);
         self.schedule_sessions(cx);
         self.schedule_cluster(cx);
         self.schedule_bootstrap(cx);
@@ -45,6 +46,11 @@
         match input {
             Input::ClientConnected(id) => self.clients.connect(cx, id),
             Input::ClientFrame(id, frame) => self.handle_client_frame(cx, id, frame),
+            Input::ClientFrames(id, frames) => {
+                for frame in frames {
+                    self.handle_client_frame(cx, id, frame);
+                }
+            }
             Input::ClientFrameOverdue(id, frame) => self.handle_overdue_frame(cx, id, frame),
             Input::ClientReadAhead(id, read_ahead) => self.handle_read_ahead(cx, id, read_ahead),
             Input::ReadAheadExhausted => self.free_read_ahead(cx),
@@ -133,6 +139,7 @@
             Timer::WriteConfirmation(request) => self.fail_unconfirmed_write(cx, request),
             Timer::StopListening => self.stop_listening(cx),
             Timer::DrainClients => self.drain_clients(cx),
+            Timer::StopQueueing => self.stop_queueing(),
             Timer::RejectRemaining => self.reject_remaining(cx),
             Timer::ShutdownDeadline => self.exit(cx),
         }
--- a/crates/stackgw-gateway/src/reducer/steps/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/requests.rs
@@ -87,6 +87,7 @@
         let last_write = statement.after_ms.map(|ms| ms * MS);
         let is_retry = statement.repeat;
         let id = self.requests.insert(cx, requester, statement, deadline);
+        self.shutdown.record_request(cx.now, id);
         let request = Request {
             id,
             class,
--- a/crates/stackgw-gateway/src/reducer/steps/shutdown.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/shutdown.rs
@@ -7,7 +7,7 @@
 use crate::reducer::response::FinalResponse;
 use crate::reducer::state::Gateway;
 use crate::reducer::timers::Timer;
-use stackgw_router::api::RequestId;
+use stackgw_router::api::{Event, RequestId};
 use std::collections::BTreeSet;
 
 impl Gateway {
@@ -19,6 +19,7 @@
         cx.set_timer_after(limits.shutdown_accept, Timer::StopListening);
         self.shutdown
             .set_drain_start(cx.now + limits.shutdown_serve);
+        cx.set_timer_after(limits.shutdown_serve, Timer::StopQueueing);
         cx.set_timer_after(limits.shutdown_serve, Timer::DrainClients);
         cx.set_timer_after(limits.shutdown_reject, Timer::RejectRemaining);
         cx.set_timer_after(limits.shutdown_deadline, Timer::ShutdownDeadline);
@@ -54,6 +55,33 @@
         }
     }
 
+    /// Lets [`reject_queued`](Self::reject_queued) reject all requests that are queued now.
+    pub(super) fn stop_queueing(&mut self) {
+        for request in self.requests.unanswered() {
+            self.shutdown.add_undispatched(request);
+        }
+    }
+
+    /// Rejects the requests among those recorded that the router has sent to no member. From the time at which clients are closed,
+    /// none is queued any more: it would most likely be rejected all the same shortly before the exit, when many have to be.
+    pub(super) fn reject_queued(&mut self, cx: &mut Context<'_>) {
+        if self.stalls.is_holding(cx.now, cx.limits) {
+            return;
+        }
+        while let Some(request) = self.shutdown.next_undispatched() {
+            let open = self.requests.get(request);
+            let is_queued = open.is_some_and(|open| {
+                open.attempts_started == 0 && !open.is_finished && open.awaiting_session.is_none()
+            });
+            if is_queued {
+                self.reject_remaining_request(cx, request);
+                self.router.enqueue(Event::ClientDisconnected(request));
+                // The rejection lets the client's next statements start.
+                self.run_router(cx);
+            }
+        }
+    }
+
     /// Answers all open requests shortly before the SIGKILL; requests that arrive later are rejected. The response of a request
     /// that was sent leaves open whether it ran. Clients are still closed between requests, and the program exits once no
     /// client and no request of another frontend is left.
@@ -61,7 +89,8 @@
     /// If the program exited here, accepted statements would be lost: those that start once the response before them is sent,
     /// those that a client's task has read but could not deliver, and those whose response is not flushed yet.
     pub(super) fn reject_remaining(&mut self, cx: &mut Context<'_>) {
-        self.shutdown.mark_rejecting();
+        let rejection = FinalResponse::Unavailable(SHUTTING_DOWN).into_messages();
+        self.shutdown.start_rejecting(rejection);
         let mut remaining = self.unanswered_requests();
         while let Some(request) = remaining.pop_first() {
             self.reject_remaining_request(cx, request);
@@ -72,6 +101,11 @@
         self.drain_clients(cx);
     }
 
+    /// Returns whether all requests are rejected at once.
+    pub(crate) fn rejects_requests(&self) -> bool {
+        self.shutdown.is_rejecting()
+    }
+
     fn unanswered_requests(&self) -> BTreeSet<RequestId> {
         self.requests.unanswered().into_iter().collect()
     }
--- a/crates/stackgw-gateway/src/reducer/timers.rs
+++ b/crates/stackgw-gateway/src/reducer/timers.rs
@@ -33,6 +33,8 @@
     StopListening,
     /// Shutdown: close idle clients.
     DrainClients,
+    /// Shutdown: reject requests that are queued.
+    StopQueueing,
     /// Shutdown: answer all open requests and reject new ones.
     RejectRemaining,
     /// Shutdown: exit.
