Flight backend: a write whose result cannot be fetched may have run

Cause: a refused connection counted as "nothing was sent", also for DoGet after the member had replied to GetFlightInfo, for which members may run the statement.

Change: an attempt carries how far it got, and one function says what a lost connection means: never run only while no part of the request had a reply.

--- a/crates/stackgw-flight/src/backend/member_status.rs
+++ b/crates/stackgw-flight/src/backend/member_status.rs
@@ -3,10 +3,9 @@
 
 use crate::protocol::{LOAD_HEADER, NEVER_RAN, POSITION_HEADER, RAN_TRAILER, ROLE_HEADER};
 use stackgw_gateway::pg::{write, Frame, FrameDecoder, Reply};
-use stackgw_gateway::reducer::{CloseReason, StreamHeader};
-use std::error::Error;
+use stackgw_gateway::reducer::StreamHeader;
 use tonic::metadata::MetadataMap;
-use tonic::{Code, ConnectError, Status};
+use tonic::{Code, Status};
 
 /// SQLSTATE of a request that the member cannot serve because of its role or its replay lag.
 const READ_ONLY: &str = "25006";
@@ -15,20 +14,6 @@
 /// SQLSTATE of a request that failed for any other reason, and may have run.
 const INTERNAL_ERROR: &str = "XX000";
 
-/// How the connection was lost, if the status was created locally because of that. Statuses sent by
-/// members have no source error.
-pub(super) fn connection_loss(status: &Status) -> Option<CloseReason> {
-    let mut source = status.source();
-    source?;
-    while let Some(error) = source {
-        if error.is::<ConnectError>() {
-            return Some(CloseReason::NotSent);
-        }
-        source = error.source();
-    }
-    Some(CloseReason::Disconnected)
-}
-
 /// Writes a member's status as an error message of the PostgreSQL protocol, followed by the
 /// parameters from [`write_member_parameters`].
 pub(super) fn write_error(out: &mut Vec<u8>, status: &Status) {
--- a/crates/stackgw-flight/src/backend/mod.rs
+++ b/crates/stackgw-flight/src/backend/mod.rs
@@ -14,8 +14,10 @@
 //! | `request` | one request: sending it to the member, cancelling it if it is no longer needed |
 //! | `stream` | responses that are relayed as streams |
 //! | `value` | responses with a single value |
+//! | `attempt_progress` | how far an attempt has got, and what a lost connection says of it |
 //! | `member_status` | conversion of a member's statuses and headers for the gateway |
 
+mod attempt_progress;
 mod connection;
 mod dispatcher;
 mod member_status;
--- a/crates/stackgw-flight/src/backend/request.rs
+++ b/crates/stackgw-flight/src/backend/request.rs
@@ -1,7 +1,8 @@
 //! A request to a member.
 
+use super::attempt_progress::AttemptProgress;
 use super::dispatcher::{Backend, TimedRequest};
-use super::member_status::{connection_loss, decode_frames, write_error, write_member_parameters};
+use super::member_status::{decode_frames, write_error, write_member_parameters};
 use super::value::{read_single_value, SingleValue};
 use crate::protocol::{CANCEL_FLIGHT_INFO, NEVER_RAN, RAN_TRAILER};
 use crate::status::root_cause;
@@ -63,6 +64,7 @@
     request: BackendRequest,
     /// Latest time at which any part of the request may be sent.
     send_by: Option<Instant>,
+    pub(super) progress: AttemptProgress,
     /// The member's reply to GetFlightInfo, which is needed to cancel the request.
     flight_info: Mutex<Option<FlightInfo>>,
 }
@@ -80,6 +82,7 @@
             channel,
             request: timed.request,
             send_by: timed.send_by,
+            progress: AttemptProgress::default(),
             flight_info: Mutex::default(),
         }
     }
@@ -144,6 +147,7 @@
         let mut request = Request::new(descriptor);
         request.set_timeout(timeout);
         let info = client.get_flight_info(request).await?.into_inner();
+        self.progress.record_reply();
         let ticket = single_ticket(&info);
         let ticket = ticket.ok_or_else(|| Status::internal("the answer is not in one place"))?;
         *lock(&self.flight_info) = Some(info);
@@ -184,7 +188,7 @@
     /// Handles an error status. Reports it to the gateway as the member's response, unless it was
     /// created locally because the connection was lost.
     pub(super) async fn fail(&self, status: &Status) -> RequestEnd {
-        if let Some(close_reason) = connection_loss(status) {
+        if let Some(close_reason) = self.progress.connection_loss(status) {
             let log_reason = Some(root_cause(status)).filter(|reason| !reason.is_empty());
             return RequestEnd::Lost(LostConnection {
                 close_reason,
--- a/crates/stackgw-flight/src/backend/stream.rs
+++ b/crates/stackgw-flight/src/backend/stream.rs
@@ -1,6 +1,6 @@
 //! Responses that are relayed as streams.
 
-use super::member_status::{connection_loss, parse_member_parameters};
+use super::member_status::parse_member_parameters;
 use super::request::{LostConnection, MemberRequest, RequestEnd};
 use crate::relay::{open_stream, RelayReader, RelayWriter};
 use arrow_flight::FlightData;
@@ -83,7 +83,35 @@
             };
             match message {
                 Ok(Some(message)) if is_data(&message) => writer.write(message),
-                end => return finish_stream(writer, end),
+                end => return self.finish_stream(writer, end),
+            }
+        }
+    }
+
+    /// Ends a stream after its last data message. `end` is what was read next: the end of the stream,
+    /// an invalid message or an error. Returns the outcome of the attempt at the member.
+    fn finish_stream(
+        &self,
+        writer: RelayWriter,
+        end: Result<Option<FlightData>, Status>,
+    ) -> Outcome {
+        match end {
+            Ok(None) => {
+                writer.finish();
+                Outcome::Served
+            }
+            Ok(Some(_)) => {
+                writer.fail("its schema changed, or a message could not be read");
+                Outcome::MalformedResponse
+            }
+            Err(status) => {
+                let connection_lost = self.progress.connection_loss(&status).is_some();
+                writer.fail(status.message());
+                if connection_lost {
+                    Outcome::ConnectionReset
+                } else {
+                    Outcome::Error
+                }
             }
         }
     }
@@ -109,30 +137,6 @@
     }
 }
 
-/// Ends a stream after its last data message. `end` is what was read next: the end of the stream,
-/// an invalid message or an error. Returns the outcome of the attempt at the member.
-fn finish_stream(writer: RelayWriter, end: Result<Option<FlightData>, Status>) -> Outcome {
-    match end {
-        Ok(None) => {
-            writer.finish();
-            Outcome::Served
-        }
-        Ok(Some(_)) => {
-            writer.fail("its schema changed, or a message could not be read");
-            Outcome::MalformedResponse
-        }
-        Err(status) => {
-            let connection_lost = connection_loss(&status).is_some();
-            writer.fail(status.message());
-            if connection_lost {
-                Outcome::ConnectionReset
-            } else {
-                Outcome::Error
-            }
-        }
-    }
-}
-
 /// Whether a message is readable and is not a second schema.
 fn is_data(message: &FlightData) -> bool {
     !matches!(message_type(message), Some(MessageHeader::Schema) | None)
--- a/crates/stackgw-testkit/src/flight_member.rs
+++ b/crates/stackgw-testkit/src/flight_member.rs
@@ -18,12 +18,15 @@
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use tokio::sync::mpsc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Notify};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::metadata::MetadataValue;
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
 
+/// How long a member that ends lets pass between the notice to its clients and its last reply.
+const END_NOTICE: Duration = Duration::from_millis(50);
 /// The action type of a client's cancellation.
 const CANCEL_ACTION: &str = "CancelFlightInfo";
 
@@ -32,6 +35,8 @@
     pub(crate) index: usize,
     pub(crate) member: Arc<FakeMember>,
     pub(crate) log: Arc<ReplicatedLog>,
+    /// Ends the member gracefully.
+    pub(crate) ending: Arc<Notify>,
 }
 
 type Batches = <FlightMember as FlightService>::DoGetStream;
@@ -48,10 +53,12 @@
             tokio::net::TcpStream::from_std(socket)
         });
         let thread = std::thread::Builder::new().name(format!("m{}", self.index));
+        let ending = self.ending.clone();
         let service = FlightServiceServer::new(self).max_encoding_message_size(usize::MAX);
         thread.spawn(move || {
             let server = Server::builder().add_service(service);
-            let _ = runtime.block_on(server.serve_with_incoming(incoming));
+            let ended = async move { ending.notified().await };
+            let _ = runtime.block_on(server.serve_with_incoming_shutdown(incoming, ended));
         })?;
         Ok(connections)
     }
@@ -78,6 +85,15 @@
         outcome
     }
 
+    /// Runs a write, and ends before its result can be fetched. The reply to GetFlightInfo leaves once all connections have been
+    /// told.
+    async fn run_and_end(&self, text: &str) {
+        self.execute(text).await;
+        self.member.stop_listening();
+        self.ending.notify_one();
+        tokio::time::sleep(END_NOTICE).await;
+    }
+
     /// An answer that consists of one batch.
     fn answer(&self, value: &[u8], position_ms: Option<u64>) -> Response<Batches> {
         let batch = batch(VALUE_COLUMN, value);
@@ -109,6 +125,11 @@
         query: CommandStatementQuery,
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
+        if query.query.starts_with(WRITE_KEYWORD)
+            && self.member.ends_after_write.swap(false, Ordering::SeqCst)
+        {
+            self.run_and_end(&query.query).await;
+        }
         let ticket = TicketStatementQuery {
             statement_handle: query.query.into_bytes().into(),
         };
--- a/crates/stackgw-testkit/src/member.rs
+++ b/crates/stackgw-testkit/src/member.rs
@@ -3,7 +3,7 @@
 
 use crate::slow_start_model::{MemberLoad, ObservedLoad, SlowStartModel, WorkOutcome};
 use crate::sync::lock;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -25,6 +25,9 @@
     /// Whether the member runs each write and then, instead of answering, breaks the write's connection, or all its
     /// connections if it speaks Flight SQL.
     pub drops_write_replies: AtomicBool,
+    /// Whether the member, if it speaks Flight SQL, runs the next write already for GetFlightInfo, and then ends gracefully: it
+    /// listens no more, answers what it has, and closes its connections.
+    pub ends_after_write: AtomicBool,
     /// Streams stall after this many batches; 0: never.
     pub stall_after_batches: AtomicU64,
     /// Streams change their schema after this many batches; 0: never.
@@ -43,6 +46,7 @@
     draining_since: Mutex<Option<Instant>>,
     is_dead: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
+    listener: Mutex<Option<TcpListener>>,
     group_started: Instant,
 }
 
@@ -65,6 +69,7 @@
             answers_without_end: AtomicBool::default(),
             startup_delay_ms: AtomicU64::default(),
             drops_write_replies: AtomicBool::default(),
+            ends_after_write: AtomicBool::default(),
             stall_after_batches: AtomicU64::default(),
             change_schema_after_batches: AtomicU64::default(),
             in_flight: Arc::default(),
@@ -76,6 +81,7 @@
             draining_since: Mutex::default(),
             is_dead: AtomicBool::default(),
             connections: Mutex::default(),
+            listener: Mutex::default(),
             group_started,
         }
     }
@@ -205,6 +211,18 @@
         lock(&self.connections).retain(|socket| socket.peer_addr().ok() != peer);
     }
 
+    /// Sets a handle of the listener, for [`stop_listening`](Self::stop_listening).
+    pub(crate) fn set_listener(&self, listener: TcpListener) {
+        *lock(&self.listener) = Some(listener);
+    }
+
+    /// Refuses new connections from now on.
+    pub(crate) fn stop_listening(&self) {
+        if let Some(listener) = lock(&self.listener).take() {
+            let _ = rustix::net::shutdown(&listener, rustix::net::Shutdown::Both);
+        }
+    }
+
     /// Breaks all connections, and closes new ones immediately.
     pub(crate) fn kill(&self) {
         self.is_dead.store(true, Ordering::SeqCst);
--- a/crates/stackgw-testkit/src/replica_group.rs
+++ b/crates/stackgw-testkit/src/replica_group.rs
@@ -85,8 +85,11 @@
         for (index, listener) in listeners.into_iter().enumerate() {
             let serve = group.member_server(index, config.protocol)?;
             let member = group.members[index].clone();
+            member.set_listener(listener.try_clone()?);
             std::thread::spawn(move || {
-                let connections = listener.incoming().flatten();
+                // An error that is not the end of the listener is that of one connection.
+                let is_open = |connection: &io::Result<TcpStream>| !matches!(connection, Err(error) if error.kind() == io::ErrorKind::InvalidInput);
+                let connections = listener.incoming().take_while(is_open).flatten();
                 connections.filter(|s| member.accept(s)).for_each(serve);
             });
         }
@@ -108,7 +111,12 @@
             }
             #[cfg(feature = "flight")]
             Protocol::FlightSql => {
-                let server = crate::flight_member::FlightMember { index, member, log };
+                let server = crate::flight_member::FlightMember {
+                    index,
+                    member,
+                    log,
+                    ending: std::sync::Arc::default(),
+                };
                 let connections = server.spawn()?;
                 Ok(Box::new(move |socket| drop(connections.send(socket))))
             }
