Gateway: calls of Flight SQL that come at the exit are answered, and the process ends

Cause: calls in the channel to the reducer when it ended, and later ones, were read by nobody; the channel stayed open, their handlers waited for ever, and the exit waited for the handlers.

Change: at the exit the intake is closed, and what is in it, or was read and not answered, gets the response that the gateway ends. Responses that stream are ended with the remaining requests. Calls have 0.3 s for their last status.

--- a/crates/stackgw-flight/src/server.rs
+++ b/crates/stackgw-flight/src/server.rs
@@ -32,9 +32,11 @@
 const MAX_PENDING_RESETS: usize = 20;
 /// Interval between HTTP/2 keepalive pings, and timeout for the reply.
 const KEEPALIVE: Duration = Duration::from_secs(10);
-/// Timeout for shutting down the runtime. By then, requests that were open when the gateway ended
-/// have been answered; idle connections need no further time.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long open calls may take to send their last status once the gateway has ended. By then, the
+/// gateway has answered all of them; a client that does not read its stream must not hold the exit.
+const CALL_END_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for shutting down the runtime.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A running server. Dropping the handle shuts the server down and waits for it to stop.
 #[derive(Debug)]
@@ -116,11 +118,24 @@
         let backend_config = self.config.backend.clone();
         let backend = Backend::new(backend_config, self.backend, relay, self.log.clone());
         tokio::spawn(backend.run());
-        let shutdown_signal = async { drop(shutdown_signal.await) };
+        let (ended, has_ended) = oneshot::channel();
+        let shutdown_signal = async {
+            let _ = shutdown_signal.await;
+            drop(ended);
+        };
         let served = build_router(&self.config, self.gateway)
             .serve_with_incoming_shutdown(accept(listener), shutdown_signal);
-        if let Err(error) = served.await {
-            info!(self.log, "flight sql server stopped: {error}");
+        let timed_out = async {
+            let _: Result<(), _> = has_ended.await;
+            tokio::time::sleep(CALL_END_TIMEOUT).await;
+        };
+        tokio::select! {
+            served = served => {
+                if let Err(error) = served {
+                    info!(self.log, "flight sql server stopped: {error}");
+                }
+            }
+            () = timed_out => info!(self.log, "flight sql calls were open at the exit"),
         }
     }
 }
--- a/crates/stackgw-gateway/src/io/request_handle.rs
+++ b/crates/stackgw-gateway/src/io/request_handle.rs
@@ -121,6 +121,15 @@
     }
 }
 
+/// Ends the intake of requests when the gateway exits. Requests that were sent and not read, and all later ones, get the response
+/// that the gateway ends: their frontends wait for a response, and the gateway waits for its frontends to stop.
+pub(super) fn close_intake(messages: &Receiver<FrontendMessage>) {
+    messages.close();
+    while let Ok(message) = messages.try_recv() {
+        drop(message);
+    }
+}
+
 /// Open requests of other frontends, and the channels for their responses.
 #[derive(Default)]
 pub(super) struct OpenRequests(RefCell<HashMap<CallId, Sender<FrontendResponse>>>);
@@ -133,4 +142,13 @@
     pub(super) fn remove(&self, id: CallId) -> Option<Sender<FrontendResponse>> {
         self.0.borrow_mut().remove(&id)
     }
+
+    /// Drops all requests; each gets the response that the gateway ends.
+    pub(super) fn clear(&self) {
+        self.0.borrow_mut().clear();
+    }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/request_handle.rs"]
+mod tests;
--- a/crates/stackgw-gateway/src/io/startup.rs
+++ b/crates/stackgw-gateway/src/io/startup.rs
@@ -9,7 +9,7 @@
 use super::flag::Flag;
 use super::list_tasks::ListRequests;
 use super::member_table::Members;
-use super::request_handle::{FrontendMessage, OpenRequests, RequestHandle};
+use super::request_handle::{close_intake, FrontendMessage, OpenRequests, RequestHandle};
 use super::{
     backends, clients, control, datagrams, disconnects, frontends, listener, signals, storage,
     timers,
@@ -108,6 +108,8 @@
 
     fn run(self) {
         let driver = self.driver;
+        let frontend = self.sources.frontend.as_ref();
+        let frontend_messages = frontend.map(|inputs| inputs.messages.clone());
         self.sources.spawn_tasks(&driver);
         for effect in self.effects {
             driver.execute(effect);
@@ -117,6 +119,9 @@
         // The executor's tasks hold the driver, which holds the executor, so neither is ever dropped. Without this explicit
         // drop, writes queued for the disk would be lost when the process exits.
         drop(driver.storage.take());
+        // No task reads requests any more, and the frontend stops only once each of its requests has a response.
+        frontend_messages.as_ref().map(close_intake);
+        driver.open_requests.clear();
         drop(self.running_frontend);
     }
 }
--- a/crates/stackgw-gateway/src/reducer/state/requests.rs
+++ b/crates/stackgw-gateway/src/reducer/state/requests.rs
@@ -145,6 +145,13 @@
         self.calls.remove(&call)
     }
 
+    /// Returns the calls whose response is not complete.
+    pub(crate) fn open_calls(&self) -> Vec<CallId> {
+        let mut calls: Vec<_> = self.calls.keys().copied().collect();
+        calls.sort_unstable();
+        calls
+    }
+
     pub(crate) fn has_calls(&self) -> bool {
         !self.calls.is_empty()
     }
--- a/crates/stackgw-gateway/src/reducer/steps/shutdown.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/shutdown.rs
@@ -98,6 +98,10 @@
                 remaining = self.unanswered_requests();
             }
         }
+        for call in self.requests.open_calls() {
+            // What is left are responses that stream.
+            self.handle_call_cancelled(cx, call);
+        }
         self.drain_clients(cx);
     }
 
