--- a/crates/stackgw-testkit/src/member.rs
+++ b/crates/stackgw-testkit/src/member.rs
@@ -3,7 +3,7 @@
 
 use crate::slow_start_model::{MemberLoad, ObservedLoad, SlowStartModel, WorkOutcome};
 use crate::sync::lock;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -46,7 +46,9 @@
     draining_since: Mutex<Option<Instant>>,
     is_dead: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
-    listener: Mutex<Option<TcpListener>>,
+    /// A handle of the listener.
+    #[cfg(feature = "flight")]
+    listener: Mutex<Option<std::net::TcpListener>>,
     group_started: Instant,
 }
 
@@ -81,6 +83,7 @@
             draining_since: Mutex::default(),
             is_dead: AtomicBool::default(),
             connections: Mutex::default(),
+            #[cfg(feature = "flight")]
             listener: Mutex::default(),
             group_started,
         }
@@ -212,11 +215,13 @@
     }
 
     /// Sets a handle of the listener, for [`stop_listening`](Self::stop_listening).
-    pub(crate) fn set_listener(&self, listener: TcpListener) {
+    #[cfg(feature = "flight")]
+    pub(crate) fn set_listener(&self, listener: std::net::TcpListener) {
         *lock(&self.listener) = Some(listener);
     }
 
     /// Refuses new connections from now on.
+    #[cfg(feature = "flight")]
     pub(crate) fn stop_listening(&self) {
         if let Some(listener) = lock(&self.listener).take() {
             let _ = rustix::net::shutdown(&listener, rustix::net::Shutdown::Both);
--- a/crates/stackgw-testkit/src/replica_group.rs
+++ b/crates/stackgw-testkit/src/replica_group.rs
@@ -85,6 +85,7 @@
         for (index, listener) in listeners.into_iter().enumerate() {
             let serve = group.member_server(index, config.protocol)?;
             let member = group.members[index].clone();
+            #[cfg(feature = "flight")]
             member.set_listener(listener.try_clone()?);
             std::thread::spawn(move || {
                 // An error that is not the end of the listener is that of one connection.
