Test: a client that left during a flood may be forwarded for 0.1 s after it left

Trace: from the clients' leaving to the last look 12 to 31 ms pass, in the failed play 15 ms. The wait before it, for the number of open clients, ends early when flooding clients happen to reconnect. An attempt that begins within 0.1 s of the client's leaving is allowed by the operators' terms, so the test judged what they allow.

--- a/crates/stackgw-cli/tests/leaving.rs
+++ b/crates/stackgw-cli/tests/leaving.rs
@@ -14,6 +14,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// A request may begin until this long after its client has left.
+const LEAVE_GRACE: Duration = Duration::from_millis(100);
+
 /// Starts a gateway with two replicas and no primary, so that writes wait. Also returns a function that adds the primary to the
 /// list.
 fn start_without_primary(name: &str) -> (GatewayFixture, impl FnOnce() -> Sender<String>) {
@@ -153,12 +156,15 @@
     connected
         .into_iter()
         .for_each(|(leave, connection)| leave(connection));
+    let left_at = Instant::now();
     if flooding == 0 {
         // The gateway detects that each client has left, even if it has not read all of its bytes.
         gateway.wait_for_counter("abandoned", |n| n == all);
     } else {
         // Their requests may not have been accepted yet, but none of the clients is connected any more.
         gateway.wait_for_counter("clients_open", |n| n <= flooding as u64 + 1);
+        // Flooding clients that reconnect are not counted for a moment, so that the counter alone may show it too early.
+        std::thread::sleep(LEAVE_GRACE.saturating_sub(left_at.elapsed()));
     }
     stop.store(true, Ordering::Relaxed);
     threads
