Testkit: a gateway's counters are read from complete lines of its log only

a_replica_that_was_forgotten_gets_no_bounded_read_by_the_late_list failed once beside six busy processes: "no counter lists".

Trace: the line that it read ends within a name, after 805 bytes; the logger had written the rest of it no sooner than the test read the file. What follows the last newline is left out now; the test and its checks are as they were.

--- a/crates/stackgw-testkit/src/gateway_fleet.rs
+++ b/crates/stackgw-testkit/src/gateway_fleet.rs
@@ -199,7 +199,10 @@
         let log = self.files(index).log();
         let lines = || {
             let text = std::fs::read_to_string(&log).unwrap_or_default();
-            let lines = text.lines().filter(|line| line.contains(COUNTERS_PREFIX));
+            // The last line may be half written.
+            let complete = text.rsplit_once('\n').map_or("", |(complete, _)| complete);
+            let lines = complete.lines();
+            let lines = lines.filter(|line| line.contains(COUNTERS_PREFIX));
             lines.map(str::to_owned).collect::<Vec<_>>()
         };
         let before = lines().len();
