--- a/crates/stackgw-cli/tests/stalled_clients.rs
+++ b/crates/stackgw-cli/tests/stalled_clients.rs
@@ -41,13 +41,13 @@
 enum Stall {
     /// Half of its startup message.
     Startup,
-    /// Half of its first request.
+    /// Most of its first request.
     FirstRequest,
-    /// Half of a request after one that was answered.
+    /// Most of a request after one that was answered.
     SecondRequest,
-    /// Its first request, of which the second half comes byte by byte.
+    /// Its first request, of which the rest comes byte by byte.
     Dripped,
-    /// Half of a request behind one that no member answers.
+    /// Most of a request behind one that no member answers.
     BehindOpenRequest,
 }
 
@@ -69,25 +69,25 @@
 fn stall(address: SocketAddr, how: Stall, request: &Frame) -> Option<Duration> {
     let mut client = connect(address);
     let connected_at = Instant::now();
-    let half = &request.bytes[..request.bytes.len() / 16 * 15];
+    let part = &request.bytes[..request.bytes.len() / 16 * 15];
     let mut bytes = startup().bytes;
     match how {
         Stall::Startup => bytes.truncate(bytes.len() / 2),
         Stall::BehindOpenRequest => {
             bytes.extend(insert("slow").bytes);
-            bytes.extend(half);
+            bytes.extend(part);
         }
-        Stall::FirstRequest | Stall::Dripped => bytes.extend(half),
+        Stall::FirstRequest | Stall::Dripped => bytes.extend(part),
         Stall::SecondRequest => {
             client.write(&[startup(), query("")]);
             client.read_reply();
             client.read_reply();
-            bytes = half.to_vec();
+            bytes = part.to_vec();
         }
     }
     let _ = client.socket.write_all(&bytes);
     if how == Stall::Dripped {
-        drip(&client.socket, request.bytes[half.len()..].to_vec());
+        drip(&client.socket, request.bytes[part.len()..].to_vec());
     }
     // Reads what it is sent, and leaves when its connection ends.
     let mut buffer = [0; 1024];
@@ -152,6 +152,20 @@
     (0..clients).map(start).collect()
 }
 
+/// The results of all these threads.
+fn join_all<T>(threads: Vec<ScopedJoinHandle<'_, T>>) -> Vec<T> {
+    let threads = threads.into_iter();
+    threads
+        .map(|thread| thread.join().expect("no panic"))
+        .collect()
+}
+
+/// How many of the stalled clients got their error or close in time.
+fn ended_in_time(waited: &[Option<Duration>]) -> usize {
+    let ended = waited.iter().flatten();
+    ended.filter(|waited| **waited <= ERROR_TIMEOUT).count()
+}
+
 /// Sends requests on new connections, one each 50 ms, beside clients that stall in the middle of a message.
 fn check_new_clients_are_served(how: Stall) {
     let fixture = start_gateway(&format!("stalled-{how:?}"), 64, 128);
@@ -165,10 +179,7 @@
                 scope.spawn(move || ask(address, &request))
             })
             .collect();
-        let answers: Vec<_> = asking
-            .into_iter()
-            .map(|ask| ask.join().expect("no panic"))
-            .collect();
+        let answers = join_all(asking);
         let is_answered = |(n, answer): (usize, &Option<String>)| match answer.as_deref() {
             Some("TDCZ") => true,
             // All places were taken within a few milliseconds, so that nobody had stalled yet.
@@ -181,15 +192,12 @@
             .filter(|a| is_answered(*a))
             .count();
         assert_eq!(answered, answers.len(), "{how:?}: {answers:?}");
-        let waited: Vec<_> = stalled
-            .into_iter()
-            .map(|s| s.join().expect("no panic"))
-            .collect();
-        let in_time = waited
-            .iter()
-            .flatten()
-            .filter(|waited| **waited <= ERROR_TIMEOUT);
-        assert_eq!(in_time.count(), STALLED_CLIENTS, "{how:?}: {waited:?}");
+        let waited = join_all(stalled);
+        assert_eq!(
+            ended_in_time(&waited),
+            STALLED_CLIENTS,
+            "{how:?}: {waited:?}"
+        );
     });
 }
 
@@ -200,13 +208,13 @@
     check_new_clients_are_served(Stall::Startup);
 }
 
-/// Regression: the same with half of a first request.
+/// Regression: the same with most of a first request.
 #[test]
 fn new_clients_are_served_beside_clients_that_stall_in_their_first_request() {
     check_new_clients_are_served(Stall::FirstRequest);
 }
 
-/// Regression: the same with half of a request after one that was answered.
+/// Regression: the same with most of a request after one that was answered.
 #[test]
 fn new_clients_are_served_beside_clients_that_stall_in_a_later_request() {
     check_new_clients_are_served(Stall::SecondRequest);
@@ -272,10 +280,7 @@
         // The primary is kept busy by the requests that stalled clients have open.
         let may_be_rejected = how == Stall::BehindOpenRequest;
         let is_answered = |kinds: &str| kinds == "TDCZ" || (may_be_rejected && kinds == "EZ");
-        let new: Vec<_> = new
-            .into_iter()
-            .map(|ask| ask.join().expect("no panic"))
-            .collect();
+        let new = join_all(new);
         let answered = |answer: &Option<String>| answer.as_deref().is_some_and(is_answered);
         assert!(new.iter().all(answered), "{how:?}, new clients: {new:?}");
         for writer in kept {
@@ -285,17 +290,10 @@
             let is_kept = answers.len() > 1 && answers.iter().all(in_time);
             assert!(is_kept, "{how:?}, kept clients: {answers:?}");
         }
-        let waited: Vec<_> = stalled
-            .into_iter()
-            .map(|s| s.join().expect("no panic"))
-            .collect();
-        let in_time = waited
-            .iter()
-            .flatten()
-            .filter(|waited| **waited <= ERROR_TIMEOUT);
+        let waited = join_all(stalled);
         // The error of a client with an open request follows the answer of that.
         if how != Stall::BehindOpenRequest {
-            assert_eq!(in_time.count(), STALLED_LARGE, "{how:?}: {waited:?}");
+            assert_eq!(ended_in_time(&waited), STALLED_LARGE, "{how:?}: {waited:?}");
         }
     });
     let peak = gateway.peak_kib();
--- a/crates/stackgw-gateway/src/io/connection/read_budget.rs
+++ b/crates/stackgw-gateway/src/io/connection/read_budget.rs
@@ -23,6 +23,14 @@
     pub(super) message_bytes: Option<usize>,
 }
 
+impl Holding {
+    /// Returns how many bytes are to be reserved for the rest of its message; 0 if the size of that is not known.
+    fn lacking_bytes(&self) -> usize {
+        let message_bytes = self.message_bytes.unwrap_or_default();
+        message_bytes.saturating_sub(self.charged_bytes)
+    }
+}
+
 /// How much a connection may read now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReadPermit {
@@ -134,8 +142,7 @@
             // Whoever has not used up its reserve cannot be ended for what it holds, and so may not hold more.
             return Some(ReadPermit::Bytes(reserved_bytes));
         }
-        let lacking_bytes = message_bytes.saturating_sub(holding.charged_bytes);
-        (lacking_bytes <= free_bytes).then_some(ReadPermit::Message)
+        (holding.lacking_bytes() <= free_bytes).then_some(ReadPermit::Message)
     }
 
     /// Wakes the waiting connections that may read now, as many as there is memory for.
@@ -145,8 +152,7 @@
             let holding = &reader.holding;
             let permit = self.shared_permit(holding, free_bytes);
             if permit == Some(ReadPermit::Message) {
-                let message_bytes = holding.message_bytes.unwrap_or_default();
-                free_bytes -= message_bytes.saturating_sub(holding.charged_bytes);
+                free_bytes -= holding.lacking_bytes();
             }
             permit.is_some()
         };
--- a/crates/stackgw-gateway/src/io/driver.rs
+++ b/crates/stackgw-gateway/src/io/driver.rs
@@ -92,8 +92,7 @@
         self.alarm.set(self.reducer.borrow().next_due());
     }
 
-    /// Takes the next queued input. Before the last one is followed by none, what was written to clients goes to their sockets,
-    /// which may queue further inputs.
+    /// Takes the next queued input. Once none is left, writes what is queued for clients, which may queue further inputs.
     fn next_input(&self) -> Option<Input> {
         if self.inputs.borrow().is_empty() {
             self.flush_clients();
--- a/crates/stackgw-gateway/src/io/startup.rs
+++ b/crates/stackgw-gateway/src/io/startup.rs
@@ -120,7 +120,9 @@
         // drop, writes queued for the disk would be lost when the process exits.
         drop(driver.storage.take());
         // No task reads requests any more, and the frontend stops only once each of its requests has a response.
-        frontend_messages.as_ref().map(close_intake);
+        if let Some(messages) = &frontend_messages {
+            close_intake(messages);
+        }
         driver.open_requests.clear();
         drop(self.running_frontend);
     }
--- a/crates/stackgw-gateway/src/limits.rs
+++ b/crates/stackgw-gateway/src/limits.rs
@@ -113,7 +113,7 @@
     /// Interval at which clients whose bytes wait are checked for a disconnect. No work may begin for a client later than
     /// 100 ms after it disconnects; the interval is a third of that.
     pub disconnect_poll_interval: Span,
-    /// Interval at which it is looked for clients to end while others wait for memory to send the rest of their messages.
+    /// Interval at which clients that stall within a message are ended while others wait for memory for theirs.
     pub exhausted_report_interval: Span,
     /// Clients that are checked for a disconnect before other tasks run.
     pub disconnect_poll_batch: usize,
--- a/crates/stackgw-gateway/src/reducer/state/admission.rs
+++ b/crates/stackgw-gateway/src/reducer/state/admission.rs
@@ -43,7 +43,7 @@
 }
 
 /// How much places for clients are needed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Pressure {
     /// The soft limit is exceeded.
     AboveSoftLimit,
@@ -139,11 +139,10 @@
         next.filter(|rank| rank.reason == reason)
     }
 
-    /// Moves a client that is about to be evicted to the end of the eviction order: one that has sent something meanwhile stays
-    /// connected, and would otherwise be chosen again and again.
+    /// Begins the eviction of a client. An idle one moves to the end of the eviction order: if it has sent something meanwhile, it
+    /// stays connected, and would otherwise be chosen again and again.
     fn evict(&mut self, now: Time, rank: EvictionRank) -> Eviction {
         self.refresh_idle(now, rank.client);
-        self.restart_partial(now, rank.client);
         let eviction = Eviction::new(rank);
         if let Eviction::Idle(client) = eviction {
             self.evicting = Some(client);
--- a/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
+++ b/crates/stackgw-gateway/src/reducer/steps/client_connections.rs
@@ -65,7 +65,8 @@
         self.write_client_error(cx, id, ClientError::fatal(PROTOCOL_VIOLATION, text));
     }
 
-    /// Checks a client that has not finished a message in time. Its times start anew, as the gateway may be behind with reading.
+    /// Checks whether a client has stopped in the middle of a message. The times of that message start anew: the gateway may be
+    /// behind with reading it, and the client would otherwise be chosen again and again.
     pub(super) fn check_stalled(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/stackgw-testkit/src/replica_group.rs
+++ b/crates/stackgw-testkit/src/replica_group.rs
@@ -54,6 +54,12 @@
     pub members: Vec<Arc<FakeMember>>,
 }
 
+/// Returns whether the listener still accepts connections. Any other error is that of one connection.
+fn is_listening(accepted: &io::Result<TcpStream>) -> bool {
+    let error = accepted.as_ref().err();
+    error.is_none_or(|error| error.kind() != io::ErrorKind::InvalidInput)
+}
+
 impl ReplicaGroup {
     /// Starts a primary and replicas with these lags, all of which speak PostgreSQL's protocol.
     pub fn start(replica_lags_ms: &[u64]) -> io::Result<Arc<Self>> {
@@ -88,9 +94,7 @@
             #[cfg(feature = "flight")]
             member.set_listener(listener.try_clone()?);
             std::thread::spawn(move || {
-                // An error that is not the end of the listener is that of one connection.
-                let is_open = |connection: &io::Result<TcpStream>| !matches!(connection, Err(error) if error.kind() == io::ErrorKind::InvalidInput);
-                let connections = listener.incoming().take_while(is_open).flatten();
+                let connections = listener.incoming().take_while(is_listening).flatten();
                 connections.filter(|s| member.accept(s)).for_each(serve);
             });
         }
